--- /dev/null
+++ b/wigeonspoke/config/__init__.py
@@ -0,0 +1,27 @@
+"""From an operator's answers to a configuration in force."""
+
+from wigeonspoke.config.generate import generate
+from wigeonspoke.config.publisher import (
+    ConfigHead,
+    ConfigStore,
+    PublishError,
+    PublishProblem,
+    Revision,
+)
+from wigeonspoke.config.questionnaire import (
+    AnswerError,
+    Questionnaire,
+    read_answers,
+)
+
+__all__ = (
+    'AnswerError',
+    'ConfigHead',
+    'ConfigStore',
+    'PublishError',
+    'PublishProblem',
+    'Questionnaire',
+    'Revision',
+    'generate',
+    'read_answers',
+)
--- /dev/null
+++ b/wigeonspoke/config/questionnaire.py
@@ -0,0 +1,322 @@
+"""The questionnaire: its answers, read and checked.
+
+Answers are a TOML or JSON document.  All errors are found at once, each
+with the path of the answer and what is allowed there.
+
+>>> read_answers(b'deployment = 1').failure()[0].path
+'deployment'
+"""
+
+import tomllib
+from collections.abc import Iterable
+from typing import Annotated, Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9._-]{0,62}$')]
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+LayerNumber = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+Weight = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
+Digest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+Method = Annotated[str, msgspec.Meta(pattern='^(GET|POST|PUT|DELETE)$')]
+Path = Annotated[str, msgspec.Meta(pattern='^/')]
+Status = Annotated[int, msgspec.Meta(ge=400, le=599)]
+
+
+class ModelAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model: how many layers it has and how long answers may take."""
+
+    name: Name
+    layers: Count
+    max_context: Count = 4096
+    answer_seconds: Seconds = 120.0
+    queue_seconds: Seconds = 30.0
+
+
+class AcceleratorAnswer(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """A kind of accelerator and what an engine on it can do."""
+
+    name: Name
+    step_seconds: Seconds
+    max_batch: Count
+    max_streams: Count
+
+
+class EnginesAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Engines of one kind that hold the same layers in one domain."""
+
+    model: Name
+    failure_domain: Name
+    accelerator: Name
+    first_layer: LayerNumber
+    end_layer: LayerNumber
+    addresses: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    checks_fencing: bool = False
+
+
+class OperationAnswer(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """An operation, and whether it may be repeated."""
+
+    method: Method
+    path: Path
+    repeatable: bool
+    identity_header: str = 'Idempotency-Key'
+
+
+class ReplicaAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where a replica of a service is."""
+
+    failure_domain: Name
+    address: Address
+
+
+class ServiceAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A plain service, its operations and its replicas."""
+
+    name: Name
+    operations: Annotated[
+        tuple[OperationAnswer, ...],
+        msgspec.Meta(min_length=1),
+    ]
+    replicas: Annotated[tuple[ReplicaAnswer, ...], msgspec.Meta(min_length=1)]
+    refusal_statuses: tuple[Status, ...] = ()
+    call_seconds: Seconds = 10.0
+
+
+class AccountAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A client account, its share and its key's digest."""
+
+    name: Name
+    key_digest: Digest
+    weight: Weight = 1.0
+    max_requests: Count = 256
+
+
+class LinkAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The one-way latency between two failure domains."""
+
+    one: Name
+    other: Name
+    seconds: Seconds
+
+
+class Questionnaire(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All answers of a deployment."""
+
+    deployment: Name
+    region: Name
+    failure_domains: Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)]
+    models: tuple[ModelAnswer, ...] = ()
+    accelerators: tuple[AcceleratorAnswer, ...] = ()
+    engines: tuple[EnginesAnswer, ...] = ()
+    services: tuple[ServiceAnswer, ...] = ()
+    accounts: tuple[AccountAnswer, ...] = ()
+    links: tuple[LinkAnswer, ...] = ()
+
+
+class AnswerError(msgspec.Struct, frozen=True):
+    """What is wrong with an answer, and where it stands."""
+
+    path: str
+    problem: str
+
+    def describe(self) -> str:
+        """Give the error as one line."""
+        return f'{self.path}: {self.problem}'
+
+
+_SECTIONS: dict[str, type] = {
+    'models': ModelAnswer,
+    'accelerators': AcceleratorAnswer,
+    'engines': EnginesAnswer,
+    'services': ServiceAnswer,
+    'accounts': AccountAnswer,
+    'links': LinkAnswer,
+}
+
+Errors = tuple[AnswerError, ...]
+
+
+def read_answers(text: bytes) -> Result[Questionnaire, Errors]:
+    """Read and check a questionnaire in TOML or JSON."""
+    try:
+        document = _parse(text)
+    except (tomllib.TOMLDecodeError, ValueError) as error:
+        return Failure((AnswerError('document', str(error)),))
+    if not isinstance(document, dict):
+        return Failure((AnswerError('document', 'expected a table'),))
+    errors = _find_type_errors(document)
+    if errors:
+        return Failure(errors)
+    answers = msgspec.convert(document, Questionnaire)
+    errors = tuple(_find_conflicts(answers))
+    return Failure(errors) if errors else Success(answers)
+
+
+def _parse(text: bytes) -> Any:
+    if text.lstrip().startswith(b'{'):
+        return msgspec.json.decode(text)
+    return tomllib.loads(text.decode())
+
+
+def _find_type_errors(document: dict[str, Any]) -> Errors:
+    """Check each entry on its own, so that all errors come to light."""
+    errors: list[AnswerError] = []
+    cleaned = dict(document)
+    for section, kind in _SECTIONS.items():
+        entries = document.get(section, [])
+        if not isinstance(entries, list):
+            errors.append(AnswerError(section, 'expected a list of tables'))
+            cleaned.pop(section)
+            continue
+        errors.extend(_check_entries(section, entries, kind))
+        cleaned[section] = []
+    top = {name: cleaned[name] for name in cleaned if name not in _SECTIONS}
+    errors.extend(_check_top(top))
+    return tuple(errors)
+
+
+def _check_entries(
+    section: str,
+    entries: list[Any],
+    kind: type,
+) -> Iterable[AnswerError]:
+    for position, entry in enumerate(entries):
+        try:
+            msgspec.convert(entry, kind)
+        except msgspec.ValidationError as error:
+            yield _from_validation(f'{section}[{position}]', error)
+
+
+def _check_top(top: dict[str, Any]) -> Iterable[AnswerError]:
+    known = {'deployment': Name, 'region': Name}
+    for name, kind in known.items():
+        try:
+            msgspec.convert(top.get(name), kind)
+        except msgspec.ValidationError as error:
+            yield _from_validation(name, error)
+    domains = top.get('failure_domains')
+    try:
+        msgspec.convert(
+            domains,
+            Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)],
+        )
+    except msgspec.ValidationError as error:
+        yield _from_validation('failure_domains', error)
+    for name in top.keys() - known.keys() - {'failure_domains'}:
+        yield AnswerError(name, 'no such question')
+
+
+def _from_validation(
+    path: str,
+    error: msgspec.ValidationError,
+) -> AnswerError:
+    problem, _, inner = str(error).partition(' - at `$')
+    return AnswerError(f'{path}{inner.rstrip("`")}', problem)
+
+
+def _find_conflicts(answers: Questionnaire) -> Iterable[AnswerError]:
+    """Check what answers say of each other."""
+    yield from _find_repeats(answers)
+    yield from _find_unknown_names(answers)
+    yield from _find_layer_problems(answers)
+
+
+def _find_repeats(answers: Questionnaire) -> Iterable[AnswerError]:
+    lists: dict[str, Iterable[str]] = {
+        'failure_domains': answers.failure_domains,
+        'models': _names(answers.models),
+        'accelerators': _names(answers.accelerators),
+        'services': _names(answers.services),
+        'accounts': _names(answers.accounts),
+        'accounts.key_digest': [one.key_digest for one in answers.accounts],
+        'addresses': _addresses(answers),
+    }
+    for path, names in lists.items():
+        seen: set[str] = set()
+        for name in names:
+            if name in seen:
+                yield AnswerError(path, f'{name} stands twice')
+            seen.add(name)
+
+
+def _addresses(answers: Questionnaire) -> Iterable[str]:
+    for group in answers.engines:
+        yield from group.addresses
+    for service in answers.services:
+        yield from (replica.address for replica in service.replicas)
+
+
+def _names(entries: Iterable[Any]) -> list[str]:
+    return [entry.name for entry in entries]
+
+
+def _find_unknown_names(answers: Questionnaire) -> Iterable[AnswerError]:
+    domains = set(answers.failure_domains)
+    models = set(_names(answers.models))
+    kinds = set(_names(answers.accelerators))
+    for position, group in enumerate(answers.engines):
+        path = f'engines[{position}]'
+        yield from _known(f'{path}.model', group.model, models)
+        yield from _known(f'{path}.accelerator', group.accelerator, kinds)
+        yield from _known(
+            f'{path}.failure_domain',
+            group.failure_domain,
+            domains,
+        )
+    for place, service in enumerate(answers.services):
+        for number, replica in enumerate(service.replicas):
+            path = f'services[{place}].replicas[{number}].failure_domain'
+            yield from _known(path, replica.failure_domain, domains)
+    for index, link in enumerate(answers.links):
+        yield from _known(f'links[{index}].one', link.one, domains)
+        yield from _known(f'links[{index}].other', link.other, domains)
+
+
+def _known(
+    path: str,
+    name: str,
+    allowed: set[str],
+) -> Iterable[AnswerError]:
+    if name not in allowed:
+        choices = ', '.join(sorted(allowed)) or 'none'
+        yield AnswerError(path, f'{name} is not among: {choices}')
+
+
+def _find_layer_problems(answers: Questionnaire) -> Iterable[AnswerError]:
+    for position, group in enumerate(answers.engines):
+        if group.first_layer >= group.end_layer:
+            path = f'engines[{position}].end_layer'
+            yield AnswerError(path, 'must be greater than first_layer')
+    for place, model in enumerate(answers.models):
+        if not _can_be_tiled(answers, model):
+            yield AnswerError(
+                f'models[{place}].layers',
+                f'no chain of engines makes up layers 0 to {model.layers}',
+            )
+
+
+def _can_be_tiled(answers: Questionnaire, model: ModelAnswer) -> bool:
+    reached = {0}
+    ranges = sorted(
+        (group.first_layer, group.end_layer)
+        for group in answers.engines
+        if group.model == model.name
+    )
+    for first, end in ranges:
+        if first in reached:
+            reached.add(end)
+    return model.layers in reached
+
+
--- /dev/null
+++ b/wigeonspoke/core/admission/accounts.py
@@ -0,0 +1,49 @@
+"""Limits of requests at once, split over the live nodes."""
+
+import math
+
+from wigeonspoke.core.deployment import Account
+
+
+class AccountLimits:
+    """Counts each account's requests at this node.
+
+    A node allows an account its limit divided by the number of live nodes,
+    rounded up, so that nodes need not ask each other.
+    """
+
+    __slots__ = ('accounts', 'active', 'by_digest')
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, Account] = {}
+        self.active: dict[str, int] = {}
+        self.by_digest: dict[str, Account] = {}
+
+    def adopt(self, accounts: tuple[Account, ...]) -> None:
+        """Take over a configuration's accounts."""
+        self.accounts = {account.name: account for account in accounts}
+        self.by_digest = {account.key_digest: account for account in accounts}
+
+    def weight(self, name: str) -> float:
+        """Give an account's share under load."""
+        account = self.accounts.get(name)
+        return account.weight if account else 1
+
+    def enter(self, name: str, live_nodes: int) -> bool:
+        """Count a new request in, or refuse it."""
+        account = self.accounts.get(name)
+        if account is None:
+            return False
+        active = self.active.get(name, 0)
+        if active >= math.ceil(account.max_requests / live_nodes):
+            return False
+        self.active[name] = active + 1
+        return True
+
+    def leave(self, name: str) -> None:
+        """Count a request out that had been counted in."""
+        active = self.active.get(name, 0) - 1
+        if active > 0:
+            self.active[name] = active
+        else:
+            self.active.pop(name, None)
--- /dev/null
+++ b/wigeonspoke/core/router.py
@@ -0,0 +1,148 @@
+"""The core of a node: events in, actions out.
+
+>>> import random
+>>> from wigeonspoke.core.events import TimerFired
+>>> router = Router('n1', 'a', random.Random(1))
+>>> router.handle(TimerFired(), 0.0)
+[]
+"""
+
+import random
+from collections.abc import Callable
+
+from wigeonspoke.core import events
+from wigeonspoke.core.actions import AnyAction, ProbeEndpoint
+from wigeonspoke.core.calls import CallCoordinator
+from wigeonspoke.core.generation import GenerationCoordinator
+from wigeonspoke.core.membership import EndpointLoad, PeerReport
+from wigeonspoke.core.view import ClusterView
+
+
+class Router:
+    """Decides for one node.
+
+    ``node`` is the node's name, ``home`` its failure domain.  All chance
+    comes from the generator given, so that the same events at the same
+    times lead to the same actions.
+    """
+
+    __slots__ = ('calls', 'generation', 'handlers', 'node', 'sequence', 'view')
+
+    def __init__(self, node: str, home: str, chance: random.Random) -> None:
+        self.node = node
+        self.view = ClusterView(home, chance)
+        self.generation = GenerationCoordinator(self.view)
+        self.calls = CallCoordinator(self.view)
+        self.sequence = 0
+        self.handlers: dict[type, Callable[..., list[AnyAction]]] = {
+            events.ConfigurationAdopted: self._adopt,
+            events.MarksHeard: self._hear_marks,
+            events.PeerReported: self._hear_peer,
+            events.GenerationRequested: self.generation.request,
+            events.StepReplied: self.generation.replied,
+            events.StepFailed: self.generation.failed,
+            events.CallRequested: self.calls.request,
+            events.CallReplied: self.calls.replied,
+            events.CallFailed: self.calls.failed,
+            events.ClaimAnswered: self.calls.claim_answered,
+            events.CallerGone: self._cancel,
+            events.ProbeAnswered: self._take_probe,
+            events.StopRequested: self._stop,
+            events.TimerFired: self._tick,
+        }
+
+    def handle(self, event: events.AnyEvent, now: float) -> list[AnyAction]:
+        """Take in an event at a monotonic time in seconds."""
+        actions = self.handlers[type(event)](event, now)
+        if self.view.notes:
+            actions.extend(self.view.drain_notes())
+        return actions
+
+    def report(self, incarnation: str) -> PeerReport:
+        """Give the load report that this node sends its peers."""
+        self.sequence += 1
+        loads = tuple(
+            EndpointLoad(state.name, state.streams)
+            for state in self.view.registry.endpoints.values()
+            if state.streams
+        )
+        return PeerReport(
+            node=self.node,
+            incarnation=incarnation,
+            sequence=self.sequence,
+            generation=self.view.generation,
+            loads=loads,
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is in progress."""
+        return not self.generation.sessions and not self.calls.sessions
+
+    def _adopt(
+        self,
+        event: events.ConfigurationAdopted,
+        now: float,
+    ) -> list[AnyAction]:
+        if self.view.adopt(event.configuration):
+            return self.generation.dispatch(now)
+        return []
+
+    def _hear_marks(
+        self,
+        event: events.MarksHeard,
+        now: float,
+    ) -> list[AnyAction]:
+        for mark in self.view.marks.merge(event.marks):
+            self.view.count('mark_changed', mark.state.value)
+            self.view.note('mark', mark.endpoint, detail=mark.state.value)
+        return self.generation.dispatch(now)
+
+    def _hear_peer(
+        self,
+        event: events.PeerReported,
+        now: float,
+    ) -> list[AnyAction]:
+        peers = self.view.peers
+        if event.report.node not in peers.peers:
+            self.view.note('peer-joined', event.report.node)
+        peers.take(event.report, now)
+        return self.generation.dispatch(now)
+
+    def _cancel(self, event: events.CallerGone, now: float) -> list[AnyAction]:
+        return [
+            *self.generation.cancel(event.request_id, now),
+            *self.calls.cancel(event.request_id, now),
+        ]
+
+    def _take_probe(
+        self,
+        event: events.ProbeAnswered,
+        now: float,
+    ) -> list[AnyAction]:
+        state = self.view.registry.endpoints.get(event.endpoint)
+        if state and state.health.note_probe(event.healthy, now):
+            self.view.count('endpoint_returned', 'probe')
+            self.view.note('endpoint-returned', state.name)
+            return self.generation.dispatch(now)
+        return []
+
+    def _stop(
+        self,
+        event: events.StopRequested,
+        now: float,
+    ) -> list[AnyAction]:
+        self.view.stopping = True
+        self.view.note('node-stopping')
+        return []
+
+    def _tick(self, event: events.TimerFired, now: float) -> list[AnyAction]:
+        for peer in self.view.peers.forget_stale(now):
+            self.view.count('peer_forgotten', 'silent')
+            self.view.note('peer-lost', peer)
+        probes = [
+            ProbeEndpoint(state.name)
+            for state in self.view.registry.endpoints.values()
+            if state.health.wants_probe(now)
+        ]
+        return [*probes, *self.calls.tick(now), *self.generation.tick(now)]
--- /dev/null
+++ b/wigeonspoke/core/streams/__init__.py
@@ -0,0 +1,6 @@
+"""Generation requests: attempts, token order and rebuilding of streams."""
+
+from wigeonspoke.core.keys import StepKey
+from wigeonspoke.core.streams.session import GenerationSession
+
+__all__ = ('GenerationSession', 'StepKey')
--- /dev/null
+++ b/wigeonspoke/core/view.py
@@ -0,0 +1,112 @@
+"""What a node knows: configuration, endpoints, marks and peers."""
+
+import random
+
+from wigeonspoke.core.actions import Note
+from wigeonspoke.core.admission import AccountLimits
+from wigeonspoke.core.deployment import Configuration, Model, Service
+from wigeonspoke.core.membership import MarkBook, PeerBook
+from wigeonspoke.core.outcomes import Reason
+from wigeonspoke.core.routes import (
+    EndpointRegistry,
+    EndpointState,
+    RoutePlanner,
+)
+
+EJECTING_REASONS = frozenset((
+    Reason.CONNECT,
+    Reason.CONTRACT,
+    Reason.RESET,
+    Reason.TIMEOUT,
+))
+
+
+class ClusterView:
+    """The knowledge that generation and service calls share.
+
+    ``home`` is the node's own failure domain.  ``counters`` counts what
+    the core did, by name and reason, for the metrics.
+    """
+
+    __slots__ = (
+        'configuration',
+        'counters',
+        'home',
+        'limits',
+        'marks',
+        'models',
+        'notes',
+        'peers',
+        'planner',
+        'registry',
+        'services',
+        'stopping',
+    )
+
+    def __init__(self, home: str, chance: random.Random) -> None:
+        self.home = home
+        self.configuration: Configuration | None = None
+        self.models: dict[str, Model] = {}
+        self.services: dict[str, Service] = {}
+        self.registry = EndpointRegistry()
+        self.marks = MarkBook()
+        self.peers = PeerBook()
+        self.limits = AccountLimits()
+        self.stopping = False
+        self.notes: list[Note] = []
+        self.counters: dict[tuple[str, str], int] = {}
+        self.planner = RoutePlanner(
+            home,
+            self.registry,
+            self.marks,
+            self.peers,
+            chance,
+        )
+
+    @property
+    def generation(self) -> int:
+        """Give the generation in force, 0 if there is none."""
+        return self.configuration.generation if self.configuration else 0
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless it is not newer."""
+        if configuration.generation <= self.generation:
+            self.count('configuration_ignored', 'not-newer')
+            return False
+        self.configuration = configuration
+        self.models = {model.name: model for model in configuration.models}
+        self.services = {
+            service.name: service for service in configuration.services
+        }
+        self.registry.adopt(configuration)
+        self.limits.adopt(configuration.accounts)
+        self.count('configuration_adopted', 'newer')
+        self.note('configuration-adopted', detail=str(self.generation))
+        return True
+
+    def count(self, name: str, reason: str) -> None:
+        """Count one event of a kind under its reason."""
+        known = self.counters.get((name, reason), 0)
+        self.counters[name, reason] = known + 1
+
+    def eject(self, state: EndpointState, reason: Reason, now: float) -> None:
+        """Take an endpoint that failed out of the choice."""
+        if state.health.note_failure(reason.value, now):
+            self.count('endpoint_ejected', reason.value)
+            self.note('endpoint-ejected', state.name, detail=reason.value)
+
+    def note(
+        self,
+        kind: str,
+        peer: str = '',
+        request_id: str = '',
+        detail: str = '',
+    ) -> None:
+        """Note a change of state for the time line."""
+        self.notes.append(Note(kind, peer, request_id, detail))
+
+    def drain_notes(self) -> list[Note]:
+        """Take the notes made since the last call."""
+        notes = self.notes
+        self.notes = []
+        return notes
--- /dev/null
+++ b/wigeonspoke/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system in one process, under load and faults."""
--- /dev/null
+++ b/wigeonspoke/demo/world.py
@@ -0,0 +1,197 @@
+"""A deployment in one process: stand-ins, nodes and a balancer.
+
+Everything talks over real sockets on free ports of the loopback address.
+"""
+
+import tomllib
+from importlib import resources
+from typing import Any
+
+import eventlet
+import msgspec
+from returns.result import Success
+
+from wigeonspoke.config import ConfigStore, Questionnaire, read_answers
+from wigeonspoke.core.deployment import Engine, LayerRange
+from wigeonspoke.core.routes.bound import throughput_bound
+from wigeonspoke.load import Balancer
+from wigeonspoke.load.balancer import Target
+from wigeonspoke.node import Node, NodeSettings
+from wigeonspoke.platform import HostEntry, HttpPlatform
+from wigeonspoke.standins import (
+    Ledger,
+    StandInEngine,
+    StandInPlatform,
+    StandInService,
+)
+from wigeonspoke.transport import HttpClient
+
+NODES_PER_DOMAIN = 2
+LOOK_AWAY_SECONDS = 0.6
+ADMIN_KEY = 'demo-admin-key'
+CLUSTER_KEY = 'demo-cluster-key'
+READY_SECONDS = 10.0
+POLL_SECONDS = 0.02
+
+
+class World:
+    """One deployment, built from a questionnaire's document."""
+
+    __slots__ = (
+        'answers',
+        'balancer',
+        'document',
+        'engines',
+        'keys',
+        'ledger',
+        'model',
+        'nodes',
+        'platform',
+        'service',
+        'services',
+        'store',
+    )
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.document = document
+        self.ledger = Ledger()
+        self.platform = StandInPlatform()
+        self.model = document['models'][0]
+        self.engines = [
+            self._start_engine(group) for group in document['engines']
+        ]
+        self.service = document['services'][0]
+        self.services = [
+            self._start_replica(replica)
+            for replica in self.service['replicas']
+        ]
+        self.answers = check_document(document)
+        self.keys = tuple(
+            f'demo-key-{account["name"]}' for account in document['accounts']
+        )
+        client = HttpClient()
+        self.store = ConfigStore(HttpPlatform(self.platform.address, client))
+        self.nodes = self._start_nodes()
+        targets = tuple(
+            Target(node.callers.address, node.admin.address)
+            for node in self.nodes
+        )
+        self.balancer = Balancer(targets)
+
+    @property
+    def layers(self) -> int:
+        """Give the number of the model's layers."""
+        return self.model['layers']
+
+    def start(self) -> None:
+        """Put the first configuration in force and wait for all nodes."""
+        self.store.publish(self.answers, 0, 'demo').unwrap()
+        for node in self.nodes:
+            node.start()
+        eventlet.spawn(self.balancer.check_forever)
+        limit = eventlet.Timeout(READY_SECONDS)
+        try:
+            while not all(node.is_ready for node in self.nodes):
+                eventlet.sleep(POLL_SECONDS)
+        finally:
+            limit.cancel()
+
+    def bound(self, without: frozenset[str] = frozenset()) -> float:
+        """Give the tokens a second that the engines could serve."""
+        engines = [
+            engine.record
+            for engine in self.engines
+            if engine.record.name not in without
+        ]
+        return throughput_bound(engines, self.layers)
+
+    def node_at(self, callers_address: str) -> Node:
+        """Give the node whose callers' listener has an address."""
+        return next(
+            node
+            for node in self.nodes
+            if node.callers.address == callers_address
+        )
+
+    def close(self) -> None:
+        """End everything."""
+        for node in self.nodes:
+            node.kill()
+        for engine in self.engines:
+            engine.kill()
+        for replica in self.services:
+            replica.kill()
+        self.platform.listener.abort()
+
+    def _start_engine(self, group: dict[str, Any]) -> StandInEngine:
+        kinds = {kind['name']: kind for kind in self.document['accelerators']}
+        kind = kinds[group['accelerator']]
+        record = Engine(
+            name='',
+            address='',
+            failure_domain=group['failure_domain'],
+            model=group['model'],
+            layers=LayerRange(group['first_layer'], group['end_layer']),
+            accelerator=kind['name'],
+            step_seconds=kind['step_seconds'],
+            max_batch=kind['max_batch'],
+            max_streams=kind['max_streams'],
+            checks_fencing=group['checks_fencing'],
+        )
+        engine = StandInEngine(record, self.layers, self.ledger)
+        engine.record = msgspec.structs.replace(
+            record,
+            name=f'{record.model}-{engine.address}',
+            address=engine.address,
+        )
+        group['addresses'] = [engine.address]
+        return engine
+
+    def _start_replica(self, replica: dict[str, Any]) -> StandInService:
+        name = self.service['name']
+        number = replica['failure_domain']
+        started = StandInService(f'{name}-{number}', name, self.ledger)
+        replica['address'] = started.address
+        return started
+
+    def _start_nodes(self) -> list[Node]:
+        nodes: list[Node] = []
+        for domain in self.document['failure_domains']:
+            for number in range(NODES_PER_DOMAIN):
+                name = f'{domain}-entry-{number + 1}'
+                nodes.append(self._make_node(name, domain))
+        self.platform.host_entries = tuple(
+            HostEntry(
+                node.settings.name,
+                node.peers.address,
+                node.settings.failure_domain,
+            )
+            for node in nodes
+        )
+        return nodes
+
+    def _make_node(self, name: str, domain: str) -> Node:
+        settings = NodeSettings(
+            name=name,
+            failure_domain=domain,
+            platform=self.platform.address,
+            admin_key=ADMIN_KEY,
+            cluster_key=CLUSTER_KEY,
+            look_away_seconds=LOOK_AWAY_SECONDS,
+        )
+        return Node(settings)
+
+
+def load_document(name: str) -> dict[str, Any]:
+    """Read one of the demo's questionnaires as a document."""
+    text = resources.files('wigeonspoke.demo').joinpath(name).read_text()
+    return tomllib.loads(text)
+
+
+def check_document(document: dict[str, Any]) -> Questionnaire:
+    """Check a document whose addresses have been filled in."""
+    answers = read_answers(msgspec.json.encode(document))
+    if isinstance(answers, Success):
+        return answers.unwrap()
+    problems = '; '.join(error.describe() for error in answers.failure())
+    raise ValueError(problems)
--- /dev/null
+++ b/wigeonspoke/endpoints/__init__.py
@@ -0,0 +1,31 @@
+"""Endpoints: the Protocols of engine and service, and HTTP clients."""
+
+from wigeonspoke.endpoints.engine_client import HttpEngine
+from wigeonspoke.endpoints.engine_messages import (
+    CancelRequest,
+    EngineLoad,
+    StepBatch,
+    StepRequest,
+    StepResult,
+    StepResults,
+    StepStatus,
+    StreamId,
+)
+from wigeonspoke.endpoints.protocols import EngineClient, ServiceClient
+from wigeonspoke.endpoints.service_client import HttpService, ServiceRequest
+
+__all__ = (
+    'CancelRequest',
+    'EngineClient',
+    'EngineLoad',
+    'HttpEngine',
+    'HttpService',
+    'ServiceClient',
+    'ServiceRequest',
+    'StepBatch',
+    'StepRequest',
+    'StepResult',
+    'StepResults',
+    'StepStatus',
+    'StreamId',
+)
--- /dev/null
+++ b/wigeonspoke/endpoints/engine_client.py
@@ -0,0 +1,64 @@
+"""Engines over HTTP with JSON."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from wigeonspoke.core.outcomes import Outcome, Reason
+from wigeonspoke.endpoints.engine_messages import (
+    CancelRequest,
+    EngineLoad,
+    StepBatch,
+    StepResults,
+)
+from wigeonspoke.transport import HttpClient, HttpError, HttpReply
+
+STEPS_PATH = '/engine/v1/steps'
+CANCEL_PATH = '/engine/v1/cancel'
+LOAD_PATH = '/engine/v1/load'
+PROBE_SECONDS = 1.0
+
+
+class HttpEngine:
+    """Satisfies :class:`EngineClient` by HTTP with JSON."""
+
+    __slots__ = ('client',)
+
+    def __init__(self, client: HttpClient) -> None:
+        self.client = client
+
+    def run_steps(
+        self,
+        address: str,
+        batch: StepBatch,
+        timeout: float,
+    ) -> Result[StepResults, HttpError]:
+        """Run a batch of steps and wait for all their ends."""
+        body = msgspec.json.encode(batch)
+        reply = self.client.post(address, STEPS_PATH, body, timeout)
+        return reply.bind(lambda whole: _decode(whole, StepResults, address))
+
+    def cancel(
+        self,
+        address: str,
+        request: CancelRequest,
+    ) -> Result[None, HttpError]:
+        """Free the state of streams."""
+        body = msgspec.json.encode(request)
+        return self.client.post(address, CANCEL_PATH, body).map(
+            lambda _: None,
+        )
+
+    def load(self, address: str) -> Result[EngineLoad, HttpError]:
+        """Ask for the engine's load, which also shows its health."""
+        reply = self.client.get(address, LOAD_PATH, PROBE_SECONDS)
+        return reply.bind(lambda whole: _decode(whole, EngineLoad, address))
+
+
+def _decode(reply: HttpReply, kind: type, peer: str) -> Result:
+    contract = HttpError(Outcome.UNKNOWN, Reason.CONTRACT, peer)
+    if not reply.is_ok:
+        return Failure(contract)
+    try:
+        return Success(msgspec.json.decode(reply.body, type=kind))
+    except msgspec.MsgspecError:
+        return Failure(contract)
--- /dev/null
+++ b/wigeonspoke/load/driver.py
@@ -0,0 +1,181 @@
+"""Drives callers at a rate or at a concurrency."""
+
+import random
+import string
+import time
+
+import eventlet
+import msgspec
+from eventlet.greenpool import GreenPool
+from hdrh.histogram import HdrHistogram
+
+from wigeonspoke.load.balancer import Balancer
+from wigeonspoke.load.caller import Caller, Prompt
+from wigeonspoke.load.records import AnswerRecord, Verdict
+
+MAX_CALLERS = 4096
+MILLISECONDS = 1000
+LONGEST_MILLISECONDS = 3_600_000
+DIGITS = 3
+
+
+class LoadPlan(msgspec.Struct, frozen=True):
+    """What traffic to drive.
+
+    With ``rate`` requests start as they are due, whether or not earlier
+    ones have ended; with ``concurrency`` so many callers ask in turn.
+    """
+
+    model: str
+    layers: int
+    seconds: float
+    rate: float = 0.0
+    concurrency: int = 0
+    prompt_chars: int = 24
+    max_tokens: int = 24
+    seed: int = 1
+
+
+class Percentiles(msgspec.Struct, frozen=True):
+    """Percentiles of a latency in seconds."""
+
+    p50: float
+    p95: float
+    p99: float
+
+
+class LoadSummary(msgspec.Struct, frozen=True):
+    """What the callers of one run saw.
+
+    Latencies count from the moment a request was due, so that a stalled
+    system can't hide its stall by holding up the next requests.
+    """
+
+    requests: int
+    whole: int
+    cut: int
+    wrong: int
+    refused: int
+    failed: int
+    tokens: int
+    tokens_per_second: float
+    first_token_seconds: Percentiles
+    answer_seconds: Percentiles
+
+
+class LoadDriver:
+    """Runs a plan with some accounts' callers and keeps the records."""
+
+    __slots__ = (
+        'balancer',
+        'callers',
+        'plan',
+        'pool',
+        'random',
+        'records',
+        'running',
+    )
+
+    def __init__(
+        self,
+        plan: LoadPlan,
+        balancer: Balancer,
+        keys: tuple[str, ...],
+    ) -> None:
+        self.plan = plan
+        self.balancer = balancer
+        self.callers = [Caller(key) for key in keys]
+        self.random = random.Random(plan.seed)
+        self.records: list[AnswerRecord] = []
+        self.pool = GreenPool(MAX_CALLERS)
+        self.running = True
+
+    def run(self) -> None:
+        """Drive the traffic and wait for the last answer."""
+        end = time.monotonic() + self.plan.seconds
+        if self.plan.rate:
+            self._run_open(end)
+        else:
+            for _ in range(self.plan.concurrency):
+                self.pool.spawn(self._run_closed, end)
+        self.pool.waitall()
+
+    def stop(self) -> None:
+        """Start no further requests."""
+        self.running = False
+
+    def summary(self) -> LoadSummary:
+        """Sum up what the callers saw."""
+        records = self.records
+        first = HdrHistogram(1, LONGEST_MILLISECONDS, DIGITS)
+        whole = HdrHistogram(1, LONGEST_MILLISECONDS, DIGITS)
+        for record in records:
+            _record(whole, record.ended - record.due)
+            if record.first_token is not None:
+                _record(first, record.first_token - record.due)
+        tokens = sum(record.tokens for record in records)
+        counts = {
+            verdict: sum(1 for one in records if one.verdict is verdict)
+            for verdict in Verdict
+        }
+        return LoadSummary(
+            requests=len(records),
+            whole=counts[Verdict.WHOLE],
+            cut=counts[Verdict.CUT],
+            wrong=counts[Verdict.WRONG],
+            refused=counts[Verdict.REFUSED],
+            failed=counts[Verdict.FAILED],
+            tokens=tokens,
+            tokens_per_second=tokens / _span(records),
+            first_token_seconds=_percentiles(first),
+            answer_seconds=_percentiles(whole),
+        )
+
+    def _run_open(self, end: float) -> None:
+        due = time.monotonic()
+        while due < end and self.running:
+            eventlet.sleep(max(0, due - time.monotonic()))
+            self.pool.spawn(self._ask, due)
+            due += self.random.expovariate(self.plan.rate)
+
+    def _run_closed(self, end: float) -> None:
+        while time.monotonic() < end and self.running:
+            self._ask(time.monotonic())
+
+    def _ask(self, due: float) -> None:
+        caller = self.random.choice(self.callers)
+        node = self.balancer.pick()
+        self.records.append(caller.ask(node, self._prompt(), due))
+
+    def _prompt(self) -> Prompt:
+        letters = self.random.choices(
+            string.ascii_lowercase,
+            k=self.plan.prompt_chars,
+        )
+        return Prompt(
+            model=self.plan.model,
+            layers=self.plan.layers,
+            text=''.join(letters),
+            max_tokens=self.plan.max_tokens,
+            stream=self.random.random() < 0.5,
+            chat=self.random.random() < 0.5,
+        )
+
+
+def _span(records: list[AnswerRecord]) -> float:
+    if not records:
+        return 1
+    start = min(record.started for record in records)
+    return max(record.ended for record in records) - start or 1
+
+
+def _record(histogram: HdrHistogram, seconds: float) -> None:
+    histogram.record_value(max(1, int(seconds * MILLISECONDS)))
+
+
+def _percentiles(histogram: HdrHistogram) -> Percentiles:
+    p50, p95, p99 = (
+        histogram.get_value_at_percentile(rank) / MILLISECONDS
+        for rank in (50, 95, 99)
+    )
+    return Percentiles(p50, p95, p99)
--- /dev/null
+++ b/wigeonspoke/node/admin_app.py
@@ -0,0 +1,261 @@
+"""The listener for operators."""
+
+import http
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+from returns.result import Success
+from werkzeug.wrappers import Request, Response
+
+from wigeonspoke.config import (
+    AnswerError,
+    ConfigStore,
+    PublishError,
+    PublishProblem,
+    read_answers,
+)
+from wigeonspoke.core.membership import MarkState
+from wigeonspoke.core.routes import EndpointState
+from wigeonspoke.node.admin_messages import (
+    Applied,
+    ApplyRequest,
+    EndpointStatus,
+    MarkRequest,
+    NodeStatus,
+    TimelinePage,
+)
+from wigeonspoke.node.config_sync import ConfigSync
+from wigeonspoke.node.mark_sync import MarkSync
+from wigeonspoke.node.runtime import Runtime
+from wigeonspoke.observe import NodeMetrics
+from wigeonspoke.transport import (
+    ApiError,
+    HttpApp,
+    JsonReply,
+    authorise,
+    read_json,
+)
+from wigeonspoke.transport.http_app import read_body
+
+_PUBLISH_STATUSES = {
+    PublishProblem.CONFLICT: http.HTTPStatus.CONFLICT,
+    PublishProblem.UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    PublishProblem.UNCERTAIN: http.HTTPStatus.GATEWAY_TIMEOUT,
+}
+_MARKS = {
+    'drain': MarkState.DRAIN,
+    'stop': MarkState.STOP,
+    'activate': MarkState.ACTIVE,
+}
+
+
+class AdminApp(HttpApp):
+    """Status, marks, configuration and time line of one node."""
+
+    __slots__ = (
+        'config_sync',
+        'incarnation',
+        'is_ready',
+        'key_digest',
+        'mark_sync',
+        'metrics',
+        'runtime',
+        'store',
+    )
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        config_sync: ConfigSync,
+        mark_sync: MarkSync,
+        key_digest: str,
+        incarnation: str,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        admin = '/admin/v1'
+        marks = [
+            (
+                'POST',
+                f'{admin}/endpoints/<endpoint>/{verb}',
+                partial(self.post_mark, state),
+            )
+            for verb, state in _MARKS.items()
+        ]
+        super().__init__([
+            ('GET', '/healthz', self.get_health),
+            ('GET', '/readyz', self.get_ready),
+            ('GET', '/metrics', self.get_metrics),
+            ('GET', f'{admin}/status', self.get_status),
+            ('GET', f'{admin}/config', self.get_config),
+            ('GET', f'{admin}/timeline', self.get_timeline),
+            ('GET', f'{admin}/questionnaire', self.get_questionnaire),
+            ('PUT', f'{admin}/questionnaire', self.put_questionnaire),
+            ('POST', f'{admin}/questionnaire/check', self.post_check),
+            *marks,
+        ])
+        self.runtime = runtime
+        self.config_sync = config_sync
+        self.mark_sync = mark_sync
+        self.store: ConfigStore = config_sync.store
+        self.key_digest = key_digest
+        self.incarnation = incarnation
+        self.is_ready = is_ready
+        self.metrics = NodeMetrics(runtime.router)
+
+    def get_health(self, request: Request) -> Response:
+        """Tell that the process serves."""
+        return JsonReply({'healthy': True})
+
+    def get_ready(self, request: Request) -> Response:
+        """Tell whether the balancer may send callers here."""
+        ready = self.is_ready()
+        status = http.HTTPStatus.OK
+        if not ready:
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        generation = self.config_sync.generation
+        return JsonReply({'ready': ready, 'generation': generation}, status)
+
+    def get_metrics(self, request: Request) -> Response:
+        """Give the metrics in the Prometheus text format."""
+        text = self.metrics.render()
+        return Response(text.body, content_type=text.content_type)
+
+    def get_status(self, request: Request) -> Response:
+        """Give this node's state."""
+        authorise(request, self.key_digest)
+        router = self.runtime.router
+        endpoints = router.view.registry.endpoints
+        status = NodeStatus(
+            node=router.node,
+            failure_domain=router.view.home,
+            incarnation=self.incarnation,
+            generation=router.view.generation,
+            ready=self.is_ready(),
+            store_reached=self.config_sync.store_reached,
+            peers=tuple(sorted(router.view.peers.peers)),
+            open_requests=len(router.generation.sessions),
+            open_calls=len(router.calls.sessions),
+            endpoints=tuple(map(self._endpoint, endpoints.values())),
+        )
+        return JsonReply(status)
+
+    def get_config(self, request: Request) -> Response:
+        """Give the configuration in force."""
+        authorise(request, self.key_digest)
+        return JsonReply(self.runtime.router.view.configuration)
+
+    def get_timeline(self, request: Request) -> Response:
+        """Give the time line of this process."""
+        authorise(request, self.key_digest)
+        request_id = request.args.get('request', '')
+        events = self.runtime.timeline.select(request_id)
+        return JsonReply(TimelinePage(self.runtime.router.node, events))
+
+    def get_questionnaire(self, request: Request) -> Response:
+        """Give the answers in force and their history."""
+        authorise(request, self.key_digest)
+        read = self.store.read_head()
+        if not isinstance(read, Success):
+            raise _store_down()
+        return JsonReply(read.unwrap().head)
+
+    def put_questionnaire(self, request: Request) -> Response:
+        """Put answers in force if their base generation still is."""
+        authorise(request, self.key_digest)
+        asked = read_json(request, ApplyRequest)
+        answers = read_answers(asked.answers.encode())
+        if not isinstance(answers, Success):
+            raise _wrong_answers(answers.failure())
+        published = self.store.publish(
+            answers.unwrap(),
+            asked.base,
+            asked.who,
+        )
+        if not isinstance(published, Success):
+            raise _not_published(published.failure())
+        self.runtime.timeline.add('questionnaire-applied', asked.who)
+        self.config_sync.poll_once()
+        return JsonReply(Applied(published.unwrap().generation))
+
+    def post_check(self, request: Request) -> Response:
+        """Check answers and report all errors."""
+        authorise(request, self.key_digest)
+        checked = read_answers(read_body(request))
+        errors: tuple[AnswerError, ...] = ()
+        if not isinstance(checked, Success):
+            errors = checked.failure()
+        return JsonReply(errors)
+
+    def post_mark(
+        self,
+        state: MarkState,
+        request: Request,
+        endpoint: str,
+    ) -> Response:
+        """Mark an endpoint to drain, to stop or to take work again."""
+        authorise(request, self.key_digest)
+        asked = read_json(request, MarkRequest)
+        known = self.runtime.router.view.registry.endpoints.get(endpoint)
+        if known is None:
+            raise ApiError(
+                http.HTTPStatus.NOT_FOUND,
+                'bad_request',
+                'endpoint_not_found',
+                f'there is no endpoint {endpoint!r}',
+            )
+        version = self._version(endpoint)
+        seen = version if asked.seen is None else asked.seen
+        if self.mark_sync.mark(endpoint, state, seen) is None:
+            raise ApiError(
+                http.HTTPStatus.CONFLICT,
+                'conflict',
+                'mark_changed',
+                f'the mark is at version {version}, not {seen}',
+            )
+        return JsonReply(self._endpoint(known))
+
+    def _version(self, endpoint: str) -> int:
+        mark = self.runtime.router.view.marks.marks.get(endpoint)
+        return mark.version if mark else 0
+
+    def _endpoint(self, state: EndpointState) -> EndpointStatus:
+        view = self.runtime.router.view
+        streams = state.streams + view.peers.streams_at(state.name)
+        return EndpointStatus(
+            name=state.name,
+            failure_domain=state.failure_domain,
+            mark=view.marks.state(state.name),
+            mark_version=self._version(state.name),
+            health=state.health.state.value,
+            reason=state.health.reason,
+            streams=streams,
+            empty=streams == 0,
+        )
+
+
+def _wrong_answers(errors: tuple[AnswerError, ...]) -> ApiError:
+    return ApiError(
+        http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        'bad_request',
+        'wrong_answers',
+        '; '.join(error.describe() for error in errors),
+    )
+
+
+def _not_published(error: PublishError) -> ApiError:
+    return ApiError(
+        _PUBLISH_STATUSES[error.problem],
+        error.problem.value,
+        f'publish_{error.problem.value}',
+        f'generation {error.generation} is in force',
+    )
+
+
+def _store_down() -> ApiError:
+    return ApiError(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'unavailable',
+        'store_unavailable',
+        'the store does not answer',
+    )
--- /dev/null
+++ b/wigeonspoke/node/callers_app.py
@@ -0,0 +1,351 @@
+"""The listener for callers: models, completions, chats and services."""
+
+import hashlib
+import http
+import secrets
+
+from werkzeug.wrappers import Request, Response
+
+from wigeonspoke.core.actions import FinishCall
+from wigeonspoke.core.calls.session import find_operation
+from wigeonspoke.core.claims import ClaimAnswer, claim_key
+from wigeonspoke.core.deployment import Account, Model, Operation
+from wigeonspoke.core.events import CallRequested, GenerationRequested
+from wigeonspoke.endpoints import ServiceRequest
+from wigeonspoke.node.answers import (
+    CHAT,
+    COMPLETION,
+    AnswerPart,
+    AnswerShape,
+    AnswerWriter,
+)
+from wigeonspoke.node.caller_watch import CallerLeft, CallerWatch
+from wigeonspoke.node.openai_messages import (
+    ChatMessage,
+    ChatRequest,
+    CompletionRequest,
+    ModelEntry,
+    ModelList,
+)
+from wigeonspoke.node.outcome_replies import REQUEST_HEADER, outcome_reply
+from wigeonspoke.node.runtime import PendingCall, RequestIds, Runtime
+from wigeonspoke.node.tokenizer import Tokenizer
+from wigeonspoke.transport import ApiError, HttpApp, JsonReply, read_json
+from wigeonspoke.transport.http_app import bearer_key, key_digest, read_body
+
+EVENT_STREAM = 'text/event-stream'
+CLOSED_REQUEST = 499
+MAX_IDENTITY_LENGTH = 256
+CLAIM_TOKEN_BYTES = 16
+
+
+class CallersApp(HttpApp):
+    """Checks callers' requests, and answers them from the runtime."""
+
+    __slots__ = ('ids', 'runtime', 'tokenizer')
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        ids: RequestIds,
+        tokenizer: Tokenizer,
+    ) -> None:
+        services = '/v1/services/<service>/<path:path>'
+        methods = ('GET', 'POST', 'PUT', 'DELETE')
+        super().__init__([
+            ('GET', '/v1/models', self.get_models),
+            ('POST', '/v1/completions', self.post_completion),
+            ('POST', '/v1/chat/completions', self.post_chat),
+            ('GET', '/v1/outcomes/<service>/<key>', self.get_outcome),
+            *((method, services, self.call_service) for method in methods),
+        ])
+        self.runtime = runtime
+        self.ids = ids
+        self.tokenizer = tokenizer
+
+    def get_models(self, request: Request) -> Response:
+        """List the models of the configuration in force."""
+        self._account(request)
+        models = self.runtime.router.view.models
+        return JsonReply(ModelList(tuple(map(ModelEntry, sorted(models)))))
+
+    def post_completion(self, request: Request) -> Response:
+        """Complete a prompt."""
+        account = self._account(request)
+        asked = read_json(request, CompletionRequest)
+        event = self._generation(
+            account,
+            asked,
+            asked.prompt,
+            asked.max_tokens,
+        )
+        return self._generate(request, event, COMPLETION, asked.stream)
+
+    def post_chat(self, request: Request) -> Response:
+        """Answer a chat with its next message."""
+        account = self._account(request)
+        asked = read_json(request, ChatRequest)
+        event = self._generation(
+            account,
+            asked,
+            chat_prompt(asked.messages),
+            asked.answer_tokens,
+        )
+        return self._generate(request, event, CHAT, asked.stream)
+
+    def call_service(
+        self,
+        request: Request,
+        service: str,
+        path: str,
+    ) -> Response:
+        """Pass a call on to a replica of a service."""
+        account = self._account(request)
+        operation = self._operation(request, service, f'/{path}')
+        identity = _identity(request, operation)
+        body = read_body(request)
+        query = request.query_string.decode('latin-1')
+        target = f'/{path}?{query}' if query else f'/{path}'
+        digest = hashlib.sha256(f'{request.method} {target}\n'.encode() + body)
+        event = CallRequested(
+            request_id=self.ids.mint(),
+            account=account.name,
+            service=service,
+            method=request.method,
+            path=f'/{path}',
+            identity=identity,
+            body_digest=digest.hexdigest(),
+            claim_token=secrets.token_hex(CLAIM_TOKEN_BYTES),
+        )
+        sent = ServiceRequest(
+            method=request.method,
+            path=target,
+            content_type=request.headers.get('Content-Type', ''),
+            body=body,
+            identity=identity,
+            account=account.name,
+        )
+        pending = self.runtime.open_call(event, sent)
+        return self._await_call(request, event.request_id, pending)
+
+    def get_outcome(
+        self,
+        request: Request,
+        service: str,
+        key: str,
+    ) -> Response:
+        """Tell how far an operation that may not be repeated has come."""
+        account = self._account(request)
+        row_key = claim_key(account.name, service, key)
+        found = self.runtime.claims.look_up('', row_key)
+        if found.answer is ClaimAnswer.UNAVAILABLE:
+            raise ApiError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'unavailable',
+                'store_unavailable',
+                'the outcome can not be looked up now',
+            )
+        state = found.row.state.value if found.row else 'none'
+        return JsonReply({'service': service, 'key': key, 'state': state})
+
+    def _account(self, request: Request) -> Account:
+        view = self.runtime.router.view
+        if view.configuration is None:
+            raise ApiError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'unavailable',
+                'no_configuration',
+                'this node has no configuration yet',
+                {'Retry-After': '1'},
+            )
+        digest = key_digest(bearer_key(request))
+        account = view.limits.by_digest.get(digest)
+        if account:
+            return account
+        raise ApiError(
+            http.HTTPStatus.UNAUTHORIZED,
+            'authentication',
+            'invalid_key',
+            'the bearer key is missing or of no account',
+            {'WWW-Authenticate': 'Bearer'},
+        )
+
+    def _model(self, name: str) -> Model:
+        model = self.runtime.router.view.models.get(name)
+        if model is None:
+            raise ApiError(
+                http.HTTPStatus.NOT_FOUND,
+                'bad_request',
+                'model_not_found',
+                f'there is no model {name!r}',
+            )
+        return model
+
+    def _generation(
+        self,
+        account: Account,
+        asked: CompletionRequest | ChatRequest,
+        text: str,
+        max_tokens: int,
+    ) -> GenerationRequested:
+        model = self._model(asked.model)
+        prompt = self.tokenizer.encode(text)
+        if len(prompt) + max_tokens > model.max_context:
+            raise ApiError(
+                http.HTTPStatus.BAD_REQUEST,
+                'bad_request',
+                'context_length_exceeded',
+                f'{len(prompt)} prompt tokens and {max_tokens} for the '
+                f'answer are more than {model.max_context}',
+            )
+        return GenerationRequested(
+            request_id=self.ids.mint(),
+            account=account.name,
+            model=asked.model,
+            prompt=prompt,
+            max_tokens=max_tokens,
+            interactive=asked.priority == 'interactive',
+        )
+
+    def _generate(
+        self,
+        request: Request,
+        event: GenerationRequested,
+        shape: AnswerShape,
+        stream: bool,
+    ) -> Response:
+        answers = self.runtime.open_generation(event)
+        writer = AnswerWriter(
+            request_id=event.request_id,
+            model=event.model,
+            prompt_tokens=len(event.prompt),
+            shape=shape,
+            answers=answers,
+            watch=CallerWatch(request),
+            decoder=self.tokenizer.decoder(),
+        )
+        try:
+            first = writer.next_part()
+            if stream and not _failed(first):
+                return self._stream(writer, first)
+            reply = self._whole(writer, first)
+        except CallerLeft:
+            reply = Response(status=CLOSED_REQUEST)
+        self.runtime.close(event.request_id)
+        return reply
+
+    def _whole(self, writer: AnswerWriter, first: AnswerPart) -> Response:
+        part = first
+        texts = [part.text]
+        while part.finished is None:
+            part = writer.next_part()
+            texts.append(part.text)
+        finished = part.finished
+        if finished.error:
+            return outcome_reply(
+                writer.request_id,
+                finished.error,
+                finished.retry_after_seconds,
+            )
+        whole = writer.whole(''.join(texts), finished.finish)
+        headers = {REQUEST_HEADER: writer.request_id}
+        return JsonReply(whole, headers=headers)
+
+    def _stream(self, writer: AnswerWriter, first: AnswerPart) -> Response:
+        reply = Response(
+            self._events(writer, first),
+            content_type=EVENT_STREAM,
+            headers={
+                REQUEST_HEADER: writer.request_id,
+                'Cache-Control': 'no-store',
+            },
+        )
+        # A caller may leave before the first event is asked for, when the
+        # generator's own end never runs.
+        reply.call_on_close(lambda: self.runtime.close(writer.request_id))
+        return reply
+
+    def _events(self, writer: AnswerWriter, first: AnswerPart):
+        try:
+            yield from writer.events(first)
+        except CallerLeft:
+            return
+
+    def _operation(
+        self,
+        request: Request,
+        service: str,
+        path: str,
+    ) -> Operation:
+        known = self.runtime.router.view.services.get(service)
+        operation = None
+        if known:
+            operation = find_operation(known, request.method, path)
+        if operation is None:
+            raise ApiError(
+                http.HTTPStatus.NOT_FOUND,
+                'bad_request',
+                'operation_not_found',
+                f'there is no {request.method} {path} of {service!r}',
+            )
+        return operation
+
+    def _await_call(
+        self,
+        request: Request,
+        request_id: str,
+        pending: PendingCall,
+    ) -> Response:
+        watch = CallerWatch(request)
+        try:
+            parts = watch.next_parts(pending.answers)
+        except CallerLeft:
+            self.runtime.close(request_id)
+            return Response(status=CLOSED_REQUEST)
+        finished = next(iter(parts))
+        return _call_reply(request_id, finished, pending)
+
+
+def chat_prompt(messages: tuple[ChatMessage, ...]) -> str:
+    """Write a chat as the text that a model is to go on with."""
+    lines = [f'{message.role}: {message.content}' for message in messages]
+    return '\n'.join([*lines, 'assistant:'])
+
+
+def _failed(part: AnswerPart) -> bool:
+    return bool(part.finished and part.finished.error)
+
+
+def _identity(request: Request, operation: Operation) -> str:
+    identity = request.headers.get(operation.identity_header, '')
+    if operation.repeatable:
+        return ''
+    if not 0 < len(identity) <= MAX_IDENTITY_LENGTH:
+        raise ApiError(
+            http.HTTPStatus.BAD_REQUEST,
+            'bad_request',
+            'identity_required',
+            f'the header {operation.identity_header} must name the '
+            f'operation in at most {MAX_IDENTITY_LENGTH} characters',
+        )
+    return identity
+
+
+def _call_reply(
+    request_id: str,
+    finished: FinishCall,
+    pending: PendingCall,
+) -> Response:
+    if finished.error:
+        return outcome_reply(
+            request_id,
+            finished.error,
+            finished.retry_after_seconds,
+        )
+    found = finished.kept or pending.reply
+    return Response(
+        found.body,
+        status=found.status,
+        content_type=found.content_type,
+        headers={REQUEST_HEADER: request_id},
+    )
--- /dev/null
+++ b/wigeonspoke/node/claim_writer.py
@@ -0,0 +1,140 @@
+"""Claim rows in the platform's table."""
+
+import eventlet
+import msgspec
+from loguru import logger
+from returns.result import Success
+
+from wigeonspoke.core.claims import (
+    ClaimAnswer,
+    ClaimRow,
+    ClaimState,
+    KeptReply,
+)
+from wigeonspoke.core.events import ClaimAnswered
+from wigeonspoke.platform import (
+    StoreError,
+    StoreProblem,
+    Table,
+    TableRow,
+)
+
+CLAIMS_TABLE = 'claims'
+WRITE_TRIES = 12
+RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 10.0
+
+_ANSWERS = {
+    StoreProblem.CONFLICT: ClaimAnswer.EXISTS,
+    StoreProblem.UNAVAILABLE: ClaimAnswer.UNAVAILABLE,
+}
+
+
+class ClaimWriter:
+    """Inserts, ends and releases claims.
+
+    An insertion is tried once and its end reported to the core.  The end
+    of a claimed call and the release of a claim are tried until the table
+    takes them, since repeats of the call depend on them.
+    """
+
+    __slots__ = ('pending', 'table')
+
+    def __init__(self, table: Table) -> None:
+        self.table = table
+        self.pending = 0
+
+    def insert(self, request_id: str, row: ClaimRow) -> ClaimAnswered:
+        """Insert a row that must not exist yet."""
+        written = self.table.write(CLAIMS_TABLE, row.key, _encode(row), 0)
+        if isinstance(written, Success):
+            return ClaimAnswered(request_id, ClaimAnswer.INSERTED, row)
+        error = written.failure()
+        answer = _ANSWERS.get(error.problem, ClaimAnswer.UNCERTAIN)
+        found = _decode(error.row) if error.row else None
+        if answer is ClaimAnswer.EXISTS and found is None:
+            answer = ClaimAnswer.UNCERTAIN
+        return ClaimAnswered(request_id, answer, found)
+
+    def keep(
+        self,
+        row: ClaimRow,
+        state: ClaimState,
+        kept: KeptReply | None,
+    ) -> None:
+        """Write the end of a claimed call into its row."""
+        ended = msgspec.structs.replace(row, state=state, kept=kept)
+        self._until_done(lambda: self._replace(ended))
+
+    def release(self, row: ClaimRow) -> None:
+        """Delete the row if it still carries this call's token."""
+        self._until_done(lambda: self._delete(row))
+
+    def look_up(self, request_id: str, key: str) -> ClaimAnswered:
+        """Read a claim; it is ``MISSING`` if there is none."""
+        read = self.table.read(CLAIMS_TABLE, key)
+        if isinstance(read, Success):
+            row = _decode(read.unwrap())
+            return ClaimAnswered(request_id, ClaimAnswer.EXISTS, row)
+        if read.failure().problem is StoreProblem.MISSING:
+            return ClaimAnswered(request_id, ClaimAnswer.MISSING)
+        return ClaimAnswered(request_id, ClaimAnswer.UNAVAILABLE)
+
+    def _until_done(self, attempt) -> None:
+        self.pending += 1
+        wait = RETRY_SECONDS
+        try:
+            for _ in range(WRITE_TRIES):
+                if attempt():
+                    return
+                eventlet.sleep(wait)
+                wait = min(MAX_RETRY_SECONDS, wait * 2)
+            logger.warning('a claim row could not be brought up to date')
+        finally:
+            self.pending -= 1
+
+    def _replace(self, ended: ClaimRow) -> bool:
+        found = self._own_row(ended)
+        if isinstance(found, bool):
+            return found
+        content = _encode(ended)
+        written = self.table.write(
+            CLAIMS_TABLE,
+            ended.key,
+            content,
+            found.version,
+        )
+        return isinstance(written, Success)
+
+    def _delete(self, row: ClaimRow) -> bool:
+        found = self._own_row(row)
+        if isinstance(found, bool):
+            return found
+        deleted = self.table.delete(CLAIMS_TABLE, row.key, found.version)
+        return isinstance(deleted, Success)
+
+    def _own_row(self, row: ClaimRow) -> TableRow | bool:
+        """Give the row if it is this call's, else whether that is final."""
+        read = self.table.read(CLAIMS_TABLE, row.key)
+        if not isinstance(read, Success):
+            return _is_missing(read.failure())
+        found = read.unwrap()
+        claim = _decode(found)
+        if claim is None or claim.token != row.token:
+            return True
+        return found
+
+
+def _is_missing(error: StoreError) -> bool:
+    return error.problem is StoreProblem.MISSING
+
+
+def _encode(row: ClaimRow) -> bytes:
+    return msgspec.json.encode(row)
+
+
+def _decode(row: TableRow) -> ClaimRow | None:
+    try:
+        return msgspec.json.decode(row.content, type=ClaimRow)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/wigeonspoke/node/config_sync.py
@@ -0,0 +1,74 @@
+"""Brings configurations from the store and from peers to the core."""
+
+import eventlet
+import msgspec
+from returns.result import Result, Success
+
+from wigeonspoke.config import ConfigStore
+from wigeonspoke.core.deployment import Configuration
+from wigeonspoke.core.events import ConfigurationAdopted
+from wigeonspoke.node.runtime import Runtime
+from wigeonspoke.transport import HttpClient
+
+POLL_SECONDS = 0.5
+CONFIGURATION_PATH = '/peers/v1/configuration'
+
+
+class ConfigSync:
+    """Adopts the greatest generation that the store or a peer shows.
+
+    ``store_reached`` tells whether the last poll of the store had an
+    answer.
+    """
+
+    __slots__ = ('client', 'runtime', 'store', 'store_reached')
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        store: ConfigStore,
+        client: HttpClient,
+    ) -> None:
+        self.runtime = runtime
+        self.store = store
+        self.client = client
+        self.store_reached = False
+
+    @property
+    def generation(self) -> int:
+        """Give the generation in force at this node."""
+        return self.runtime.router.view.generation
+
+    def poll_forever(self) -> None:
+        """Look at the store again and again."""
+        while True:
+            self.poll_once()
+            eventlet.sleep(POLL_SECONDS)
+
+    def poll_once(self) -> None:
+        """Adopt what the store's head names, if it is newer."""
+        read = self.store.read_head()
+        self.store_reached = isinstance(read, Success)
+        if not self.store_reached:
+            return
+        head = read.unwrap().head
+        if head.generation > self.generation:
+            self._adopt(self.store.read_body(head))
+
+    def fetch_from(self, peer: str) -> None:
+        """Adopt the configuration that a peer has in force."""
+        reply = self.client.get(peer, CONFIGURATION_PATH)
+        if not isinstance(reply, Success):
+            return
+        whole = reply.unwrap()
+        if not whole.is_ok:
+            return
+        try:
+            found = msgspec.json.decode(whole.body, type=Configuration)
+        except msgspec.MsgspecError:
+            return
+        self.runtime.dispatch(ConfigurationAdopted(found))
+
+    def _adopt(self, body: Result) -> None:
+        if isinstance(body, Success):
+            self.runtime.dispatch(ConfigurationAdopted(body.unwrap()))
--- /dev/null
+++ b/wigeonspoke/node/daemon.py
@@ -0,0 +1,167 @@
+"""A node: listeners and background work round one core."""
+
+import random
+import time
+import uuid
+from collections.abc import Callable
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from wigeonspoke.config import ConfigStore
+from wigeonspoke.core.events import StopRequested
+from wigeonspoke.core.router import Router
+from wigeonspoke.endpoints import HttpEngine, HttpService
+from wigeonspoke.node.admin_app import AdminApp
+from wigeonspoke.node.callers_app import CallersApp
+from wigeonspoke.node.claim_writer import ClaimWriter
+from wigeonspoke.node.config_sync import ConfigSync
+from wigeonspoke.node.gossip import Gossip
+from wigeonspoke.node.mark_sync import MarkSync
+from wigeonspoke.node.peers_app import PeersApp
+from wigeonspoke.node.runtime import RequestIds, Runtime
+from wigeonspoke.node.settings import NodeSettings
+from wigeonspoke.node.tokenizer import ByteTokenizer
+from wigeonspoke.observe import HybridClock, Timeline
+from wigeonspoke.platform import HttpPlatform
+from wigeonspoke.transport import HttpClient, HttpListener
+from wigeonspoke.transport.http_app import key_digest
+
+INCARNATION_LENGTH = 8
+IDLE_POLL_SECONDS = 0.05
+
+
+class Node:
+    """One entry host's process.
+
+    It serves once :meth:`start` has been called.  :meth:`stop` is the
+    planned stop, which ends what is in progress; :meth:`kill` is what a
+    crash looks like from outside.
+    """
+
+    __slots__ = (
+        'admin',
+        'callers',
+        'config_sync',
+        'gossip',
+        'greenlets',
+        'incarnation',
+        'mark_sync',
+        'peers',
+        'runtime',
+        'settings',
+        'stopping',
+    )
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.incarnation = uuid.uuid4().hex[:INCARNATION_LENGTH]
+        self.stopping = False
+        self.greenlets: list[GreenThread] = []
+        client = HttpClient()
+        platform = HttpPlatform(settings.platform, client)
+        self.runtime = self._make_runtime(client, platform)
+        peer_client = HttpClient(
+            {'Authorization': f'Bearer {settings.cluster_key}'},
+        )
+        self.config_sync = ConfigSync(
+            self.runtime,
+            ConfigStore(platform),
+            peer_client,
+        )
+        self.mark_sync = MarkSync(self.runtime, platform)
+        self.gossip = Gossip(
+            runtime=self.runtime,
+            config_sync=self.config_sync,
+            client=peer_client,
+            hosts=platform,
+            incarnation=self.incarnation,
+            seeds=settings.seeds,
+        )
+        self._listen()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        return not self.stopping and self.config_sync.generation > 0
+
+    def start(self) -> None:
+        """Start the background work."""
+        loops: tuple[Callable[[], None], ...] = (
+            self.runtime.tick_forever,
+            self.config_sync.poll_forever,
+            self.mark_sync.sync_forever,
+            self.gossip.gossip_forever,
+            self.gossip.follow_hosts_forever,
+        )
+        self.greenlets = [eventlet.spawn(loop) for loop in loops]
+
+    def stop(self) -> None:
+        """Stop as planned and return when nothing is in progress.
+
+        The readiness check fails at once, but requests are taken until the
+        balancer has had time to look away.
+        """
+        self.stopping = True
+        eventlet.sleep(self.settings.look_away_seconds)
+        self.runtime.dispatch(StopRequested())
+        while not self._is_idle():
+            eventlet.sleep(IDLE_POLL_SECONDS)
+        self.callers.close()
+        self.admin.close()
+        self.peers.close()
+        self._end_loops()
+
+    def kill(self) -> None:
+        """Drop everything at once."""
+        self.stopping = True
+        self._end_loops()
+        for listener in (self.callers, self.admin, self.peers):
+            listener.abort()
+
+    def _is_idle(self) -> bool:
+        if self.callers.active or self.runtime.claims.pending:
+            return False
+        return self.runtime.router.is_idle
+
+    def _end_loops(self) -> None:
+        for greenlet in self.greenlets:
+            greenlet.kill()
+
+    def _make_runtime(
+        self,
+        client: HttpClient,
+        platform: HttpPlatform,
+    ) -> Runtime:
+        settings = self.settings
+        home = settings.failure_domain
+        clock = HybridClock(time.time)
+        return Runtime(
+            router=Router(settings.name, home, random.Random()),
+            engine=HttpEngine(client),
+            service=HttpService(client),
+            claims=ClaimWriter(platform),
+            timeline=Timeline(settings.name, home, clock),
+        )
+
+    def _listen(self) -> None:
+        settings = self.settings
+        ids = RequestIds(settings.name, self.incarnation)
+        callers = CallersApp(self.runtime, ids, ByteTokenizer())
+        admin = AdminApp(
+            runtime=self.runtime,
+            config_sync=self.config_sync,
+            mark_sync=self.mark_sync,
+            key_digest=key_digest(settings.admin_key),
+            incarnation=self.incarnation,
+            is_ready=lambda: self.is_ready,
+        )
+        peers = PeersApp(self.gossip, key_digest(settings.cluster_key))
+        self.callers = HttpListener(
+            callers,
+            settings.host,
+            settings.callers_port,
+        )
+        self.admin = HttpListener(admin, settings.host, settings.admin_port)
+        self.peers = HttpListener(peers, settings.host, settings.peers_port)
+        self.gossip.own_address = self.peers.address
--- /dev/null
+++ b/wigeonspoke/node/mark_sync.py
@@ -0,0 +1,78 @@
+"""Keeps endpoint marks the same in the store and at this node.
+
+A mark is put in force at this node first and reaches the others by gossip,
+so it works while the store is down; the store gets it when it is back.
+"""
+
+import eventlet
+import msgspec
+from returns.result import Success
+
+from wigeonspoke.core.events import MarksHeard
+from wigeonspoke.core.membership import EndpointMark, MarkState
+from wigeonspoke.node.runtime import Runtime
+from wigeonspoke.platform import Table, TableRow
+
+MARKS_TABLE = 'marks'
+POLL_SECONDS = 0.5
+
+
+class MarkSync:
+    """Reads marks from the store and writes newer ones back."""
+
+    __slots__ = ('runtime', 'table')
+
+    def __init__(self, runtime: Runtime, table: Table) -> None:
+        self.runtime = runtime
+        self.table = table
+
+    def mark(
+        self,
+        endpoint: str,
+        state: MarkState,
+        seen: int,
+    ) -> EndpointMark | None:
+        """Put a mark in force here, if version ``seen`` is still the last.
+
+        Gives ``None`` when another operator's mark came in between.
+        """
+        known = self.runtime.router.view.marks.marks.get(endpoint)
+        version = known.version if known else 0
+        if version != seen:
+            return None
+        made = EndpointMark(endpoint, state, version + 1)
+        self.runtime.dispatch(MarksHeard((made,)))
+        eventlet.spawn(self.sync_once)
+        return made
+
+    def sync_forever(self) -> None:
+        """Compare with the store again and again."""
+        while True:
+            self.sync_once()
+            eventlet.sleep(POLL_SECONDS)
+
+    def sync_once(self) -> None:
+        """Take in the store's marks and write back what is newer here."""
+        read = self.table.read_all(MARKS_TABLE)
+        if not isinstance(read, Success):
+            return
+        rows = {row.key: row for row in read.unwrap()}
+        stored = {key: _decode(row) for key, row in rows.items()}
+        found = tuple(mark for mark in stored.values() if mark)
+        self.runtime.dispatch(MarksHeard(found))
+        marks = self.runtime.router.view.marks.marks
+        for endpoint, mark in tuple(marks.items()):
+            if stored.get(endpoint) != mark:
+                row = rows.get(endpoint)
+                self._write(mark, row.version if row else 0)
+
+    def _write(self, mark: EndpointMark, expected: int) -> None:
+        content = msgspec.json.encode(mark)
+        self.table.write(MARKS_TABLE, mark.endpoint, content, expected)
+
+
+def _decode(row: TableRow) -> EndpointMark | None:
+    try:
+        return msgspec.json.decode(row.content, type=EndpointMark)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/wigeonspoke/node/outcome_replies.py
@@ -0,0 +1,71 @@
+"""Replies that tell a caller how its request failed."""
+
+import http
+import math
+
+import msgspec
+from werkzeug.wrappers import Response
+
+from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.transport import JsonReply
+
+OUTCOME_HEADER = 'X-Wigeonspoke-Outcome'
+REQUEST_HEADER = 'X-Wigeonspoke-Request-Id'
+
+_STATUSES = {
+    Reason.ACCOUNT_LIMIT: http.HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.OVERLOAD: http.HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.BODY_MISMATCH: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.CLAIM_PENDING: http.HTTPStatus.CONFLICT,
+}
+_OUTCOME_STATUSES = {
+    Outcome.NOT_RUN: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Outcome.UNKNOWN: http.HTTPStatus.GATEWAY_TIMEOUT,
+    Outcome.FAILED: http.HTTPStatus.BAD_GATEWAY,
+}
+
+
+class OutcomeDetail(msgspec.Struct, frozen=True):
+    """An error with its outcome and where it arose."""
+
+    message: str
+    type: str
+    code: str
+    outcome: str
+    step: str
+    peer: str
+
+
+class OutcomeBody(msgspec.Struct, frozen=True):
+    """The body of a reply that is no answer."""
+
+    error: OutcomeDetail
+
+
+def error_body(error: StepError) -> OutcomeBody:
+    """Make the body that describes an error."""
+    detail = OutcomeDetail(
+        message=error.describe(),
+        type='outcome',
+        code=error.reason.value,
+        outcome=error.outcome.value,
+        step=error.step,
+        peer=error.peer,
+    )
+    return OutcomeBody(detail)
+
+
+def outcome_reply(
+    request_id: str,
+    error: StepError,
+    retry_after_seconds: float,
+) -> Response:
+    """Make the reply for a request that has no answer."""
+    status = _STATUSES.get(error.reason, _OUTCOME_STATUSES[error.outcome])
+    headers = {
+        REQUEST_HEADER: request_id,
+        OUTCOME_HEADER: error.outcome.value,
+    }
+    if error.outcome is Outcome.NOT_RUN and retry_after_seconds:
+        headers['Retry-After'] = str(math.ceil(retry_after_seconds))
+    return JsonReply(error_body(error), status, headers)
--- /dev/null
+++ b/wigeonspoke/node/settings.py
@@ -0,0 +1,132 @@
+"""Settings of a node, checked before anything starts."""
+
+import re
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+MIN_KEY_LENGTH = 8
+MAX_PORT = 65535
+NAME_PATTERN = re.compile('[a-z0-9][a-z0-9._-]{0,62}')
+ADDRESS_PATTERN = re.compile('[0-9.]+:[0-9]{1,5}')
+LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """What a node is told at its start.
+
+    ``look_away_seconds`` is how long the balancer may go on sending
+    requests after the readiness check began to fail.
+    """
+
+    name: str
+    failure_domain: str
+    platform: str
+    admin_key: str
+    cluster_key: str
+    host: str = '127.0.0.1'
+    callers_port: int = 0
+    admin_port: int = 0
+    peers_port: int = 0
+    seeds: tuple[str, ...] = ()
+    look_away_seconds: float = 5.0
+    log_level: str = 'INFO'
+    log_json: bool = False
+
+
+class SettingError(msgspec.Struct, frozen=True):
+    """A wrong setting: its name, its value and what is allowed."""
+
+    name: str
+    given: str
+    allowed: str
+
+    def describe(self) -> str:
+        """Give the error as one line."""
+        variable = f'WIGEONSPOKE_{self.name.upper()}'
+        flag = self.name.replace('_', '-')
+        return (
+            f'setting --{flag} ({variable}) is {self.given!r}; '
+            f'allowed: {self.allowed}'
+        )
+
+
+class _Rule(msgspec.Struct, frozen=True):
+    names: tuple[str, ...]
+    allowed: str
+    accepts: Callable[[object], bool]
+
+
+def _is_name(text: object) -> bool:
+    return bool(NAME_PATTERN.fullmatch(str(text)))
+
+
+def _is_address(text: object) -> bool:
+    return bool(ADDRESS_PATTERN.fullmatch(str(text)))
+
+
+def _is_port(number: object) -> bool:
+    return isinstance(number, int) and 0 <= number <= MAX_PORT
+
+
+def _is_long(text: object) -> bool:
+    return len(str(text)) >= MIN_KEY_LENGTH
+
+
+def _are_addresses(seeds: object) -> bool:
+    return isinstance(seeds, tuple) and all(map(_is_address, seeds))
+
+
+def _is_duration(seconds: object) -> bool:
+    return isinstance(seconds, (int, float)) and 0 <= seconds <= 3600
+
+
+def _is_level(text: object) -> bool:
+    return text in LOG_LEVELS
+
+
+RULES = (
+    _Rule(
+        ('name', 'failure_domain'),
+        'lower-case letters, digits, ".", "_" and "-", at most 63',
+        _is_name,
+    ),
+    _Rule(('platform',), 'an IP number and port, host:port', _is_address),
+    _Rule(
+        ('seeds',),
+        'IP numbers and ports, host:port, for each seed',
+        _are_addresses,
+    ),
+    _Rule(
+        ('admin_key', 'cluster_key'),
+        f'a key of at least {MIN_KEY_LENGTH} characters',
+        _is_long,
+    ),
+    _Rule(
+        ('callers_port', 'admin_port', 'peers_port'),
+        f'a port from 0 to {MAX_PORT}, 0 for any free one',
+        _is_port,
+    ),
+    _Rule(('look_away_seconds',), '0 to 3600 seconds', _is_duration),
+    _Rule(('log_level',), ', '.join(LOG_LEVELS), _is_level),
+)
+SECRETS = frozenset(('admin_key', 'cluster_key'))
+
+
+def check_settings(
+    settings: NodeSettings,
+) -> Result[NodeSettings, tuple[SettingError, ...]]:
+    """Check all settings and report all wrong ones at once."""
+    errors = tuple(
+        SettingError(name, _shown(settings, name), rule.allowed)
+        for rule in RULES
+        for name in rule.names
+        if not rule.accepts(getattr(settings, name))
+    )
+    return Failure(errors) if errors else Success(settings)
+
+
+def _shown(settings: NodeSettings, name: str) -> str:
+    given = str(getattr(settings, name))
+    return f'{len(given)} characters' if name in SECRETS else given
--- /dev/null
+++ b/wigeonspoke/observe/__init__.py
@@ -0,0 +1,16 @@
+"""What operators see of a process: metrics, time line and logs."""
+
+from wigeonspoke.observe.hybrid_clock import HybridClock, HybridTime
+from wigeonspoke.observe.logs import configure_logs
+from wigeonspoke.observe.metrics import NodeMetrics
+from wigeonspoke.observe.timeline import Timeline, TimelineEvent, merge_events
+
+__all__ = (
+    'HybridClock',
+    'HybridTime',
+    'NodeMetrics',
+    'Timeline',
+    'TimelineEvent',
+    'configure_logs',
+    'merge_events',
+)
--- /dev/null
+++ b/wigeonspoke/platform/http_platform.py
@@ -0,0 +1,147 @@
+"""The platform over HTTP with JSON."""
+
+import http
+from urllib.parse import quote
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from wigeonspoke.core.outcomes import Outcome
+from wigeonspoke.platform.protocols import (
+    HostEntry,
+    StoreError,
+    StoreProblem,
+    TableRow,
+)
+from wigeonspoke.transport import HttpClient, HttpError, HttpReply
+
+STORE_SECONDS = 2.0
+
+_PROBLEMS = {
+    http.HTTPStatus.CONFLICT: StoreProblem.CONFLICT,
+    http.HTTPStatus.NOT_FOUND: StoreProblem.MISSING,
+    http.HTTPStatus.SERVICE_UNAVAILABLE: StoreProblem.UNAVAILABLE,
+    http.HTTPStatus.TOO_MANY_REQUESTS: StoreProblem.UNAVAILABLE,
+}
+
+
+class HttpPlatform:
+    """Table, object store and host list at one address.
+
+    It satisfies the Protocols :class:`Table`, :class:`ObjectStore` and
+    :class:`HostList`.
+    """
+
+    __slots__ = ('address', 'client', 'timeout')
+
+    def __init__(
+        self,
+        address: str,
+        client: HttpClient,
+        timeout: float = STORE_SECONDS,
+    ) -> None:
+        self.address = address
+        self.client = client
+        self.timeout = timeout
+
+    def read(self, table: str, key: str) -> Result[TableRow, StoreError]:
+        """Read one row."""
+        reply = self._ask('GET', f'/table/{table}/{_quoted(key)}', 'read')
+        return reply.bind(_decoder(TableRow, 'read'))
+
+    def read_all(
+        self,
+        table: str,
+    ) -> Result[tuple[TableRow, ...], StoreError]:
+        """Read all rows of a small table."""
+        reply = self._ask('GET', f'/table/{table}', 'read-all')
+        return reply.bind(_decoder(tuple[TableRow, ...], 'read-all'))
+
+    def write(
+        self,
+        table: str,
+        key: str,
+        content: bytes,
+        expected: int,
+    ) -> Result[TableRow, StoreError]:
+        """Write a row if its version is ``expected``, 0 for no row."""
+        path = f'/table/{table}/{_quoted(key)}?expected={expected}'
+        reply = self._ask('PUT', path, 'write', content)
+        return reply.bind(_decoder(TableRow, 'write'))
+
+    def delete(
+        self,
+        table: str,
+        key: str,
+        expected: int,
+    ) -> Result[None, StoreError]:
+        """Delete a row if its version is ``expected``."""
+        path = f'/table/{table}/{_quoted(key)}?expected={expected}'
+        return self._ask('DELETE', path, 'delete').map(lambda _: None)
+
+    def get_object(self, name: str) -> Result[bytes, StoreError]:
+        """Read an object."""
+        reply = self._ask('GET', f'/objects/{_quoted(name)}', 'get-object')
+        return reply.map(lambda whole: whole.body)
+
+    def put_object(self, name: str, body: bytes) -> Result[None, StoreError]:
+        """Write an object; writing the same bytes again is harmless."""
+        path = f'/objects/{_quoted(name)}'
+        return self._ask('PUT', path, 'put-object', body).map(lambda _: None)
+
+    def hosts(self) -> Result[tuple[HostEntry, ...], StoreError]:
+        """Read the host list."""
+        reply = self._ask('GET', '/hosts', 'hosts')
+        return reply.bind(_decoder(tuple[HostEntry, ...], 'hosts'))
+
+    def _ask(
+        self,
+        method: str,
+        path: str,
+        step: str,
+        body: bytes | None = None,
+    ) -> Result[HttpReply, StoreError]:
+        sent = self.client.send(
+            self.address,
+            method,
+            path,
+            body,
+            timeout=self.timeout,
+        )
+        return sent.alt(_unanswered(step)).bind(_checker(step))
+
+
+def _quoted(name: str) -> str:
+    return quote(name, safe='')
+
+
+def _unanswered(step: str):
+    def convert(error: HttpError) -> StoreError:
+        sure = error.outcome is Outcome.NOT_RUN
+        problem = StoreProblem.UNAVAILABLE if sure else StoreProblem.UNCERTAIN
+        return StoreError(problem, step)
+
+    return convert
+
+
+def _checker(step: str):
+    def check(reply: HttpReply) -> Result[HttpReply, StoreError]:
+        if reply.is_ok:
+            return Success(reply)
+        problem = _PROBLEMS.get(reply.status, StoreProblem.UNCERTAIN)
+        row = None
+        if problem is StoreProblem.CONFLICT:
+            row = msgspec.json.decode(reply.body, type=TableRow | None)
+        return Failure(StoreError(problem, step, row))
+
+    return check
+
+
+def _decoder(kind: type, step: str):
+    def decode(reply: HttpReply) -> Result:
+        try:
+            return Success(msgspec.json.decode(reply.body, type=kind))
+        except msgspec.MsgspecError:
+            return Failure(StoreError(StoreProblem.UNCERTAIN, step))
+
+    return decode
--- /dev/null
+++ b/wigeonspoke/platform/protocols.py
@@ -0,0 +1,97 @@
+"""What the router asks of the platform.
+
+Every operation returns a result; an error says whether a write may have
+taken effect.
+"""
+
+import enum
+from typing import Protocol
+
+import msgspec
+from returns.result import Result
+
+
+@enum.unique
+class StoreProblem(enum.StrEnum):
+    """Why an operation has no result.
+
+    ``UNAVAILABLE``: it had no effect.  ``UNCERTAIN``: it may have had one.
+    ``CONFLICT``: the row was not at the version expected.
+    """
+
+    UNAVAILABLE = 'unavailable'
+    UNCERTAIN = 'uncertain'
+    CONFLICT = 'conflict'
+    MISSING = 'missing'
+
+
+class TableRow(msgspec.Struct, frozen=True):
+    """A row; ``version`` is 1 at first and rises with each write."""
+
+    key: str
+    version: int
+    content: msgspec.Raw
+
+
+class StoreError(msgspec.Struct, frozen=True):
+    """An operation that failed, with the row that stood in its way."""
+
+    problem: StoreProblem
+    step: str
+    row: TableRow | None = None
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """A host in the platform's list, which lags behind reality."""
+
+    name: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+
+
+class Table(Protocol):
+    """The transactional table service."""
+
+    def read(self, table: str, key: str) -> Result[TableRow, StoreError]:
+        """Read one row."""
+
+    def read_all(
+        self,
+        table: str,
+    ) -> Result[tuple[TableRow, ...], StoreError]:
+        """Read all rows of a small table."""
+
+    def write(
+        self,
+        table: str,
+        key: str,
+        content: bytes,
+        expected: int,
+    ) -> Result[TableRow, StoreError]:
+        """Write a row if its version is ``expected``, 0 for no row."""
+
+    def delete(
+        self,
+        table: str,
+        key: str,
+        expected: int,
+    ) -> Result[None, StoreError]:
+        """Delete a row if its version is ``expected``."""
+
+
+class ObjectStore(Protocol):
+    """The object store."""
+
+    def get_object(self, name: str) -> Result[bytes, StoreError]:
+        """Read an object."""
+
+    def put_object(self, name: str, body: bytes) -> Result[None, StoreError]:
+        """Write an object; writing the same bytes again is harmless."""
+
+
+class HostList(Protocol):
+    """The list of live and leaving hosts."""
+
+    def hosts(self) -> Result[tuple[HostEntry, ...], StoreError]:
+        """Read the list."""
--- /dev/null
+++ b/wigeonspoke/standins/__init__.py
@@ -0,0 +1,27 @@
+"""Stand-ins for engines, services and the platform.
+
+They speak the real protocols on real sockets, keep records of what they
+did, and fail on demand.
+"""
+
+from wigeonspoke.standins.engine import StandInEngine
+from wigeonspoke.standins.ledger import Ledger, LedgerFindings
+from wigeonspoke.standins.model import (
+    StandInModel,
+    expected_answer,
+    expected_tokens,
+)
+from wigeonspoke.standins.platform import Fault, StandInPlatform
+from wigeonspoke.standins.service import StandInService
+
+__all__ = (
+    'Fault',
+    'Ledger',
+    'LedgerFindings',
+    'StandInEngine',
+    'StandInModel',
+    'StandInPlatform',
+    'StandInService',
+    'expected_answer',
+    'expected_tokens',
+)
--- /dev/null
+++ b/wigeonspoke/standins/model.py
@@ -0,0 +1,73 @@
+"""A model of arithmetic that shows every error of a pipeline.
+
+Each layer keeps a state that grows with every input, as a KV cache does,
+and mixes it into its output.  A layer that is skipped, run twice, or run
+out of order changes all tokens that follow.
+"""
+
+from collections.abc import Sequence
+
+from wigeonspoke.core.streams.tokens import END_OF_ANSWER
+
+MODULUS = (1 << 61) - 1
+MIX = 6364136223846793005
+STATE_MIX = 1442695040888963407
+FIRST_LETTER = 97
+LETTERS = 26
+SPACE = 32
+SPACE_EVERY = 7
+END_EVERY = 509
+
+
+class StandInModel:
+    """The state of one stream in one range of layers."""
+
+    __slots__ = ('first', 'states')
+
+    def __init__(self, first: int, end: int) -> None:
+        self.first = first
+        self.states = [0 for _ in range(first, end)]
+
+    def run(self, activation: int) -> int:
+        """Take one input through all layers of the range."""
+        for offset, state in enumerate(self.states):
+            mixed = (state * STATE_MIX + activation + 1) % MODULUS
+            self.states[offset] = mixed
+            layer = self.first + offset + 1
+            activation = (activation * MIX + mixed * layer) % MODULUS
+        return activation
+
+
+def token_of(activation: int) -> int:
+    """Give the token that the last layer's activation stands for."""
+    if activation % END_EVERY == 0:
+        return END_OF_ANSWER
+    if activation % SPACE_EVERY == 0:
+        return SPACE
+    return FIRST_LETTER + activation % LETTERS
+
+
+def expected_tokens(
+    layers: int,
+    prompt: Sequence[int],
+    max_tokens: int,
+) -> list[int]:
+    """Give the answer that a whole model on one host would give."""
+    model = StandInModel(0, layers)
+    activation = 0
+    for token in prompt:
+        activation = model.run(token)
+    answer: list[int] = []
+    while len(answer) < max_tokens:
+        token = token_of(activation)
+        if token == END_OF_ANSWER:
+            break
+        answer.append(token)
+        activation = model.run(token)
+    return answer
+
+
+def expected_answer(layers: int, prompt: str, max_tokens: int) -> str:
+    """Give the whole answer to a prompt as text."""
+    tokens = expected_tokens(layers, prompt.encode(), max_tokens)
+    return bytes(tokens).decode()
--- /dev/null
+++ b/wigeonspoke/standins/platform.py
@@ -0,0 +1,216 @@
+"""A stand-in platform: table, object store and host list, with faults.
+
+A fault waits for the next matching write and is spent by it, or holds until
+it is lifted.
+"""
+
+import enum
+import http
+
+import eventlet
+import msgspec
+from werkzeug.wrappers import Request, Response
+
+from wigeonspoke.platform.protocols import HostEntry, TableRow
+from wigeonspoke.transport import (
+    ApiError,
+    HttpApp,
+    HttpListener,
+    JsonReply,
+    read_json,
+)
+from wigeonspoke.transport.http_app import read_body
+
+
+@enum.unique
+class FaultKind(enum.StrEnum):
+    """What can go wrong.
+
+    ``LOST_ANSWER``: the write takes effect and the answer never comes.
+    ``ERROR_BEFORE``: an error before any effect.  ``OUTAGE``: an error to
+    everything.  ``DELAY``: answers come late.
+    """
+
+    LOST_ANSWER = 'lost-answer'
+    ERROR_BEFORE = 'error-before'
+    OUTAGE = 'outage'
+    DELAY = 'delay'
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """A fault for the next ``count`` requests to a table."""
+
+    kind: FaultKind
+    table: str = ''
+    count: int = 1
+    seconds: float = 0.0
+
+
+class StandInPlatform:
+    """Keeps all rows, objects and hosts in memory.
+
+    ``writes`` counts the table writes asked for, ``lost`` the answers that
+    were lost after the write.
+    """
+
+    __slots__ = (
+        'faults',
+        'host_entries',
+        'listener',
+        'lost',
+        'objects',
+        'tables',
+        'writes',
+    )
+
+    def __init__(self, host: str = '127.0.0.1', port: int = 0) -> None:
+        self.tables: dict[str, dict[str, TableRow]] = {}
+        self.objects: dict[str, bytes] = {}
+        self.host_entries: tuple[HostEntry, ...] = ()
+        self.faults: list[Fault] = []
+        self.writes = 0
+        self.lost = 0
+        app = HttpApp([
+            ('GET', '/table/<table>', self.get_table),
+            ('GET', '/table/<table>/<key>', self.get_row),
+            ('PUT', '/table/<table>/<key>', self.put_row),
+            ('DELETE', '/table/<table>/<key>', self.delete_row),
+            ('GET', '/objects/<name>', self.get_object),
+            ('PUT', '/objects/<name>', self.put_object),
+            ('GET', '/hosts', self.get_hosts),
+            ('PUT', '/hosts', self.put_hosts),
+            ('POST', '/faults', self.post_fault),
+            ('DELETE', '/faults', self.delete_faults),
+        ])
+        self.listener = HttpListener(app, host, port)
+
+    @property
+    def address(self) -> str:
+        """Give the address that the platform listens on."""
+        return self.listener.address
+
+    def get_table(self, request: Request, table: str) -> Response:
+        """Answer with all rows of a table."""
+        self._suffer(table)
+        return JsonReply(tuple(self.tables.get(table, {}).values()))
+
+    def get_row(self, request: Request, table: str, key: str) -> Response:
+        """Answer with one row."""
+        self._suffer(table)
+        row = self.tables.get(table, {}).get(key)
+        if row is None:
+            raise _missing(key)
+        return JsonReply(row)
+
+    def put_row(self, request: Request, table: str, key: str) -> Response:
+        """Write a row if it is at the version expected."""
+        content = read_body(request)
+        self._suffer(table)
+        self.writes += 1
+        rows = self.tables.setdefault(table, {})
+        known = rows.get(key)
+        if not _is_expected(request, known):
+            return JsonReply(known, http.HTTPStatus.CONFLICT)
+        version = known.version + 1 if known else 1
+        rows[key] = TableRow(key, version, msgspec.Raw(content))
+        self._lose_answer(table)
+        return JsonReply(rows[key])
+
+    def delete_row(self, request: Request, table: str, key: str) -> Response:
+        """Delete a row if it is at the version expected."""
+        self._suffer(table)
+        self.writes += 1
+        rows = self.tables.setdefault(table, {})
+        known = rows.get(key)
+        if not _is_expected(request, known):
+            return JsonReply(known, http.HTTPStatus.CONFLICT)
+        rows.pop(key, None)
+        self._lose_answer(table)
+        return JsonReply(None)
+
+    def get_object(self, request: Request, name: str) -> Response:
+        """Answer with an object."""
+        self._suffer('objects')
+        body = self.objects.get(name)
+        if body is None:
+            raise _missing(name)
+        return Response(body)
+
+    def put_object(self, request: Request, name: str) -> Response:
+        """Keep an object."""
+        body = read_body(request)
+        self._suffer('objects')
+        self.objects[name] = body
+        return JsonReply(None)
+
+    def get_hosts(self, request: Request) -> Response:
+        """Answer with the host list."""
+        self._suffer('hosts')
+        return JsonReply(self.host_entries)
+
+    def put_hosts(self, request: Request) -> Response:
+        """Replace the host list."""
+        self.host_entries = read_json(request, tuple[HostEntry, ...])
+        return JsonReply(None)
+
+    def post_fault(self, request: Request) -> Response:
+        """Take on a fault."""
+        self.faults.append(read_json(request, Fault))
+        return JsonReply(None)
+
+    def delete_faults(self, request: Request) -> Response:
+        """Lift all faults."""
+        self.faults.clear()
+        return JsonReply(None)
+
+    def _take(self, kind: FaultKind, table: str) -> Fault | None:
+        for position, fault in enumerate(self.faults):
+            if fault.kind is kind and fault.table in ('', table):
+                self._spend(position, fault)
+                return fault
+        return None
+
+    def _spend(self, position: int, fault: Fault) -> None:
+        if fault.count > 1:
+            left = msgspec.structs.replace(fault, count=fault.count - 1)
+            self.faults[position] = left
+        elif fault.count == 1:
+            self.faults.pop(position)
+
+    def _suffer(self, table: str) -> None:
+        delay = self._take(FaultKind.DELAY, table)
+        if delay:
+            eventlet.sleep(delay.seconds)
+        outage = self._take(FaultKind.OUTAGE, table)
+        if outage or self._take(FaultKind.ERROR_BEFORE, table):
+            raise ApiError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'unavailable',
+                'unavailable',
+                'the store is down',
+            )
+
+    def _lose_answer(self, table: str) -> None:
+        fault = self._take(FaultKind.LOST_ANSWER, table)
+        if fault:
+            self.lost += 1
+            raise ApiError(
+                http.HTTPStatus.GATEWAY_TIMEOUT,
+                'lost',
+                'lost',
+                'the answer was lost',
+            )
+
+
+def _is_expected(request: Request, known: TableRow | None) -> bool:
+    version = known.version if known else 0
+    return request.args.get('expected', type=int) == version
+
+
+def _missing(name: str) -> ApiError:
+    return ApiError(
+        http.HTTPStatus.NOT_FOUND,
+        'missing',
+        'missing',
+        f'there is no {name}',
+    )
--- /dev/null
+++ b/wigeonspoke/standins/service.py
@@ -0,0 +1,83 @@
+"""A stand-in service replica that records each operation it runs."""
+
+import itertools
+import time
+
+import eventlet
+import msgspec
+from werkzeug.wrappers import Request, Response
+
+from wigeonspoke.standins.ledger import CallRecord, Ledger
+from wigeonspoke.transport import HttpApp, HttpListener, JsonReply
+from wigeonspoke.transport.http_app import read_body
+
+WORK_SECONDS = 0.02
+
+
+class Receipt(msgspec.Struct, frozen=True):
+    """What the service answers to an operation."""
+
+    service: str
+    identity: str
+    number: int
+    run_by: str
+
+
+class StandInService:
+    """Runs every call it gets, as a service that trusts its callers does.
+
+    It does not look for repeats, so that the ledger shows each one.
+    """
+
+    __slots__ = (
+        'ledger',
+        'listener',
+        'name',
+        'numbers',
+        'service',
+        'work_seconds',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        ledger: Ledger,
+        host: str = '127.0.0.1',
+        port: int = 0,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.ledger = ledger
+        self.work_seconds = WORK_SECONDS
+        self.numbers = itertools.count(1)
+        app = HttpApp([
+            ('POST', '/<path:path>', self.post),
+            ('GET', '/<path:path>', self.get),
+        ])
+        self.listener = HttpListener(app, host, port)
+
+    @property
+    def address(self) -> str:
+        """Give the address that the replica listens on."""
+        return self.listener.address
+
+    def kill(self) -> None:
+        """Die with all open connections."""
+        self.listener.abort()
+
+    def post(self, request: Request, path: str) -> Response:
+        """Run an operation and answer with its receipt."""
+        read_body(request)
+        identity = request.headers.get('Idempotency-Key', '')
+        eventlet.sleep(self.work_seconds)
+        self.ledger.calls.append(
+            CallRecord(self.name, self.service, identity, time.monotonic()),
+        )
+        number = next(self.numbers)
+        return JsonReply(Receipt(self.service, identity, number, self.name))
+
+    def get(self, request: Request, path: str) -> Response:
+        """Answer a question that may be asked again."""
+        eventlet.sleep(self.work_seconds)
+        return JsonReply(Receipt(self.service, path, 0, self.name))
--- /dev/null
+++ b/wigeonspoke/transport/__init__.py
@@ -0,0 +1,28 @@
+"""HTTP on eventlet: listeners with limits, and a client with outcomes."""
+
+from wigeonspoke.transport.http_app import (
+    ApiError,
+    HttpApp,
+    JsonReply,
+    authorise,
+    read_json,
+)
+from wigeonspoke.transport.http_client import (
+    HttpClient,
+    HttpError,
+    HttpReply,
+)
+from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
+
+__all__ = (
+    'ApiError',
+    'HttpApp',
+    'HttpClient',
+    'HttpError',
+    'HttpListener',
+    'HttpReply',
+    'JsonReply',
+    'ListenerLimits',
+    'authorise',
+    'read_json',
+)
--- /dev/null
+++ b/wigeonspoke/transport/http_app.py
@@ -0,0 +1,220 @@
+"""A base for WSGI applications that speak JSON."""
+
+import hashlib
+import hmac
+import http
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
+import eventlet
+import msgspec
+from loguru import logger
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+JSON_TYPE = 'application/json'
+MAX_BODY_BYTES = 1 << 20
+BODY_SECONDS = 10.0
+READ_BYTES = 1 << 16
+BEARER = 'Bearer '
+
+Body = TypeVar('Body')
+
+
+class ApiError(Exception):
+    """An error that becomes a reply with a typed JSON body.
+
+    ``status`` is the HTTP status, ``kind`` and ``code`` name the error for
+    programs and ``message`` explains it to people.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        kind: str,
+        code: str,
+        message: str,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.kind = kind
+        self.code = code
+        self.headers = headers or {}
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """The typed description of an error."""
+
+    message: str
+    type: str
+    code: str
+    param: str | None = None
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The body of an error reply, in the form that callers know."""
+
+    error: ErrorDetail
+
+
+class JsonReply(Response):
+    """A reply whose body is a message in JSON."""
+
+    def __init__(
+        self,
+        message: object,
+        status: int = http.HTTPStatus.OK,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        super().__init__(
+            msgspec.json.encode(message),
+            status=status,
+            headers=headers,
+            content_type=JSON_TYPE,
+        )
+
+
+def error_reply(error: ApiError) -> Response:
+    """Make the reply for an error."""
+    detail = ErrorDetail(str(error), error.kind, error.code)
+    return JsonReply(ErrorBody(detail), error.status, error.headers)
+
+
+def read_body(request: Request, limit: int = MAX_BODY_BYTES) -> bytes:
+    """Read a request's body within a bound of bytes and of time."""
+    if (request.content_length or 0) > limit:
+        raise _too_large(limit)
+    patience = eventlet.Timeout(BODY_SECONDS)
+    try:
+        return _read_stream(request, limit)
+    except (eventlet.Timeout, TimeoutError) as error:
+        if isinstance(error, eventlet.Timeout) and error is not patience:
+            raise
+        raise ApiError(
+            http.HTTPStatus.REQUEST_TIMEOUT,
+            'bad_request',
+            'slow_body',
+            f'the body did not arrive within {BODY_SECONDS} s',
+            {'Connection': 'close'},
+        ) from error
+    finally:
+        patience.cancel()
+
+
+def read_json(
+    request: Request,
+    kind: type[Body],
+    limit: int = MAX_BODY_BYTES,
+) -> Body:
+    """Read a request's body as a checked message."""
+    try:
+        return msgspec.json.decode(read_body(request, limit), type=kind)
+    except msgspec.ValidationError as error:
+        raise ApiError(
+            http.HTTPStatus.UNPROCESSABLE_ENTITY,
+            'bad_request',
+            'invalid_field',
+            str(error),
+        ) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ApiError(
+            http.HTTPStatus.BAD_REQUEST,
+            'bad_request',
+            'invalid_json',
+            str(error),
+        ) from error
+
+
+def bearer_key(request: Request) -> str:
+    """Give the bearer key of a request, empty if there is none."""
+    header = request.headers.get('Authorization', '')
+    return header.removeprefix(BEARER) if header.startswith(BEARER) else ''
+
+
+def key_digest(key: str) -> str:
+    """Give the digest under which a key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def authorise(request: Request, digest: str) -> None:
+    """Refuse a request whose bearer key has not the digest given."""
+    presented = key_digest(bearer_key(request))
+    if not hmac.compare_digest(presented, digest):
+        raise ApiError(
+            http.HTTPStatus.UNAUTHORIZED,
+            'authentication',
+            'invalid_key',
+            'the bearer key is missing or wrong',
+            {'WWW-Authenticate': 'Bearer'},
+        )
+
+
+class HttpApp:
+    """Routes requests to methods and turns their errors into replies."""
+
+    __slots__ = ('rules',)
+
+    def __init__(self, rules: Iterable[tuple[str, str, Callable]]) -> None:
+        self.rules = Map([
+            Rule(path, methods=[method], endpoint=view)
+            for method, path, view in rules
+        ])
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable:
+        """Serve one request as WSGI asks."""
+        request = Request(environ)
+        return self.reply_to(request)(environ, start_response)
+
+    def reply_to(self, request: Request) -> Response:
+        """Give the reply to a request; every error has a typed body."""
+        try:
+            return self._dispatch(request)
+        except ApiError as error:
+            return error_reply(error)
+        except HTTPException as known:
+            return _known_error(known)
+        except Exception:
+            logger.exception('request failed: {}', request.path)
+            status = http.HTTPStatus.INTERNAL_SERVER_ERROR
+            return error_reply(
+                ApiError(status, 'internal', 'internal', 'internal error'),
+            )
+
+    def _dispatch(self, request: Request) -> Response:
+        adapter = self.rules.bind_to_environ(request.environ)
+        view, arguments = adapter.match()
+        return view(request, **arguments)
+
+
+def _known_error(known: HTTPException) -> Response:
+    status = known.code or http.HTTPStatus.INTERNAL_SERVER_ERROR
+    code = known.name.lower().replace(' ', '_')
+    message = known.description or known.name
+    headers = dict(known.get_headers())
+    headers.pop('Content-Type', None)
+    return error_reply(
+        ApiError(status, 'bad_request', code, message, headers),
+    )
+
+
+def _read_stream(request: Request, limit: int) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    while chunk := request.stream.read(READ_BYTES):
+        size += len(chunk)
+        if size > limit:
+            raise _too_large(limit)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def _too_large(limit: int) -> ApiError:
+    return ApiError(
+        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        'bad_request',
+        'body_too_large',
+        f'the body is larger than {limit} bytes',
+        {'Connection': 'close'},
+    )
--- /dev/null
+++ b/wigeonspoke/transport/http_client.py
@@ -0,0 +1,140 @@
+"""An HTTP client whose errors say whether the request may have run.
+
+Under eventlet's patched sockets the calls yield to the loop while they
+wait.  Redirects and the library's own retries are off: what may be sent
+again is for the router to decide.
+"""
+
+import http
+
+import eventlet
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from wigeonspoke.core.outcomes import Outcome, Reason
+
+POOLED_HOSTS = 4096
+CONNECTIONS_PER_HOST = 64
+CONNECT_SECONDS = 1.0
+
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
+class HttpReply(msgspec.Struct, frozen=True):
+    """A whole reply."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+    @property
+    def is_ok(self) -> bool:
+        """Tell whether the status is 200."""
+        return self.status == http.HTTPStatus.OK
+
+
+class HttpError(msgspec.Struct, frozen=True):
+    """Why there is no reply, and whether the request may have run."""
+
+    outcome: Outcome
+    reason: Reason
+    peer: str
+
+
+class HttpClient:
+    """Sends requests to peers given as ``host:port``.
+
+    >>> HttpClient().post('127.0.0.1:1', '/x', b'').failure().reason.value
+    'connect-failed'
+    """
+
+    __slots__ = ('headers', 'pool')
+
+    def __init__(self, headers: dict[str, str] | None = None) -> None:
+        self.headers = headers or {}
+        self.pool = urllib3.PoolManager(
+            num_pools=POOLED_HOSTS,
+            maxsize=CONNECTIONS_PER_HOST,
+            retries=False,
+        )
+
+    def get(
+        self,
+        peer: str,
+        path: str,
+        timeout: float = 2.0,
+    ) -> Result[HttpReply, HttpError]:
+        """Get ``path`` from a peer within ``timeout`` seconds."""
+        return self.send(peer, 'GET', path, timeout=timeout)
+
+    def post(
+        self,
+        peer: str,
+        path: str,
+        body: bytes,
+        timeout: float = 2.0,
+    ) -> Result[HttpReply, HttpError]:
+        """Post a body to a peer within ``timeout`` seconds."""
+        return self.send(peer, 'POST', path, body, timeout)
+
+    def send(
+        self,
+        peer: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout: float = 2.0,
+        headers: dict[str, str] | None = None,
+        fresh: bool = False,
+    ) -> Result[HttpReply, HttpError]:
+        """Send a request and wait for the whole reply.
+
+        With ``fresh`` the request goes over a new connection, so that a
+        failure to connect proves that no byte of it left.
+        """
+        url = f'http://{peer}{path}'
+        merged = {**self.headers, **(headers or {})}
+        limit = eventlet.Timeout(timeout)
+        try:
+            return Success(self._exchange(method, url, body, merged, fresh))
+        except eventlet.Timeout as error:
+            if error is not limit:
+                raise
+            return Failure(HttpError(Outcome.UNKNOWN, Reason.TIMEOUT, peer))
+        except _NOT_SENT:
+            return Failure(HttpError(Outcome.NOT_RUN, Reason.CONNECT, peer))
+        except (urllib3.exceptions.HTTPError, OSError):
+            return Failure(HttpError(Outcome.UNKNOWN, Reason.RESET, peer))
+        finally:
+            limit.cancel()
+
+    def _exchange(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        fresh: bool,
+    ) -> HttpReply:
+        pool = urllib3.PoolManager(retries=False) if fresh else self.pool
+        try:
+            response = pool.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                redirect=False,
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=None),
+            )
+        finally:
+            if fresh:
+                pool.clear()
+        return HttpReply(
+            status=response.status,
+            content_type=response.headers.get('Content-Type', ''),
+            body=response.data,
+        )
--- /dev/null
+++ b/wigeonspoke/transport/http_server.py
@@ -0,0 +1,147 @@
+"""A listener that serves a WSGI application within limits."""
+
+import errno
+import socket
+from collections.abc import Callable, Iterable
+
+import eventlet
+import msgspec
+from eventlet import wsgi
+from eventlet.greenio import shutdown_safe
+from werkzeug.wsgi import ClosingIterator
+
+WsgiApplication = Callable[..., Iterable[bytes]]
+
+HEADERS_TOO_LARGE = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Connection: close\r\n'
+    b'Content-Type: application/json\r\n'
+    b'Content-Length: 101\r\n\r\n'
+    b'{"error": {"message": "the request headers are too large", '
+    b'"type": "bad_request", "code": "headers"}}'
+)
+CLOSED_ERRORS = frozenset((errno.EBADF, errno.EINVAL))
+
+
+class ListenerLimits(msgspec.Struct, frozen=True):
+    """Bounds on what a listener takes from its clients.
+
+    ``idle_seconds`` bounds the wait for a request on an open connection,
+    ``read_seconds`` any one read of a request.
+    """
+
+    connections: int = 1024
+    idle_seconds: float = 60.0
+    read_seconds: float = 10.0
+
+
+class _Protocol(wsgi.HttpProtocol):
+    """Answers oversized headers with a typed error body."""
+
+    def parse_request(self) -> bool:
+        try:
+            return super().parse_request()
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            self.wfile.write(HEADERS_TOO_LARGE)
+            self.close_connection = 1
+            return False
+
+
+class HttpListener:
+    """Serves an application on one address, port 0 for any free port.
+
+    ``active`` counts the requests whose replies are not yet written whole.
+    :meth:`close` stops accepting and leaves open connections alone;
+    :meth:`abort` also resets them, as a crash would.
+    """
+
+    __slots__ = (
+        'active',
+        'application',
+        'greenlet',
+        'limits',
+        'open',
+        'sock',
+    )
+
+    def __init__(
+        self,
+        application: WsgiApplication,
+        host: str = '127.0.0.1',
+        port: int = 0,
+        limits: ListenerLimits | None = None,
+    ) -> None:
+        self.application = application
+        self.active = 0
+        self.limits = limits or ListenerLimits()
+        self.sock = eventlet.listen((host, port), backlog=self.backlog)
+        self.open: set[socket.socket] = set()
+        self.greenlet = eventlet.spawn(self._serve)
+
+    @property
+    def backlog(self) -> int:
+        """Give the length of the queue of unaccepted connections."""
+        return self.limits.connections
+
+    @property
+    def address(self) -> str:
+        """Give the address as ``host:port``."""
+        host, port = self.sock.getsockname()[:2]
+        return f'{host}:{port}'
+
+    def close(self) -> None:
+        """Stop accepting connections."""
+        shutdown_safe(self.sock)
+        self.sock.close()
+
+    def abort(self) -> None:
+        """Stop accepting and reset all open connections."""
+        self.close()
+        for connection in tuple(self.open):
+            shutdown_safe(connection)
+
+    def _serve(self) -> None:
+        try:
+            wsgi.server(
+                self.sock,
+                self._serve_request,
+                protocol=self._serve_connection,
+                max_size=self.limits.connections,
+                keepalive=self.limits.idle_seconds,
+                socket_timeout=self.limits.read_seconds,
+                log_output=False,
+                minimum_chunk_size=1,
+                debug=False,
+            )
+        except OSError as error:
+            if error.errno not in CLOSED_ERRORS:
+                raise
+
+    def _serve_request(
+        self,
+        environ: dict,
+        start_response: Callable,
+    ) -> Iterable[bytes]:
+        self.active += 1
+        try:
+            parts = self.application(environ, start_response)
+        except BaseException:
+            self._note_end()
+            raise
+        return ClosingIterator(parts, [self._note_end])
+
+    def _note_end(self) -> None:
+        self.active -= 1
+
+    def _serve_connection(
+        self,
+        state: list,
+        server: wsgi.Server,
+    ) -> wsgi.HttpProtocol:
+        connection = state[1]
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.open.add(connection)
+        try:
+            return _Protocol(state, server)
+        finally:
+            self.open.discard(connection)
