Demonstrate two deployments under load and faults

Cause: the promises could not be seen to hold. An engine call ended only when all its steps had, so streams moved in clumps and engines idled. Change: the demo with its checks from the stand-ins' records; the ends of a call's steps come as lines, each when its step is done; command line.

--- /dev/null
+++ b/wigeonspoke/cli/commands.py
@@ -0,0 +1,34 @@
+"""All commands of the program."""
+
+import click
+
+from wigeonspoke import __version__
+from wigeonspoke.cli.demo import demo
+from wigeonspoke.cli.load import load
+from wigeonspoke.cli.node import node
+from wigeonspoke.cli.operator import (
+    endpoints,
+    questionnaire,
+    status,
+    timeline,
+)
+from wigeonspoke.cli.standin import standin
+
+
+@click.group(context_settings={'auto_envvar_prefix': 'WIGEONSPOKE'})
+@click.version_option(__version__)
+def main() -> None:
+    """Route requests through pipelines of engines on mixed accelerators."""
+
+
+for command in (
+    demo,
+    endpoints,
+    load,
+    node,
+    questionnaire,
+    standin,
+    status,
+    timeline,
+):
+    main.add_command(command)
--- /dev/null
+++ b/wigeonspoke/cli/load.py
@@ -0,0 +1,80 @@
+"""``wigeonspoke load``."""
+
+import sys
+
+import click
+import msgspec
+
+from wigeonspoke.load import Balancer, LoadDriver, LoadPlan, LoadSummary
+from wigeonspoke.load.balancer import Target
+from wigeonspoke.observe import configure_logs
+
+FAILED = 1
+
+
+class FixedBalancer(Balancer):
+    """Takes turns over nodes without asking whether they are ready."""
+
+    def __init__(self, nodes: tuple[str, ...]) -> None:
+        super().__init__(tuple(Target(node, '') for node in nodes))
+
+
+@click.command()
+@click.option('--node', 'nodes', multiple=True, required=True, help='HOST:PORT')
+@click.option('--key', 'keys', multiple=True, required=True, help='Bearer key.')
+@click.option('--model', required=True, help='Name of the model.')
+@click.option('--layers', required=True, type=int, help='Its layers.')
+@click.option('--rate', default=0.0, help='Requests a second, open loop.')
+@click.option('--concurrency', default=0, help='Callers that ask in turn.')
+@click.option('--seconds', default=10.0, show_default=True)
+@click.option('--max-tokens', default=24, show_default=True)
+@click.option('--prompt-chars', default=24, show_default=True)
+@click.option('--seed', default=1, show_default=True)
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+def load(
+    nodes: tuple[str, ...],
+    keys: tuple[str, ...],
+    as_json: bool,
+    **plan: float,
+) -> None:
+    """Drive callers' traffic at nodes and check every answer.
+
+    The answers are checked against the stand-in engines' model, so the
+    engines behind the nodes must be stand-ins.  Give --rate or
+    --concurrency.
+
+    \b
+    Example:
+      wigeonspoke load --node 127.0.0.1:8000 --key demo-key-packer-1 \\
+        --model drafting --layers 24 --rate 20
+    """
+    configure_logs('ERROR', as_json=False)
+    load_plan = msgspec.convert(plan, LoadPlan)
+    if bool(load_plan.rate) == bool(load_plan.concurrency):
+        raise click.UsageError('give either --rate or --concurrency')
+    driver = LoadDriver(load_plan, FixedBalancer(nodes), keys)
+    driver.run()
+    summary = driver.summary()
+    _print(summary, as_json)
+    if summary.cut or summary.wrong:
+        sys.exit(FAILED)
+
+
+def _print(summary: LoadSummary, as_json: bool) -> None:
+    if as_json:
+        click.echo(msgspec.json.encode(summary))
+        return
+    click.echo(
+        f'{summary.requests} requests: {summary.whole} whole, '
+        f'{summary.cut} cut, {summary.wrong} wrong, '
+        f'{summary.refused} refused, {summary.failed} failed',
+    )
+    click.echo(f'{summary.tokens_per_second:.1f} tokens/s')
+    for name, found in (
+        ('first token', summary.first_token_seconds),
+        ('whole answer', summary.answer_seconds),
+    ):
+        click.echo(
+            f'{name}: p50 {found.p50:.3f} s, p95 {found.p95:.3f} s, '
+            f'p99 {found.p99:.3f} s',
+        )
--- /dev/null
+++ b/wigeonspoke/cli/node.py
@@ -0,0 +1,80 @@
+"""``wigeonspoke node``."""
+
+import os
+import signal
+import sys
+
+import click
+import eventlet
+import msgspec
+from eventlet.event import Event
+from loguru import logger
+from returns.result import Success
+
+from wigeonspoke.node import Node, NodeSettings, check_settings
+from wigeonspoke.observe import configure_logs
+
+WRONG_SETTING = 2
+FORCED = 1
+
+
+@click.command()
+@click.option('--name', default='', help='Name of this node.')
+@click.option('--failure-domain', default='', help='Where this host stands.')
+@click.option('--platform', default='', help='HOST:PORT of the platform.')
+@click.option('--admin-key', default='', help='Key of the operators.')
+@click.option('--cluster-key', default='', help='Key that nodes share.')
+@click.option('--host', default='127.0.0.1', show_default=True)
+@click.option('--callers-port', default=0, show_default=True)
+@click.option('--admin-port', default=0, show_default=True)
+@click.option('--peers-port', default=0, show_default=True)
+@click.option('--seed', 'seeds', multiple=True, help='HOST:PORT of a peer.')
+@click.option('--look-away-seconds', default=5.0, show_default=True)
+@click.option('--log-level', default='INFO', show_default=True)
+@click.option('--log-json', is_flag=True, help='Log lines in JSON.')
+def node(**given: object) -> None:
+    """Run the router of an entry host.
+
+    Each setting is a flag or an environment variable, such as
+    WIGEONSPOKE_NODE_NAME for --name.  SIGTERM stops the node as planned:
+    readiness fails, what is in progress ends, then the process exits with
+    0.  A second SIGTERM exits at once with 1.
+
+    \b
+    Example:
+      wigeonspoke node --name entry-1 --failure-domain ar-centro-1 \\
+        --platform 127.0.0.1:7000 --admin-key ... --cluster-key ...
+    """
+    settings = msgspec.convert(given, NodeSettings)
+    checked = check_settings(settings)
+    if not isinstance(checked, Success):
+        for error in checked.failure():
+            click.echo(error.describe(), err=True)
+        sys.exit(WRONG_SETTING)
+    configure_logs(settings.log_level, settings.log_json)
+    _serve(Node(settings))
+
+
+def _serve(running: Node) -> None:
+    asked: Event = Event()
+    count = 0
+
+    def ask_to_stop(*_: object) -> None:
+        nonlocal count
+        count += 1
+        if count > 1:
+            os._exit(FORCED)
+        eventlet.spawn_after(0, asked.send)
+
+    signal.signal(signal.SIGTERM, ask_to_stop)
+    signal.signal(signal.SIGINT, ask_to_stop)
+    running.start()
+    logger.info(
+        'serving callers={} admin={} peers={}',
+        running.callers.address,
+        running.admin.address,
+        running.peers.address,
+    )
+    asked.wait()
+    running.stop()
+    logger.info('stopped')
--- /dev/null
+++ b/wigeonspoke/cli/standin.py
@@ -0,0 +1,84 @@
+"""``wigeonspoke standin``: the stand-ins as processes of their own."""
+
+import click
+import eventlet
+
+from wigeonspoke.core.deployment import Engine, LayerRange
+from wigeonspoke.observe import configure_logs
+from wigeonspoke.standins import (
+    Ledger,
+    StandInEngine,
+    StandInPlatform,
+    StandInService,
+)
+
+FOREVER_SECONDS = 3600
+HOST = '127.0.0.1'
+
+
+@click.group()
+def standin() -> None:
+    """Run a stand-in for an engine, a service or the platform."""
+    configure_logs('INFO', as_json=False)
+
+
+@standin.command()
+@click.option('--host', default=HOST, show_default=True)
+@click.option('--port', default=0, show_default=True)
+def platform(host: str, port: int) -> None:
+    """Run a platform: table, object store and host list, in memory."""
+    _serve(StandInPlatform(host, port).address)
+
+
+@standin.command()
+@click.option('--host', default=HOST, show_default=True)
+@click.option('--port', default=0, show_default=True)
+@click.option('--model', required=True)
+@click.option('--layers', required=True, type=int, help='Of the whole model.')
+@click.option('--first-layer', required=True, type=int)
+@click.option('--end-layer', required=True, type=int)
+@click.option('--step-seconds', default=0.05, show_default=True)
+@click.option('--max-batch', default=8, show_default=True)
+@click.option('--max-streams', default=64, show_default=True)
+def engine(
+    host: str,
+    port: int,
+    model: str,
+    layers: int,
+    first_layer: int,
+    end_layer: int,
+    step_seconds: float,
+    max_batch: int,
+    max_streams: int,
+) -> None:
+    """Run an engine that holds a range of layers."""
+    record = Engine(
+        name=f'{model}-{host}:{port}',
+        address=f'{host}:{port}',
+        failure_domain='',
+        model=model,
+        layers=LayerRange(first_layer, end_layer),
+        accelerator='stand-in',
+        step_seconds=step_seconds,
+        max_batch=max_batch,
+        max_streams=max_streams,
+        checks_fencing=False,
+    )
+    _serve(StandInEngine(record, layers, Ledger(), host, port).address)
+
+
+@standin.command()
+@click.option('--host', default=HOST, show_default=True)
+@click.option('--port', default=0, show_default=True)
+@click.option('--service', 'service_name', required=True)
+def service(host: str, port: int, service_name: str) -> None:
+    """Run a replica of a plain service."""
+    name = f'{service_name}-{port}'
+    replica = StandInService(name, service_name, Ledger(), host, port)
+    _serve(replica.address)
+
+
+def _serve(address: str) -> None:
+    click.echo(f'listening on {address}')
+    while True:
+        eventlet.sleep(FOREVER_SECONDS)
--- /dev/null
+++ b/wigeonspoke/demo/report.py
@@ -0,0 +1,169 @@
+"""What a demo run found, as an object and as a short text."""
+
+from collections.abc import Iterable
+
+import click
+import msgspec
+
+NOT_TESTED = 'not put to the test'
+
+
+class Promises(msgspec.Struct, frozen=True):
+    """Breaks of each promise; ``None`` where no event tested it.
+
+    ``answers_whole`` is the one count that is not of breaks.
+    """
+
+    layers_out_of_order: int | None
+    answers_whole: int
+    answers_cut: int | None
+    answers_wrong: int | None
+    answers_failed: int | None
+    repeated_operations: int | None
+    not_run_but_ran: int | None
+    work_after_drain: int | None
+    cut_by_planned_stop: int | None
+    generation_reverts: int | None
+
+    @property
+    def kept(self) -> bool:
+        """Tell whether none of the promises broke."""
+        breaks = msgspec.structs.asdict(self)
+        breaks.pop('answers_whole')
+        return not any(breaks.values())
+
+
+class Throughput(msgspec.Struct, frozen=True):
+    """Tokens a second in steady state, against the engines' bound."""
+
+    bound_tokens_per_second: float
+    tokens_per_second: float
+    over_bound: float
+
+
+class Operations(msgspec.Struct, frozen=True):
+    """Operations that may not be repeated, as asked for and as run."""
+
+    asked: int
+    requests: int
+    run: int
+    most_runs: int
+    refused_not_run: int
+
+
+class DeploymentReport(msgspec.Struct, frozen=True):
+    """What one deployment's run found."""
+
+    deployment: str
+    promises: Promises
+    throughput: Throughput
+    recovery_seconds: dict[str, float | None]
+    operations: Operations
+    answers_refused: int
+
+
+class DemoReport(msgspec.Struct, frozen=True):
+    """What a whole demo run found."""
+
+    seed: int
+    ok: bool
+    promises: Promises
+    throughput: Throughput
+    recovery_seconds: dict[str, float | None]
+    deployments: tuple[DeploymentReport, ...]
+
+
+def sum_up(seed: int, parts: tuple[DeploymentReport, ...]) -> DemoReport:
+    """Sum up the deployments' reports.
+
+    Breaks are added, rates are averaged and of each recovery time the
+    longest is taken, ``None`` if one never came.
+    """
+    promises = Promises(
+        **{
+            name: _total(getattr(part.promises, name) for part in parts)
+            for name in Promises.__struct_fields__
+        },
+    )
+    faults = {fault for part in parts for fault in part.recovery_seconds}
+    recovery = {
+        fault: _longest(part.recovery_seconds.get(fault) for part in parts)
+        for fault in sorted(faults)
+    }
+    bound = _mean(part.throughput.bound_tokens_per_second for part in parts)
+    rate = _mean(part.throughput.tokens_per_second for part in parts)
+    return DemoReport(
+        seed=seed,
+        ok=promises.kept,
+        promises=promises,
+        throughput=Throughput(bound, rate, round(rate / bound, 3)),
+        recovery_seconds=recovery,
+        deployments=parts,
+    )
+
+
+def print_report(report: DemoReport) -> None:
+    """Print a report for people."""
+    for part in report.deployments:
+        _print_deployment(part)
+    verdict = 'all promises kept' if report.ok else 'A PROMISE BROKE'
+    click.echo(f'seed {report.seed}: {verdict}')
+
+
+def _print_deployment(part: DeploymentReport) -> None:
+    click.echo(part.deployment)
+    promises = part.promises
+    _line(
+        'answers',
+        f'{promises.answers_whole} whole, {promises.answers_cut} cut, '
+        f'{promises.answers_wrong} wrong, {promises.answers_failed} failed, '
+        f'{part.answers_refused} refused',
+    )
+    operations = part.operations
+    _line(
+        'operations',
+        f'{operations.asked} asked for in {operations.requests} requests, '
+        f'{operations.run} run, at most {operations.most_runs} time(s) each, '
+        f'{operations.refused_not_run} refused as not run',
+    )
+    throughput = part.throughput
+    _line(
+        'throughput',
+        f'{throughput.tokens_per_second:.0f} of at most '
+        f'{throughput.bound_tokens_per_second:.0f} tokens/s, '
+        f'{throughput.over_bound:.2f} of the bound',
+    )
+    for name in (
+        'layers_out_of_order',
+        'repeated_operations',
+        'not_run_but_ran',
+        'work_after_drain',
+        'cut_by_planned_stop',
+        'generation_reverts',
+    ):
+        breaks = getattr(promises, name)
+        _line(name, NOT_TESTED if breaks is None else str(breaks))
+    for fault, seconds in part.recovery_seconds.items():
+        text = 'never' if seconds is None else f'{seconds:.2f} s'
+        _line(f'recovery from {fault}', text)
+
+
+def _line(name: str, text: str) -> None:
+    click.echo(f'  {name.replace("_", " "):<28} {text}')
+
+
+def _total(counts: Iterable[int | None]) -> int | None:
+    known = [count for count in counts if count is not None]
+    return sum(known) if known else None
+
+
+def _longest(times: Iterable[float | None]) -> float | None:
+    known = list(times)
+    if any(seconds is None for seconds in known):
+        return None
+    return max(seconds for seconds in known if seconds is not None)
+
+
+def _mean(rates: Iterable[float]) -> float:
+    known = list(rates)
+    return round(sum(known) / len(known), 2)
--- a/wigeonspoke/demo/world.py
+++ b/wigeonspoke/demo/world.py
@@ -91,7 +91,7 @@
         eventlet.spawn(self.balancer.check_forever)
         limit = eventlet.Timeout(READY_SECONDS)
         try:
-            while not all(node.is_ready for node in self.nodes):
+            while len(self.balancer.ready) < len(self.nodes):
                 eventlet.sleep(POLL_SECONDS)
         finally:
             limit.cancel()
--- a/wigeonspoke/endpoints/__init__.py
+++ b/wigeonspoke/endpoints/__init__.py
@@ -5,9 +5,9 @@
     CancelRequest,
     EngineLoad,
     StepBatch,
+    StepEnd,
     StepRequest,
     StepResult,
-    StepResults,
     StepStatus,
     StreamId,
 )
@@ -23,9 +23,9 @@
     'ServiceClient',
     'ServiceRequest',
     'StepBatch',
+    'StepEnd',
     'StepRequest',
     'StepResult',
-    'StepResults',
     'StepStatus',
     'StreamId',
 )
--- a/wigeonspoke/endpoints/engine_client.py
+++ b/wigeonspoke/endpoints/engine_client.py
@@ -1,5 +1,7 @@
 """Engines over HTTP with JSON."""
 
+from collections.abc import Callable
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -8,7 +10,7 @@
     CancelRequest,
     EngineLoad,
     StepBatch,
-    StepResults,
+    StepEnd,
 )
 from wigeonspoke.transport import HttpClient, HttpError, HttpReply
 
@@ -17,6 +19,8 @@
 LOAD_PATH = '/engine/v1/load'
 PROBE_SECONDS = 1.0
 
+_END_DECODER = msgspec.json.Decoder(StepEnd)
+
 
 class HttpEngine:
     """Satisfies :class:`EngineClient` by HTTP with JSON."""
@@ -31,11 +35,22 @@
         address: str,
         batch: StepBatch,
         timeout: float,
-    ) -> Result[StepResults, HttpError]:
-        """Run a batch of steps and wait for all their ends."""
+        take_end: Callable[[StepEnd], None],
+    ) -> Result[None, HttpError]:
+        """Run a batch of steps, handing over each end as it comes."""
         body = msgspec.json.encode(batch)
-        reply = self.client.post(address, STEPS_PATH, body, timeout)
-        return reply.bind(lambda whole: _decode(whole, StepResults, address))
+        try:
+            return self.client.post_for_lines(
+                address,
+                STEPS_PATH,
+                body,
+                timeout,
+                lambda line: take_end(_END_DECODER.decode(line)),
+            )
+        except msgspec.MsgspecError:
+            return Failure(
+                HttpError(Outcome.UNKNOWN, Reason.CONTRACT, address),
+            )
 
     def cancel(
         self,
--- a/wigeonspoke/endpoints/engine_messages.py
+++ b/wigeonspoke/endpoints/engine_messages.py
@@ -64,10 +64,15 @@
     token: int | None = None
 
 
-class StepResults(msgspec.Struct, frozen=True):
-    """The ends of a batch's steps, in the batch's order."""
+class StepEnd(msgspec.Struct, frozen=True):
+    """The end of the step at a position of a batch.
 
-    results: tuple[StepResult, ...]
+    The reply to a batch is one such message a line, each sent as soon as
+    its step has ended, so that no step waits for another's.
+    """
+
+    position: int
+    result: StepResult
 
 
 class CancelRequest(msgspec.Struct, frozen=True):
--- a/wigeonspoke/endpoints/protocols.py
+++ b/wigeonspoke/endpoints/protocols.py
@@ -1,5 +1,6 @@
 """What the node asks of endpoints, whatever their wire protocol."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from returns.result import Result
@@ -8,11 +9,13 @@
     CancelRequest,
     EngineLoad,
     StepBatch,
-    StepResults,
+    StepEnd,
 )
 from wigeonspoke.endpoints.service_client import ServiceRequest
 from wigeonspoke.transport import HttpError, HttpReply
 
+TakeEnd = Callable[[StepEnd], None]
+
 
 class EngineClient(Protocol):
     """Runs steps of streams on engines."""
@@ -22,8 +25,13 @@
         address: str,
         batch: StepBatch,
         timeout: float,
-    ) -> Result[StepResults, HttpError]:
-        """Run a batch of steps and wait for all their ends."""
+        take_end: TakeEnd,
+    ) -> Result[None, HttpError]:
+        """Run a batch of steps, handing over each end as it comes.
+
+        After an error, the steps whose ends did not come have the error's
+        outcome.
+        """
 
     def cancel(
         self,
--- a/wigeonspoke/load/balancer.py
+++ b/wigeonspoke/load/balancer.py
@@ -26,7 +26,7 @@
 
     def __init__(self, targets: tuple[Target, ...]) -> None:
         self.targets = targets
-        self.ready = list(targets)
+        self.ready: list[Target] = []
         self.client = HttpClient()
         self.turns = itertools.count()
 
--- a/wigeonspoke/load/caller.py
+++ b/wigeonspoke/load/caller.py
@@ -1,7 +1,6 @@
 """One caller: asks, reads the answer as it comes, and checks it."""
 
 import time
-from collections.abc import Iterator
 
 import msgspec
 import urllib3
@@ -10,7 +9,7 @@
 from wigeonspoke.load.records import AnswerRecord, CallRecord, Verdict
 from wigeonspoke.node.outcome_replies import OUTCOME_HEADER, REQUEST_HEADER
 from wigeonspoke.standins.model import expected_answer
-from wigeonspoke.transport import HttpClient
+from wigeonspoke.transport import HttpClient, read_lines
 
 ANSWER_SECONDS = 120.0
 LINE_START = b'data: '
@@ -170,7 +169,7 @@
             reading.take(msgspec.json.decode(body, type=_Reply))
             reading.whole = True
         return
-    for line in _lines(response):
+    for line in read_lines(response):
         if not line.startswith(LINE_START):
             continue
         event = line.removeprefix(LINE_START)
@@ -181,13 +180,6 @@
     response.release_conn()
 
 
-def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    rest = b''
-    for chunk in response.stream(amt=None):
-        *lines, rest = (rest + chunk).split(b'\n')
-        yield from lines
-
-
 def _judge(
     prompt: Prompt,
     reading: Reading,
--- a/wigeonspoke/node/step_lane.py
+++ b/wigeonspoke/node/step_lane.py
@@ -13,6 +13,7 @@
     CancelRequest,
     EngineClient,
     StepBatch,
+    StepEnd,
     StepRequest,
     StepResult,
     StepStatus,
@@ -20,7 +21,7 @@
 )
 from wigeonspoke.transport import HttpError
 
-MAX_CALLS = 4
+MAX_CALLS = 16
 MAX_STEPS = 64
 
 _REASONS = {
@@ -32,9 +33,8 @@
 class StepLane:
     """Sends steps to one engine and delivers their ends as events.
 
-    While all calls of the lane are out, further steps gather and go
-    together in the next call.  Steps with many inputs take longer and go
-    in calls of their own, so that short steps do not wait for them.
+    Steps of one turn of the loop go together.  While all calls of the lane
+    are out, further steps gather for the next one.
     """
 
     __slots__ = (
@@ -43,9 +43,8 @@
         'cancels',
         'deliver',
         'engine',
-        'long_steps',
         'model',
-        'short_steps',
+        'steps',
     )
 
     def __init__(
@@ -59,19 +58,14 @@
         self.address = address
         self.engine = engine
         self.deliver = deliver
-        self.short_steps: deque[SendStep] = deque()
-        self.long_steps: deque[SendStep] = deque()
+        self.steps: deque[SendStep] = deque()
         self.cancels: list[StreamId] = []
         self.calls = 0
 
     def put(self, step: SendStep) -> None:
-        """Send a step as soon as a call is free."""
-        if len(step.inputs) > 1:
-            self.long_steps.append(step)
-            eventlet.spawn(self._flush, self.long_steps)
-            return
-        self.short_steps.append(step)
-        if self.calls < MAX_CALLS:
+        """Send a step with the others of this turn of the loop."""
+        self.steps.append(step)
+        if len(self.steps) == 1 and self.calls < MAX_CALLS:
             self.calls += 1
             eventlet.spawn(self._run)
 
@@ -83,46 +77,38 @@
 
     def _run(self) -> None:
         try:
-            while self.short_steps:
-                self._flush(self.short_steps)
+            while self.steps:
+                self._call()
         finally:
             self.calls -= 1
 
-    def _flush(self, queue: deque[SendStep]) -> None:
-        size = min(len(queue), MAX_STEPS)
-        steps = [queue.popleft() for _ in range(size)]
-        if not steps:
-            return
-        batch = StepBatch(tuple(self._request(step) for step in steps))
-        timeout = max(step.timeout_seconds for step in steps)
-        answer = self.engine.run_steps(self.address, batch, timeout)
+    def _call(self) -> None:
+        size = min(len(self.steps), MAX_STEPS)
+        steps = [self.steps.popleft() for _ in range(size)]
+        waiting = dict(enumerate(steps))
+
+        def take_end(end: StepEnd) -> None:
+            step = waiting.pop(end.position, None)
+            if step:
+                self.deliver(_event(step, end.result))
+
+        answer = self.engine.run_steps(
+            self.address,
+            StepBatch(tuple(map(self._request, steps))),
+            max(step.timeout_seconds for step in steps),
+            take_end,
+        )
+        error = HttpError(Outcome.UNKNOWN, Reason.CONTRACT, self.address)
         if not isinstance(answer, Success):
-            self._deliver_error(steps, answer.failure())
-            return
-        ends = answer.unwrap().results
-        if len(ends) != len(steps):
-            broken = HttpError(Outcome.UNKNOWN, Reason.CONTRACT, self.address)
-            self._deliver_error(steps, broken)
-            return
-        for step, end in zip(steps, ends, strict=True):
-            self.deliver(_event(step, end))
+            error = answer.failure()
+        for step in waiting.values():
+            self.deliver(_failure(step, error.outcome, error.reason))
 
     def _flush_cancels(self) -> None:
         streams = tuple(self.cancels)
         self.cancels.clear()
         self.engine.cancel(self.address, CancelRequest(streams))
 
-    def _deliver_error(self, steps: list[SendStep], error: HttpError) -> None:
-        for step in steps:
-            self.deliver(
-                StepFailed(
-                    step.key,
-                    step.endpoint,
-                    error.outcome,
-                    error.reason,
-                ),
-            )
-
     def _request(self, step: SendStep) -> StepRequest:
         key = step.key
         return StepRequest(
@@ -137,8 +123,16 @@
         )
 
 
-def _event(step: SendStep, end: StepResult) -> StepReplied | StepFailed:
-    if end.status is StepStatus.DONE:
-        return StepReplied(step.key, step.endpoint, end.outputs, end.token)
-    reason = _REASONS[end.status]
-    return StepFailed(step.key, step.endpoint, Outcome.NOT_RUN, reason)
+def _event(step: SendStep, result: StepResult) -> StepReplied | StepFailed:
+    if result.status is StepStatus.DONE:
+        return StepReplied(
+            step.key,
+            step.endpoint,
+            result.outputs,
+            result.token,
+        )
+    return _failure(step, Outcome.NOT_RUN, _REASONS[result.status])
+
+
+def _failure(step: SendStep, outcome: Outcome, reason: Reason) -> StepFailed:
+    return StepFailed(step.key, step.endpoint, outcome, reason)
--- a/wigeonspoke/standins/engine.py
+++ b/wigeonspoke/standins/engine.py
@@ -2,10 +2,12 @@
 
 import time
 from collections import deque
+from collections.abc import Iterator
 
 import eventlet
 import msgspec
 from eventlet.event import Event
+from eventlet.queue import LightQueue
 from werkzeug.wrappers import Request, Response
 
 from wigeonspoke.core.deployment import Engine
@@ -13,9 +15,9 @@
     CancelRequest,
     EngineLoad,
     StepBatch,
+    StepEnd,
     StepRequest,
     StepResult,
-    StepResults,
     StepStatus,
     StreamId,
 )
@@ -35,13 +37,19 @@
 
 
 class _Queued:
-    """A step that waits for its turn in a batch."""
+    """A step that waits for its turn, and the call that waits for it."""
 
-    __slots__ = ('done', 'step')
+    __slots__ = ('ends', 'position', 'step')
 
-    def __init__(self, step: StepRequest) -> None:
+    def __init__(
+        self,
+        step: StepRequest,
+        position: int,
+        ends: LightQueue,
+    ) -> None:
         self.step = step
-        self.done: Event = Event()
+        self.position = position
+        self.ends = ends
 
 
 class StandInEngine:
@@ -102,14 +110,15 @@
         self.queue.clear()
 
     def post_steps(self, request: Request) -> Response:
-        """Run a batch of steps."""
+        """Run a batch of steps and send each end as it comes."""
         batch = read_json(request, StepBatch)
-        queued = [self._admit(step) for step in batch.steps]
-        results = tuple(
-            entry.done.wait() if isinstance(entry, _Queued) else entry
-            for entry in queued
-        )
-        return JsonReply(StepResults(results))
+        ends: LightQueue = LightQueue()
+        for position, step in enumerate(batch.steps):
+            refusal = self._admit(_Queued(step, position, ends))
+            if refusal:
+                ends.put(StepEnd(position, StepResult(refusal)))
+        lines = _lines(ends, len(batch.steps))
+        return Response(lines, content_type='application/x-ndjson')
 
     def post_cancel(self, request: Request) -> Response:
         """Free the state of streams."""
@@ -124,21 +133,21 @@
             eventlet.sleep(self.record.step_seconds)
         return JsonReply(EngineLoad(len(self.streams), len(self.queue)))
 
-    def _admit(self, step: StepRequest) -> _Queued | StepResult:
+    def _admit(self, queued: _Queued) -> StepStatus | None:
+        step = queued.step
         layers = self.record.layers
         if (step.first_layer, step.end_layer) != (layers.first, layers.end):
-            return StepResult(StepStatus.REFUSED)
+            return StepStatus.REFUSED
         if step.position == 0 and not self._open(step.stream):
-            return StepResult(StepStatus.BUSY)
+            return StepStatus.BUSY
         stream = self.streams.get(step.stream)
         if stream is None or stream.position != step.position:
-            return StepResult(StepStatus.REFUSED)
+            return StepStatus.REFUSED
         stream.position += len(step.inputs)
-        queued = _Queued(step)
         self.queue.append(queued)
         if not self.wake.ready():
             self.wake.send()
-        return queued
+        return None
 
     def _open(self, stream: StreamId) -> bool:
         if stream in self.streams:
@@ -167,7 +176,8 @@
             eventlet.sleep(self.record.step_seconds)
         now = time.monotonic()
         for queued in batch:
-            queued.done.send(self._run(queued.step, now))
+            result = self._run(queued.step, now)
+            queued.ends.put(StepEnd(queued.position, result))
 
     def _run(self, step: StepRequest, now: float) -> StepResult:
         stream = self.streams.get(step.stream)
@@ -192,10 +202,11 @@
         )
 
 
-def engine_record(
-    name: str,
-    record: Engine,
-    address: str,
-) -> Engine:
-    """Give an engine's record with the address it came to listen on."""
-    return msgspec.structs.replace(record, name=name, address=address)
+def _lines(ends: LightQueue, count: int) -> Iterator[bytes]:
+    """Write ends as lines; those that come together go in one piece."""
+    while count:
+        lines = [msgspec.json.encode(ends.get())]
+        while not ends.empty():
+            lines.append(msgspec.json.encode(ends.get()))
+        count -= len(lines)
+        yield b'\n'.join([*lines, b''])
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -11,6 +11,7 @@
     HttpClient,
     HttpError,
     HttpReply,
+    read_lines,
 )
 from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
 
@@ -25,4 +26,5 @@
     'ListenerLimits',
     'authorise',
     'read_json',
+    'read_lines',
 )
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -6,6 +6,9 @@
 """
 
 import http
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import TypeVar
 
 import eventlet
 import msgspec
@@ -18,6 +21,8 @@
 CONNECTIONS_PER_HOST = 64
 CONNECT_SECONDS = 1.0
 
+Reply = TypeVar('Reply')
+
 _NOT_SENT = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -81,6 +86,22 @@
         """Post a body to a peer within ``timeout`` seconds."""
         return self.send(peer, 'POST', path, body, timeout)
 
+    def post_for_lines(
+        self,
+        peer: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        take_line: Callable[[bytes], None],
+    ) -> Result[None, HttpError]:
+        """Post a body and hand over each line of the reply as it comes.
+
+        A status other than 200 is an error of outcome unknown, since it
+        does not say what was run.
+        """
+        exchange = partial(self._exchange_lines, peer, path, body, take_line)
+        return self._guard(peer, timeout, exchange)
+
     def send(
         self,
         peer: str,
@@ -98,9 +119,18 @@
         """
         url = f'http://{peer}{path}'
         merged = {**self.headers, **(headers or {})}
+        exchange = partial(self._exchange, method, url, body, merged, fresh)
+        return self._guard(peer, timeout, exchange)
+
+    def _guard(
+        self,
+        peer: str,
+        timeout: float,
+        exchange: Callable[[], Reply],
+    ) -> Result[Reply, HttpError]:
         limit = eventlet.Timeout(timeout)
         try:
-            return Success(self._exchange(method, url, body, merged, fresh))
+            return Success(exchange())
         except eventlet.Timeout as error:
             if error is not limit:
                 raise
@@ -112,6 +142,36 @@
         finally:
             limit.cancel()
 
+    def _exchange_lines(
+        self,
+        peer: str,
+        path: str,
+        body: bytes,
+        take_line: Callable[[bytes], None],
+    ) -> None:
+        response = self.pool.request(
+            'POST',
+            f'http://{peer}{path}',
+            body=body,
+            headers=self.headers,
+            preload_content=False,
+            redirect=False,
+            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=None),
+        )
+        whole = False
+        try:
+            if response.status != http.HTTPStatus.OK:
+                raise urllib3.exceptions.ResponseError(str(response.status))
+            for line in read_lines(response):
+                take_line(line)
+            whole = True
+        finally:
+            # A connection with an unread reply must not be used again.
+            if whole:
+                response.release_conn()
+            else:
+                response.close()
+
     def _exchange(
         self,
         method: str,
@@ -138,3 +198,11 @@
             content_type=response.headers.get('Content-Type', ''),
             body=response.data,
         )
+
+
+def read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Read a reply line by line as it comes; each line must be ended."""
+    rest = b''
+    for chunk in response.stream(amt=None):
+        *lines, rest = (rest + chunk).split(b'\n')
+        yield from lines
