--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format golden bench
+
+demo: $(STAMP)
+	$(BIN)/wigeonspoke demo
+
+test: $(STAMP)
+	$(BIN)/pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check wigeonspoke
+	$(BIN)/flake8 wigeonspoke
+
+format: $(STAMP)
+	$(BIN)/ruff format wigeonspoke
+
+golden: $(STAMP)
+	$(BIN)/python -m wigeonspoke.core.tests.golden_sessions
+
+bench: $(STAMP)
+	$(BIN)/wigeonspoke bench wire
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
--- a/wigeonspoke/__main__.py
+++ b/wigeonspoke/__main__.py
@@ -7,7 +7,6 @@
 import warnings
 
 
-
 def main() -> None:
     """Patch the standard library and run the command line."""
     warnings.simplefilter('ignore')
--- a/wigeonspoke/cli/admin_client.py
+++ b/wigeonspoke/cli/admin_client.py
@@ -33,7 +33,7 @@
         kind: type = object,
     ) -> Any:
         """Ask for a message; end the program with a clear word if not."""
-        sent = msgspec.json.encode(body) if body is not None else None
+        sent = None if body is None else msgspec.json.encode(body)
         return self.ask_raw(method, path, sent, kind)
 
     def ask_raw(
--- a/wigeonspoke/cli/commands.py
+++ b/wigeonspoke/cli/commands.py
@@ -21,7 +21,7 @@
     """Route requests through pipelines of engines on mixed accelerators."""
 
 
-for command in (
+COMMANDS = (
     demo,
     endpoints,
     load,
@@ -30,5 +30,5 @@
     standin,
     status,
     timeline,
-):
-    main.add_command(command)
+)
+main.commands.update({command.name: command for command in COMMANDS})
--- a/wigeonspoke/cli/demo.py
+++ b/wigeonspoke/cli/demo.py
@@ -38,8 +38,8 @@
     report = run_demo(seed, seconds, _show_progress)
     print_report(report)
     if json_file:
-        body = msgspec.json.format(msgspec.json.encode(report))
-        json_file.write_bytes(body + b'\n')
+        body = msgspec.json.encode(report)
+        json_file.write_bytes(msgspec.json.format(body))
     if not report.ok:
         sys.exit(BROKEN)
 
--- a/wigeonspoke/cli/load.py
+++ b/wigeonspoke/cli/load.py
@@ -24,7 +24,9 @@
 @click.option('--key', 'keys', multiple=True, required=True, help='Bearer key.')
 @click.option('--model', required=True, help='Name of the model.')
 @click.option('--layers', required=True, type=int, help='Its layers.')
-@click.option('--rate', default=0.0, help='Requests a second, open loop.')
+@click.option(
+    '--rate', default=0, type=float, help='Requests a second, open loop.'
+)
 @click.option('--concurrency', default=0, help='Callers that ask in turn.')
 @click.option('--seconds', default=10.0, show_default=True)
 @click.option('--max-tokens', default=24, show_default=True)
--- a/wigeonspoke/cli/node.py
+++ b/wigeonspoke/cli/node.py
@@ -55,19 +55,27 @@
     _serve(Node(settings))
 
 
-def _serve(running: Node) -> None:
-    asked: Event = Event()
-    count = 0
+class StopSignal:
+    """Waits for the first signal to stop; the second ends the process."""
+
+    __slots__ = ('event', 'is_asked')
+
+    def __init__(self) -> None:
+        self.event: Event = Event()
+        self.is_asked = False
 
-    def ask_to_stop(*_: object) -> None:
-        nonlocal count
-        count += 1
-        if count > 1:
+    def take(self, *_: object) -> None:
+        """Take a signal."""
+        if self.is_asked:
             os._exit(FORCED)
-        eventlet.spawn_after(0, asked.send)
+        self.is_asked = True
+        eventlet.spawn_after(0, self.event.send)
 
-    signal.signal(signal.SIGTERM, ask_to_stop)
-    signal.signal(signal.SIGINT, ask_to_stop)
+
+def _serve(running: Node) -> None:
+    asked = StopSignal()
+    signal.signal(signal.SIGTERM, asked.take)
+    signal.signal(signal.SIGINT, asked.take)
     running.start()
     logger.info(
         'serving callers={} admin={} peers={}',
@@ -75,6 +83,6 @@
         running.admin.address,
         running.peers.address,
     )
-    asked.wait()
+    asked.event.wait()
     running.stop()
     logger.info('stopped')
--- a/wigeonspoke/cli/operator.py
+++ b/wigeonspoke/cli/operator.py
@@ -77,12 +77,9 @@
     return click.command(verb, help=text)(mark)
 
 
-for _verb, _text in (
-    ('drain', 'Give an endpoint no new work.'),
-    ('stop', 'Drain an endpoint and say when it is empty.'),
-    ('activate', 'Give an endpoint work again.'),
-):
-    endpoints.add_command(_mark_command(_verb, _text))
+endpoints.add_command(_mark_command('drain', 'Give it no new work.'))
+endpoints.add_command(_mark_command('stop', 'Drain it for good.'))
+endpoints.add_command(_mark_command('activate', 'Give it work again.'))
 
 
 @click.group()
--- a/wigeonspoke/config/publisher.py
+++ b/wigeonspoke/config/publisher.py
@@ -26,7 +26,7 @@
 CONFIG_TABLE = 'config'
 HEAD_KEY = 'head'
 MAX_PUBLISH_TRIES = 4
-HISTORY_LENGTH = 16
+PAST_REVISIONS = 15
 
 
 class Revision(msgspec.Struct, frozen=True):
@@ -126,7 +126,7 @@
         body = msgspec.json.encode(generate(answers, base + 1))
         source = msgspec.json.encode(answers)
         revision = Revision(base + 1, uuid.uuid4().hex, who, _hash(source))
-        past = stored.head.history[1 - HISTORY_LENGTH :]
+        past = stored.head.history[-PAST_REVISIONS:]
         head = ConfigHead(
             generation=revision.generation,
             body_hash=_hash(body),
--- a/wigeonspoke/config/questionnaire.py
+++ b/wigeonspoke/config/questionnaire.py
@@ -14,16 +14,22 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+MAX_COUNT = 1_000_000
+MAX_LAYERS = 10_000
+MAX_SECONDS = 86_400
+MIN_STATUS = 400
+MAX_STATUS = 599
+
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9._-]{0,62}$')]
-Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-LayerNumber = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
-Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
-Weight = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+LayerNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_SECONDS)]
+Weight = Annotated[float, msgspec.Meta(gt=0, le=MAX_COUNT)]
 Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 Digest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
 Method = Annotated[str, msgspec.Meta(pattern='^(GET|POST|PUT|DELETE)$')]
 Path = Annotated[str, msgspec.Meta(pattern='^/')]
-Status = Annotated[int, msgspec.Meta(ge=400, le=599)]
+Status = Annotated[int, msgspec.Meta(ge=MIN_STATUS, le=MAX_STATUS)]
 
 
 class ModelAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -318,5 +324,3 @@
         if first in reached:
             reached.add(end)
     return model.layers in reached
-
-
--- a/wigeonspoke/core/actions.py
+++ b/wigeonspoke/core/actions.py
@@ -54,7 +54,7 @@
     request_id: str
     finish: str
     error: StepError | None = None
-    retry_after_seconds: float = 0.0
+    retry_after_seconds: float = 0
 
 
 class SendCall(Action, frozen=True):
@@ -81,7 +81,7 @@
     request_id: str
     error: StepError | None = None
     kept: KeptReply | None = None
-    retry_after_seconds: float = 0.0
+    retry_after_seconds: float = 0
 
 
 class InsertClaim(Action, frozen=True):
--- a/wigeonspoke/core/admission/fair_queue.py
+++ b/wigeonspoke/core/admission/fair_queue.py
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self.heap: list[tuple[float, int, str]] = []
         self.finish: dict[str, float] = {}
-        self.clock = 0.0
+        self.clock = 0
 
     def push(self, waiting: Waiting, weight: float, order: int) -> None:
         start = max(self.clock, self.finish.get(waiting.account, 0))
--- a/wigeonspoke/core/calls/coordinator.py
+++ b/wigeonspoke/core/calls/coordinator.py
@@ -110,7 +110,7 @@
             self.view.count('failure_dropped', 'not-outstanding')
             return []
         self.view.count('call_try_failed', event.reason.value)
-        state = self.view.registry.endpoints.get(event.endpoint)
+        state = self.view.endpoint(event.endpoint)
         if state and event.reason in EJECTING_REASONS:
             self.view.eject(state, event.reason, now)
         if self._may_retry(session, event, now):
@@ -289,7 +289,7 @@
         self.view.limits.leave(session.request.account)
 
     def _leave_endpoint(self, session: CallSession) -> None:
-        state = self.view.registry.endpoints.get(session.endpoint)
+        state = self.view.endpoint(session.endpoint)
         if state:
             state.streams -= 1
         session.endpoint = ''
--- a/wigeonspoke/core/calls/session.py
+++ b/wigeonspoke/core/calls/session.py
@@ -53,7 +53,7 @@
         self.stage = CallStage.CLAIMING
         self.claim_tries = 0
         self.in_doubt = False
-        self.read_at = 0.0
+        self.read_at = 0
         self.reads = 0
         self.try_number = 0
         self.endpoint = ''
--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -22,7 +22,7 @@
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.pace import TokenPace
 from wigeonspoke.core.retries import RetryBudget
-from wigeonspoke.core.routes import Route
+from wigeonspoke.core.routes import EndpointState, Route
 from wigeonspoke.core.streams.session import GenerationSession, Outstanding
 from wigeonspoke.core.streams.tokens import END_OF_ANSWER
 from wigeonspoke.core.view import EJECTING_REASONS, ClusterView
@@ -159,7 +159,7 @@
                 break
             queue.pop()
             for engine in route.stages:
-                self.view.registry.endpoints[engine.name].streams += 1
+                self._endpoint(engine.name).streams += 1
             actions.append(self._send(session, session.begin(route), now))
         return actions
 
@@ -177,12 +177,15 @@
         step: SendStep,
         now: float,
     ) -> SendStep:
-        health = self.view.registry.endpoints[step.endpoint].health
+        health = self._endpoint(step.endpoint).health
         timeout = health.timeout_seconds(len(step.inputs))
         timed = msgspec.structs.replace(step, timeout_seconds=timeout)
         session.outstanding = Outstanding(timed, now)
         return timed
 
+    def _endpoint(self, name: str) -> EndpointState:
+        return self.view.registry.endpoints[name]
+
     def _awaiting(
         self,
         event: StepReplied | StepFailed,
@@ -250,7 +253,7 @@
     def _abandon(self, session: GenerationSession) -> list[AnyAction]:
         cancels = session.abandon_attempt()
         for cancel in cancels:
-            state = self.view.registry.endpoints.get(cancel.endpoint)
+            state = self.view.endpoint(cancel.endpoint)
             if state:
                 state.streams -= 1
         return list(cancels)
@@ -327,12 +330,12 @@
         seconds: float,
         now: float,
     ) -> None:
-        state = self.view.registry.endpoints.get(event.endpoint)
+        state = self.view.endpoint(event.endpoint)
         if state:
             state.health.note_success(seconds, now)
 
     def _note_failure(self, event: StepFailed, now: float) -> None:
-        state = self.view.registry.endpoints.get(event.endpoint)
+        state = self.view.endpoint(event.endpoint)
         if state is None:
             return
         if event.reason is Reason.BUSY:
--- a/wigeonspoke/core/health/endpoint.py
+++ b/wigeonspoke/core/health/endpoint.py
@@ -46,7 +46,7 @@
         self.latency = usual_seconds
         self.state = HealthState.HEALTHY
         self.eject_seconds = EJECT_SECONDS
-        self.probe_at = 0.0
+        self.probe_at = 0
         self.probing = False
         self.returned_at = -SLOW_START_SECONDS
         self.reason = ''
--- a/wigeonspoke/core/pace.py
+++ b/wigeonspoke/core/pace.py
@@ -14,9 +14,9 @@
     __slots__ = ('count', 'per_second', 'window_start')
 
     def __init__(self) -> None:
-        self.window_start = 0.0
+        self.window_start = 0
         self.count = 0
-        self.per_second = 0.0
+        self.per_second = 0
 
     def note_token(self, now: float) -> None:
         """Count one generated token."""
--- a/wigeonspoke/core/router.py
+++ b/wigeonspoke/core/router.py
@@ -120,7 +120,7 @@
         event: events.ProbeAnswered,
         now: float,
     ) -> list[AnyAction]:
-        state = self.view.registry.endpoints.get(event.endpoint)
+        state = self.view.endpoint(event.endpoint)
         if state and state.health.note_probe(event.healthy, now):
             self.view.count('endpoint_returned', 'probe')
             self.view.note('endpoint-returned', state.name)
--- a/wigeonspoke/core/routes/bound.py
+++ b/wigeonspoke/core/routes/bound.py
@@ -22,7 +22,7 @@
 def throughput_bound(engines: Iterable[Engine], layers: int) -> float:
     """Give the greatest tokens a second that the engines can pass."""
     residual = _edges(engines)
-    total = 0.0
+    total = 0
     while path := _find_path(residual, layers):
         flow = min(residual[tail][head] for tail, head in path)
         for tail, head in path:
@@ -54,9 +54,12 @@
                 frontier.append(head)
     if layers not in came_from:
         return []
+    return _walk_back(came_from, layers)
+
+
+def _walk_back(came_from: dict[int, int], end: int) -> list[tuple[int, int]]:
     path: list[tuple[int, int]] = []
-    head = layers
-    while head:
-        path.append((came_from[head], head))
-        head = came_from[head]
+    while end:
+        path.append((came_from[end], end))
+        end = came_from[end]
     return path
--- a/wigeonspoke/core/routes/planner.py
+++ b/wigeonspoke/core/routes/planner.py
@@ -114,9 +114,7 @@
         best = chains.get(group.layers.end)
         for state in self._sample(group):
             engine = state.engine
-            if engine is None or state.name in avoid:
-                continue
-            if not self._has_room(state, engine, now):
+            if engine is None or not self._has_room(state, now, avoid):
                 continue
             cost = start.cost + self.expected_seconds(state, engine)
             if best is None or cost < best.cost:
@@ -132,9 +130,12 @@
     def _has_room(
         self,
         state: EndpointState,
-        engine: Engine,
         now: float,
+        avoid: Container[str],
     ) -> bool:
+        engine = state.engine
+        if engine is None or state.name in avoid:
+            return False
         if not self.accepts_work(state, now):
             return False
         taken = state.streams + self.peers.streams_at(state.name)
--- a/wigeonspoke/core/routes/registry.py
+++ b/wigeonspoke/core/routes/registry.py
@@ -40,7 +40,7 @@
         self.engine = engine
         self.health = EndpointHealth(engine.step_seconds if engine else 0)
         self.streams = 0
-        self.full_until = 0.0
+        self.full_until = 0
 
     def note_busy(self, now: float) -> None:
         """Leave the endpoint alone for a moment after it was full."""
@@ -99,7 +99,7 @@
 
     def link_seconds(self, one: str, other: str) -> float:
         """Give the one-way latency between two failure domains."""
-        return self.links.get((one, other), 0.0)
+        return self.links.get((one, other), 0)
 
     def _keep(
         self,
--- a/wigeonspoke/core/view.py
+++ b/wigeonspoke/core/view.py
@@ -13,12 +13,14 @@
     RoutePlanner,
 )
 
-EJECTING_REASONS = frozenset((
-    Reason.CONNECT,
-    Reason.CONTRACT,
-    Reason.RESET,
-    Reason.TIMEOUT,
-))
+EJECTING_REASONS = frozenset(
+    (
+        Reason.CONNECT,
+        Reason.CONTRACT,
+        Reason.RESET,
+        Reason.TIMEOUT,
+    )
+)
 
 
 class ClusterView:
@@ -68,6 +70,10 @@
         """Give the generation in force, 0 if there is none."""
         return self.configuration.generation if self.configuration else 0
 
+    def endpoint(self, name: str) -> EndpointState | None:
+        """Give an endpoint's state, if the endpoint is known."""
+        return self.registry.endpoints.get(name)
+
     def adopt(self, configuration: Configuration) -> bool:
         """Put a configuration in force unless it is not newer."""
         if configuration.generation <= self.generation:
--- a/wigeonspoke/demo/run.py
+++ b/wigeonspoke/demo/run.py
@@ -57,11 +57,11 @@
     __slots__ = ('drain', 'ended', 'kill', 'start', 'stop')
 
     def __init__(self) -> None:
-        self.start = 0.0
-        self.ended = 0.0
-        self.kill = 0.0
-        self.drain = 0.0
-        self.stop = 0.0
+        self.start = 0
+        self.ended = 0
+        self.kill = 0
+        self.drain = 0
+        self.stop = 0
 
 
 class DemoRun:
@@ -193,7 +193,7 @@
         return record
 
     def _kill_stage(self) -> None:
-        self.progress(f'killing {self.killed.record.name}')
+        self.progress(f'killing {self.killed.name}')
         self.moments.kill = time.monotonic()
         self.killed.kill()
 
@@ -238,10 +238,11 @@
         self.recovery['revision in force'] = time.monotonic() - started
 
     def _drain(self) -> None:
-        name = self.drained.record.name
+        name = self.drained.name
         self.progress(f'draining {name}')
         self.moments.drain = time.monotonic()
-        self.world.nodes[0].mark_sync.mark(name, MarkState.DRAIN, 0)
+        node = self.world.nodes[0]
+        node.mark_sync.mark(name, MarkState.DRAIN, 0)
 
     def _stop_node(self) -> None:
         node = self.world.nodes[2]
@@ -318,13 +319,12 @@
 
     def _work_after_drain(self) -> int | None:
         moment = self.run.moments.drain + DRAIN_SECONDS
-        drained = self.run.drained.record.name
         elsewhere = any(
             step.opened and step.at > moment for step in self.ledger.steps
         )
         if not self.run.moments.drain or not elsewhere:
             return None
-        return self.ledger.opened_after(drained, moment)
+        return self.ledger.opened_after(self.run.drained.name, moment)
 
     def _cut_by_stop(self) -> int | None:
         if not self.run.in_progress:
@@ -387,7 +387,7 @@
         The steady rate is scaled by the bound without the killed stage
         over the bound with it.
         """
-        killed = frozenset((self.run.killed.record.name,))
+        killed = (self.run.killed.name,)
         share = self.world.bound(killed) / self.world.bound()
         wanted = RECOVERED_SHARE * share * self._steady_rate()
         kill = self.run.moments.kill
@@ -424,7 +424,7 @@
         the stage.
         """
         kill = self.run.moments.kill
-        name = self.run.killed.record.name
+        name = self.run.killed.name
         ran = {
             step.request_id: step.attempt
             for step in self.ledger.steps
--- a/wigeonspoke/demo/world.py
+++ b/wigeonspoke/demo/world.py
@@ -4,6 +4,7 @@
 """
 
 import tomllib
+from collections.abc import Container
 from importlib import resources
 from typing import Any
 
@@ -62,8 +63,7 @@
         ]
         self.service = document['services'][0]
         self.services = [
-            self._start_replica(replica)
-            for replica in self.service['replicas']
+            self._start_replica(replica) for replica in self.service['replicas']
         ]
         self.answers = check_document(document)
         self.keys = tuple(
@@ -96,7 +96,7 @@
         finally:
             limit.cancel()
 
-    def bound(self, without: frozenset[str] = frozenset()) -> float:
+    def bound(self, without: Container[str] = ()) -> float:
         """Give the tokens a second that the engines could serve."""
         engines = [
             engine.record
--- a/wigeonspoke/load/caller.py
+++ b/wigeonspoke/load/caller.py
@@ -1,6 +1,7 @@
 """One caller: asks, reads the answer as it comes, and checks it."""
 
 import time
+from http import HTTPStatus
 
 import msgspec
 import urllib3
@@ -12,6 +13,7 @@
 from wigeonspoke.transport import HttpClient, read_lines
 
 ANSWER_SECONDS = 120.0
+MAX_CONNECTIONS = 256
 LINE_START = b'data: '
 DONE = b'[DONE]'
 NOT_RUN = 'not-run'
@@ -70,7 +72,7 @@
 
     def __init__(self, key: str) -> None:
         self.headers = {'Authorization': f'Bearer {key}'}
-        self.pool = urllib3.PoolManager(maxsize=256, retries=False)
+        self.pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False)
         self.http = HttpClient(self.headers)
 
     def ask(self, node: str, prompt: Prompt, due: float) -> AnswerRecord:
@@ -162,10 +164,10 @@
     stream: bool,
     reading: Reading,
 ) -> None:
-    if response.status != 200 or not stream:
+    if response.status != HTTPStatus.OK or not stream:
         body = response.read()
         response.release_conn()
-        if response.status == 200:
+        if response.status == HTTPStatus.OK:
             reading.take(msgspec.json.decode(body, type=_Reply))
             reading.whole = True
         return
@@ -186,7 +188,7 @@
     status: int,
     outcome: str,
 ) -> Verdict:
-    if status != 200:
+    if status != HTTPStatus.OK:
         return Verdict.REFUSED if outcome == NOT_RUN else Verdict.FAILED
     text = f'user: {prompt.text}\nassistant:' if prompt.chat else prompt.text
     expected = expected_answer(prompt.layers, text, prompt.max_tokens)
@@ -196,7 +198,7 @@
 
 
 def _call_outcome(status: int, body: bytes) -> str:
-    if status == 200:
+    if status == HTTPStatus.OK:
         return 'completed'
     found = msgspec.json.decode(body, type=dict)
     return found.get('error', {}).get('outcome', 'failed')
--- a/wigeonspoke/load/driver.py
+++ b/wigeonspoke/load/driver.py
@@ -17,6 +17,8 @@
 MILLISECONDS = 1000
 LONGEST_MILLISECONDS = 3_600_000
 DIGITS = 3
+EITHER = (True, False)
+RANKS = (50, 95, 99)
 
 
 class LoadPlan(msgspec.Struct, frozen=True):
@@ -29,7 +31,7 @@
     model: str
     layers: int
     seconds: float
-    rate: float = 0.0
+    rate: float = 0
     concurrency: int = 0
     prompt_chars: int = 24
     max_tokens: int = 24
@@ -109,10 +111,10 @@
         records = self.records
         first = HdrHistogram(1, LONGEST_MILLISECONDS, DIGITS)
         whole = HdrHistogram(1, LONGEST_MILLISECONDS, DIGITS)
-        for record in records:
-            _record(whole, record.ended - record.due)
-            if record.first_token is not None:
-                _record(first, record.first_token - record.due)
+        for answer in records:
+            _record(whole, answer.ended - answer.due)
+            if answer.first_token is not None:
+                _record(first, answer.first_token - answer.due)
         tokens = sum(record.tokens for record in records)
         counts = {
             verdict: sum(1 for one in records if one.verdict is verdict)
@@ -157,8 +159,8 @@
             layers=self.plan.layers,
             text=''.join(letters),
             max_tokens=self.plan.max_tokens,
-            stream=self.random.random() < 0.5,
-            chat=self.random.random() < 0.5,
+            stream=self.random.choice(EITHER),
+            chat=self.random.choice(EITHER),
         )
 
 
@@ -174,8 +176,9 @@
 
 
 def _percentiles(histogram: HdrHistogram) -> Percentiles:
-    p50, p95, p99 = (
-        histogram.get_value_at_percentile(rank) / MILLISECONDS
-        for rank in (50, 95, 99)
+    return Percentiles(
+        *(
+            histogram.get_value_at_percentile(rank) / MILLISECONDS
+            for rank in RANKS
+        ),
     )
-    return Percentiles(p50, p95, p99)
--- a/wigeonspoke/node/admin_app.py
+++ b/wigeonspoke/node/admin_app.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from functools import partial
 
-import msgspec
 from returns.result import Success
 from werkzeug.wrappers import Request, Response
 
@@ -82,18 +81,20 @@
             )
             for verb, state in _MARKS.items()
         ]
-        super().__init__([
-            ('GET', '/healthz', self.get_health),
-            ('GET', '/readyz', self.get_ready),
-            ('GET', '/metrics', self.get_metrics),
-            ('GET', f'{admin}/status', self.get_status),
-            ('GET', f'{admin}/config', self.get_config),
-            ('GET', f'{admin}/timeline', self.get_timeline),
-            ('GET', f'{admin}/questionnaire', self.get_questionnaire),
-            ('PUT', f'{admin}/questionnaire', self.put_questionnaire),
-            ('POST', f'{admin}/questionnaire/check', self.post_check),
-            *marks,
-        ])
+        super().__init__(
+            [
+                ('GET', '/healthz', self.get_health),
+                ('GET', '/readyz', self.get_ready),
+                ('GET', '/metrics', self.show_metrics),
+                ('GET', f'{admin}/status', self.get_status),
+                ('GET', f'{admin}/config', self.get_config),
+                ('GET', f'{admin}/timeline', self.get_timeline),
+                ('GET', f'{admin}/questionnaire', self.get_questionnaire),
+                ('PUT', f'{admin}/questionnaire', self.put_questionnaire),
+                ('POST', f'{admin}/questionnaire/check', self.post_check),
+                *marks,
+            ]
+        )
         self.runtime = runtime
         self.config_sync = config_sync
         self.mark_sync = mark_sync
@@ -116,7 +117,7 @@
         generation = self.config_sync.generation
         return JsonReply({'ready': ready, 'generation': generation}, status)
 
-    def get_metrics(self, request: Request) -> Response:
+    def show_metrics(self, request: Request) -> Response:
         """Give the metrics in the Prometheus text format."""
         text = self.metrics.render()
         return Response(text.body, content_type=text.content_type)
@@ -125,7 +126,6 @@
         """Give this node's state."""
         authorise(request, self.key_digest)
         router = self.runtime.router
-        endpoints = router.view.registry.endpoints
         status = NodeStatus(
             node=router.node,
             failure_domain=router.view.home,
@@ -136,14 +136,14 @@
             peers=tuple(sorted(router.view.peers.peers)),
             open_requests=len(router.generation.sessions),
             open_calls=len(router.calls.sessions),
-            endpoints=tuple(map(self._endpoint, endpoints.values())),
+            endpoints=tuple(map(self._endpoint, self._endpoints().values())),
         )
         return JsonReply(status)
 
     def get_config(self, request: Request) -> Response:
         """Give the configuration in force."""
         authorise(request, self.key_digest)
-        return JsonReply(self.runtime.router.view.configuration)
+        return JsonReply(self.runtime.view.configuration)
 
     def get_timeline(self, request: Request) -> Response:
         """Give the time line of this process."""
@@ -196,7 +196,7 @@
         """Mark an endpoint to drain, to stop or to take work again."""
         authorise(request, self.key_digest)
         asked = read_json(request, MarkRequest)
-        known = self.runtime.router.view.registry.endpoints.get(endpoint)
+        known = self._endpoints().get(endpoint)
         if known is None:
             raise ApiError(
                 http.HTTPStatus.NOT_FOUND,
@@ -215,12 +215,15 @@
             )
         return JsonReply(self._endpoint(known))
 
+    def _endpoints(self) -> dict[str, EndpointState]:
+        return self.runtime.view.registry.endpoints
+
     def _version(self, endpoint: str) -> int:
-        mark = self.runtime.router.view.marks.marks.get(endpoint)
+        mark = self.mark_sync.marks.get(endpoint)
         return mark.version if mark else 0
 
     def _endpoint(self, state: EndpointState) -> EndpointStatus:
-        view = self.runtime.router.view
+        view = self.runtime.view
         streams = state.streams + view.peers.streams_at(state.name)
         return EndpointStatus(
             name=state.name,
--- a/wigeonspoke/node/callers_app.py
+++ b/wigeonspoke/node/callers_app.py
@@ -52,13 +52,15 @@
     ) -> None:
         services = '/v1/services/<service>/<path:path>'
         methods = ('GET', 'POST', 'PUT', 'DELETE')
-        super().__init__([
-            ('GET', '/v1/models', self.get_models),
-            ('POST', '/v1/completions', self.post_completion),
-            ('POST', '/v1/chat/completions', self.post_chat),
-            ('GET', '/v1/outcomes/<service>/<key>', self.get_outcome),
-            *((method, services, self.call_service) for method in methods),
-        ])
+        super().__init__(
+            [
+                ('GET', '/v1/models', self.get_models),
+                ('POST', '/v1/completions', self.post_completion),
+                ('POST', '/v1/chat/completions', self.post_chat),
+                ('GET', '/v1/outcomes/<service>/<key>', self.get_outcome),
+                *((method, services, self.call_service) for method in methods),
+            ]
+        )
         self.runtime = runtime
         self.ids = ids
         self.tokenizer = tokenizer
@@ -66,7 +68,7 @@
     def get_models(self, request: Request) -> Response:
         """List the models of the configuration in force."""
         self._account(request)
-        models = self.runtime.router.view.models
+        models = self.runtime.view.models
         return JsonReply(ModelList(tuple(map(ModelEntry, sorted(models)))))
 
     def post_completion(self, request: Request) -> Response:
@@ -149,7 +151,7 @@
         return JsonReply({'service': service, 'key': key, 'state': state})
 
     def _account(self, request: Request) -> Account:
-        view = self.runtime.router.view
+        view = self.runtime.view
         if view.configuration is None:
             raise ApiError(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -171,7 +173,7 @@
         )
 
     def _model(self, name: str) -> Model:
-        model = self.runtime.router.view.models.get(name)
+        model = self.runtime.view.models.get(name)
         if model is None:
             raise ApiError(
                 http.HTTPStatus.NOT_FOUND,
@@ -277,7 +279,7 @@
         service: str,
         path: str,
     ) -> Operation:
-        known = self.runtime.router.view.services.get(service)
+        known = self.runtime.view.services.get(service)
         operation = None
         if known:
             operation = find_operation(known, request.method, path)
--- a/wigeonspoke/node/config_sync.py
+++ b/wigeonspoke/node/config_sync.py
@@ -37,7 +37,7 @@
     @property
     def generation(self) -> int:
         """Give the generation in force at this node."""
-        return self.runtime.router.view.generation
+        return self.runtime.view.generation
 
     def poll_forever(self) -> None:
         """Look at the store again and again."""
--- a/wigeonspoke/node/mark_sync.py
+++ b/wigeonspoke/node/mark_sync.py
@@ -26,6 +26,11 @@
         self.runtime = runtime
         self.table = table
 
+    @property
+    def marks(self) -> dict[str, EndpointMark]:
+        """Give the newest mark known of each endpoint."""
+        return self.runtime.view.marks.marks
+
     def mark(
         self,
         endpoint: str,
@@ -36,7 +41,7 @@
 
         Gives ``None`` when another operator's mark came in between.
         """
-        known = self.runtime.router.view.marks.marks.get(endpoint)
+        known = self.marks.get(endpoint)
         version = known.version if known else 0
         if version != seen:
             return None
@@ -60,8 +65,7 @@
         stored = {key: _decode(row) for key, row in rows.items()}
         found = tuple(mark for mark in stored.values() if mark)
         self.runtime.dispatch(MarksHeard(found))
-        marks = self.runtime.router.view.marks.marks
-        for endpoint, mark in tuple(marks.items()):
+        for endpoint, mark in tuple(self.marks.items()):
             if stored.get(endpoint) != mark:
                 row = rows.get(endpoint)
                 self._write(mark, row.version if row else 0)
--- a/wigeonspoke/node/peers_app.py
+++ b/wigeonspoke/node/peers_app.py
@@ -20,10 +20,12 @@
     __slots__ = ('gossip', 'key_digest')
 
     def __init__(self, gossip: Gossip, key_digest: str) -> None:
-        super().__init__([
-            ('POST', '/peers/v1/gossip', self.post_gossip),
-            ('GET', '/peers/v1/configuration', self.get_configuration),
-        ])
+        super().__init__(
+            [
+                ('POST', '/peers/v1/gossip', self.post_gossip),
+                ('GET', '/peers/v1/configuration', self.get_configuration),
+            ]
+        )
         self.gossip = gossip
         self.key_digest = key_digest
 
@@ -36,7 +38,7 @@
     def get_configuration(self, request: Request) -> Response:
         """Answer with the configuration in force."""
         authorise(request, self.key_digest)
-        configuration = self.gossip.runtime.router.view.configuration
+        configuration = self.gossip.runtime.view.configuration
         if configuration is None:
             raise ApiError(
                 http.HTTPStatus.NOT_FOUND,
--- a/wigeonspoke/node/runtime.py
+++ b/wigeonspoke/node/runtime.py
@@ -12,6 +12,7 @@
 from wigeonspoke.core.claims import ClaimState, KeptReply
 from wigeonspoke.core.router import Router
 from wigeonspoke.core.routes import EndpointState
+from wigeonspoke.core.view import ClusterView
 from wigeonspoke.endpoints import EngineClient, ServiceClient, ServiceRequest
 from wigeonspoke.node.claim_writer import ClaimWriter
 from wigeonspoke.node.step_lane import StepLane
@@ -83,6 +84,11 @@
             actions.Note: self._note,
         }
 
+    @property
+    def view(self) -> ClusterView:
+        """Give what this node knows."""
+        return self.router.view
+
     def dispatch(self, event: events.AnyEvent) -> None:
         """Hand the core an event and carry out its actions."""
         for action in self.router.handle(event, time.monotonic()):
@@ -128,7 +134,7 @@
     def _lane(self, endpoint: str) -> StepLane:
         lane = self.lanes.get(endpoint)
         if lane is None:
-            state = self.router.view.registry.endpoints[endpoint]
+            state = self.view.registry.endpoints[endpoint]
             model = state.engine.model if state.engine else ''
             lane = StepLane(model, state.address, self.engine, self.dispatch)
             self.lanes[endpoint] = lane
@@ -144,7 +150,7 @@
 
     def _send_call(self, action: actions.SendCall) -> None:
         pending = self.calls[action.request_id]
-        state = self.router.view.registry.endpoints[action.endpoint]
+        state = self.view.registry.endpoints[action.endpoint]
         eventlet.spawn(self._run_call, action, pending, state.address)
 
     def _run_call(
@@ -206,7 +212,7 @@
         eventlet.spawn(self.claims.keep, action.row, action.state, kept)
 
     def _probe(self, action: actions.ProbeEndpoint) -> None:
-        state = self.router.view.registry.endpoints[action.endpoint]
+        state = self.view.registry.endpoints[action.endpoint]
         eventlet.spawn(self._run_probe, state)
 
     def _run_probe(self, state: EndpointState) -> None:
--- a/wigeonspoke/node/settings.py
+++ b/wigeonspoke/node/settings.py
@@ -8,6 +8,7 @@
 
 MIN_KEY_LENGTH = 8
 MAX_PORT = 65535
+MAX_SECONDS = 3600
 NAME_PATTERN = re.compile('[a-z0-9][a-z0-9._-]{0,62}')
 ADDRESS_PATTERN = re.compile('[0-9.]+:[0-9]{1,5}')
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
@@ -44,10 +45,10 @@
 
     def describe(self) -> str:
         """Give the error as one line."""
-        variable = f'WIGEONSPOKE_{self.name.upper()}'
+        from_environment = f'WIGEONSPOKE_NODE_{self.name.upper()}'
         flag = self.name.replace('_', '-')
         return (
-            f'setting --{flag} ({variable}) is {self.given!r}; '
+            f'setting --{flag} ({from_environment}) is {self.given!r}; '
             f'allowed: {self.allowed}'
         )
 
@@ -79,7 +80,7 @@
 
 
 def _is_duration(seconds: object) -> bool:
-    return isinstance(seconds, (int, float)) and 0 <= seconds <= 3600
+    return isinstance(seconds, (int, float)) and 0 <= seconds <= MAX_SECONDS
 
 
 def _is_level(text: object) -> bool:
@@ -108,7 +109,7 @@
         f'a port from 0 to {MAX_PORT}, 0 for any free one',
         _is_port,
     ),
-    _Rule(('look_away_seconds',), '0 to 3600 seconds', _is_duration),
+    _Rule(('look_away_seconds',), f'0 to {MAX_SECONDS} seconds', _is_duration),
     _Rule(('log_level',), ', '.join(LOG_LEVELS), _is_level),
 )
 SECRETS = frozenset(('admin_key', 'cluster_key'))
--- a/wigeonspoke/node/step_lane.py
+++ b/wigeonspoke/node/step_lane.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
 from returns.result import Success
@@ -86,17 +87,11 @@
         size = min(len(self.steps), MAX_STEPS)
         steps = [self.steps.popleft() for _ in range(size)]
         waiting = dict(enumerate(steps))
-
-        def take_end(end: StepEnd) -> None:
-            step = waiting.pop(end.position, None)
-            if step:
-                self.deliver(_event(step, end.result))
-
         answer = self.engine.run_steps(
             self.address,
             StepBatch(tuple(map(self._request, steps))),
             max(step.timeout_seconds for step in steps),
-            take_end,
+            partial(self._take_end, waiting),
         )
         error = HttpError(Outcome.UNKNOWN, Reason.CONTRACT, self.address)
         if not isinstance(answer, Success):
@@ -104,6 +99,11 @@
         for step in waiting.values():
             self.deliver(_failure(step, error.outcome, error.reason))
 
+    def _take_end(self, waiting: dict[int, SendStep], end: StepEnd) -> None:
+        step = waiting.pop(end.position, None)
+        if step:
+            self.deliver(_event(step, end.result))
+
     def _flush_cancels(self) -> None:
         streams = tuple(self.cancels)
         self.cancels.clear()
--- a/wigeonspoke/observe/timeline.py
+++ b/wigeonspoke/observe/timeline.py
@@ -62,9 +62,7 @@
     def select(self, request_id: str = '') -> tuple[TimelineEvent, ...]:
         """Give all events, or those of one request."""
         return tuple(
-            event
-            for event in self.ring
-            if request_id in ('', event.request_id)
+            event for event in self.ring if request_id in ('', event.request_id)
         )
 
 
--- a/wigeonspoke/platform/http_platform.py
+++ b/wigeonspoke/platform/http_platform.py
@@ -1,6 +1,7 @@
 """The platform over HTTP with JSON."""
 
 import http
+from functools import partial
 from urllib.parse import quote
 
 import msgspec
@@ -47,7 +48,7 @@
     def read(self, table: str, key: str) -> Result[TableRow, StoreError]:
         """Read one row."""
         reply = self._ask('GET', f'/table/{table}/{_quoted(key)}', 'read')
-        return reply.bind(_decoder(TableRow, 'read'))
+        return reply.bind(partial(_decode, TableRow, 'read'))
 
     def read_all(
         self,
@@ -55,7 +56,7 @@
     ) -> Result[tuple[TableRow, ...], StoreError]:
         """Read all rows of a small table."""
         reply = self._ask('GET', f'/table/{table}', 'read-all')
-        return reply.bind(_decoder(tuple[TableRow, ...], 'read-all'))
+        return reply.bind(partial(_decode, tuple[TableRow, ...], 'read-all'))
 
     def write(
         self,
@@ -67,7 +68,7 @@
         """Write a row if its version is ``expected``, 0 for no row."""
         path = f'/table/{table}/{_quoted(key)}?expected={expected}'
         reply = self._ask('PUT', path, 'write', content)
-        return reply.bind(_decoder(TableRow, 'write'))
+        return reply.bind(partial(_decode, TableRow, 'write'))
 
     def delete(
         self,
@@ -92,7 +93,7 @@
     def hosts(self) -> Result[tuple[HostEntry, ...], StoreError]:
         """Read the host list."""
         reply = self._ask('GET', '/hosts', 'hosts')
-        return reply.bind(_decoder(tuple[HostEntry, ...], 'hosts'))
+        return reply.bind(partial(_decode, tuple[HostEntry, ...], 'hosts'))
 
     def _ask(
         self,
@@ -108,40 +109,31 @@
             body,
             timeout=self.timeout,
         )
-        return sent.alt(_unanswered(step)).bind(_checker(step))
+        return sent.alt(partial(_unanswered, step)).bind(partial(_check, step))
 
 
 def _quoted(name: str) -> str:
     return quote(name, safe='')
 
 
-def _unanswered(step: str):
-    def convert(error: HttpError) -> StoreError:
-        sure = error.outcome is Outcome.NOT_RUN
-        problem = StoreProblem.UNAVAILABLE if sure else StoreProblem.UNCERTAIN
-        return StoreError(problem, step)
+def _unanswered(step: str, error: HttpError) -> StoreError:
+    sure = error.outcome is Outcome.NOT_RUN
+    problem = StoreProblem.UNAVAILABLE if sure else StoreProblem.UNCERTAIN
+    return StoreError(problem, step)
 
-    return convert
 
+def _check(step: str, reply: HttpReply) -> Result[HttpReply, StoreError]:
+    if reply.is_ok:
+        return Success(reply)
+    problem = _PROBLEMS.get(reply.status, StoreProblem.UNCERTAIN)
+    row = None
+    if problem is StoreProblem.CONFLICT:
+        row = msgspec.json.decode(reply.body, type=TableRow | None)
+    return Failure(StoreError(problem, step, row))
 
-def _checker(step: str):
-    def check(reply: HttpReply) -> Result[HttpReply, StoreError]:
-        if reply.is_ok:
-            return Success(reply)
-        problem = _PROBLEMS.get(reply.status, StoreProblem.UNCERTAIN)
-        row = None
-        if problem is StoreProblem.CONFLICT:
-            row = msgspec.json.decode(reply.body, type=TableRow | None)
-        return Failure(StoreError(problem, step, row))
 
-    return check
-
-
-def _decoder(kind: type, step: str):
-    def decode(reply: HttpReply) -> Result:
-        try:
-            return Success(msgspec.json.decode(reply.body, type=kind))
-        except msgspec.MsgspecError:
-            return Failure(StoreError(StoreProblem.UNCERTAIN, step))
-
-    return decode
+def _decode(kind: type, step: str, reply: HttpReply) -> Result:
+    try:
+        return Success(msgspec.json.decode(reply.body, type=kind))
+    except msgspec.MsgspecError:
+        return Failure(StoreError(StoreProblem.UNCERTAIN, step))
--- a/wigeonspoke/standins/engine.py
+++ b/wigeonspoke/standins/engine.py
@@ -89,11 +89,13 @@
         self.streams: dict[StreamId, _Stream] = {}
         self.queue: deque[_Queued] = deque()
         self.wake = Event()
-        app = HttpApp([
-            ('POST', '/engine/v1/steps', self.post_steps),
-            ('POST', '/engine/v1/cancel', self.post_cancel),
-            ('GET', '/engine/v1/load', self.get_load),
-        ])
+        app = HttpApp(
+            [
+                ('POST', '/engine/v1/steps', self.post_steps),
+                ('POST', '/engine/v1/cancel', self.post_cancel),
+                ('GET', '/engine/v1/load', self.get_load),
+            ]
+        )
         self.listener = HttpListener(app, host, port)
         self.worker = eventlet.spawn(self._work)
 
@@ -102,6 +104,11 @@
         """Give the address that the engine listens on."""
         return self.listener.address
 
+    @property
+    def name(self) -> str:
+        """Give the engine's name in the configuration."""
+        return self.record.name
+
     def kill(self) -> None:
         """Die as a host that loses power does, with all state."""
         self.worker.kill()
--- a/wigeonspoke/standins/model.py
+++ b/wigeonspoke/standins/model.py
@@ -9,7 +9,8 @@
 
 from wigeonspoke.core.streams.tokens import END_OF_ANSWER
 
-MODULUS = (1 << 61) - 1
+MERSENNE_EXPONENT = 61
+MODULUS = (1 << MERSENNE_EXPONENT) - 1
 MIX = 6364136223846793005
 STATE_MIX = 1442695040888963407
 FIRST_LETTER = 97
@@ -55,15 +56,13 @@
     """Give the answer that a whole model on one host would give."""
     model = StandInModel(0, layers)
     activation = 0
-    for token in prompt:
-        activation = model.run(token)
+    for asked in prompt:
+        activation = model.run(asked)
     answer: list[int] = []
-    while len(answer) < max_tokens:
-        token = token_of(activation)
-        if token == END_OF_ANSWER:
-            break
+    token = token_of(activation)
+    while token != END_OF_ANSWER and len(answer) < max_tokens:
         answer.append(token)
-        activation = model.run(token)
+        token = token_of(model.run(token))
     return answer
 
 
--- a/wigeonspoke/standins/platform.py
+++ b/wigeonspoke/standins/platform.py
@@ -43,7 +43,7 @@
     kind: FaultKind
     table: str = ''
     count: int = 1
-    seconds: float = 0.0
+    seconds: float = 0
 
 
 class StandInPlatform:
@@ -70,18 +70,20 @@
         self.faults: list[Fault] = []
         self.writes = 0
         self.lost = 0
-        app = HttpApp([
-            ('GET', '/table/<table>', self.get_table),
-            ('GET', '/table/<table>/<key>', self.get_row),
-            ('PUT', '/table/<table>/<key>', self.put_row),
-            ('DELETE', '/table/<table>/<key>', self.delete_row),
-            ('GET', '/objects/<name>', self.get_object),
-            ('PUT', '/objects/<name>', self.put_object),
-            ('GET', '/hosts', self.get_hosts),
-            ('PUT', '/hosts', self.put_hosts),
-            ('POST', '/faults', self.post_fault),
-            ('DELETE', '/faults', self.delete_faults),
-        ])
+        app = HttpApp(
+            [
+                ('GET', '/table/<table>', self.get_table),
+                ('GET', '/table/<table>/<key>', self.get_row),
+                ('PUT', '/table/<table>/<key>', self.put_row),
+                ('DELETE', '/table/<table>/<key>', self.delete_row),
+                ('GET', '/objects/<name>', self.get_object),
+                ('PUT', '/objects/<name>', self.put_object),
+                ('GET', '/hosts', self.get_hosts),
+                ('PUT', '/hosts', self.put_hosts),
+                ('POST', '/faults', self.post_fault),
+                ('DELETE', '/faults', self.delete_faults),
+            ]
+        )
         self.listener = HttpListener(app, host, port)
 
     @property
--- a/wigeonspoke/standins/service.py
+++ b/wigeonspoke/standins/service.py
@@ -51,10 +51,12 @@
         self.ledger = ledger
         self.work_seconds = WORK_SECONDS
         self.numbers = itertools.count(1)
-        app = HttpApp([
-            ('POST', '/<path:path>', self.post),
-            ('GET', '/<path:path>', self.get),
-        ])
+        app = HttpApp(
+            [
+                ('POST', '/<path:path>', self.post),
+                ('GET', '/<path:path>', self.get),
+            ]
+        )
         self.listener = HttpListener(app, host, port)
 
     @property
--- a/wigeonspoke/transport/http_app.py
+++ b/wigeonspoke/transport/http_app.py
@@ -14,9 +14,9 @@
 from werkzeug.wrappers import Request, Response
 
 JSON_TYPE = 'application/json'
-MAX_BODY_BYTES = 1 << 20
+MAX_BODY_BYTES = 1_048_576
 BODY_SECONDS = 10.0
-READ_BYTES = 1 << 16
+READ_BYTES = 65_536
 BEARER = 'Bearer '
 
 Body = TypeVar('Body')
@@ -157,10 +157,12 @@
     __slots__ = ('rules',)
 
     def __init__(self, rules: Iterable[tuple[str, str, Callable]]) -> None:
-        self.rules = Map([
-            Rule(path, methods=[method], endpoint=view)
-            for method, path, view in rules
-        ])
+        self.rules = Map(
+            [
+                Rule(path, methods=[method], endpoint=view)
+                for method, path, view in rules
+            ]
+        )
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable:
         """Serve one request as WSGI asks."""
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -6,8 +6,14 @@
 
 import eventlet
 import msgspec
-from eventlet import wsgi
 from eventlet.greenio import shutdown_safe
+from eventlet.wsgi import (
+    HeaderLineTooLong,
+    HeadersTooLarge,
+    HttpProtocol,
+    Server,
+)
+from eventlet.wsgi import server as serve_wsgi
 from werkzeug.wsgi import ClosingIterator
 
 WsgiApplication = Callable[..., Iterable[bytes]]
@@ -35,13 +41,13 @@
     read_seconds: float = 10.0
 
 
-class _Protocol(wsgi.HttpProtocol):
+class _Protocol(HttpProtocol):
     """Answers oversized headers with a typed error body."""
 
     def parse_request(self) -> bool:
         try:
             return super().parse_request()
-        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+        except (HeaderLineTooLong, HeadersTooLarge):
             self.wfile.write(HEADERS_TOO_LARGE)
             self.close_connection = 1
             return False
@@ -102,7 +108,7 @@
 
     def _serve(self) -> None:
         try:
-            wsgi.server(
+            serve_wsgi(
                 self.sock,
                 self._serve_request,
                 protocol=self._serve_connection,
@@ -136,8 +142,8 @@
     def _serve_connection(
         self,
         state: list,
-        server: wsgi.Server,
-    ) -> wsgi.HttpProtocol:
+        server: Server,
+    ) -> HttpProtocol:
         connection = state[1]
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.open.add(connection)
