--- /dev/null
+++ b/wigeonspoke/config/tests/fake_store.py
@@ -0,0 +1,54 @@
+"""The platform's table and object store in memory, with faults."""
+
+import msgspec
+from returns.result import Failure, Success
+
+from wigeonspoke.platform import StoreError, StoreProblem, TableRow
+
+
+class FakeStore:
+    """Satisfies ``Table`` and ``ObjectStore``.
+
+    ``fates`` are used up by writes: ``ok``, ``lost`` for an answer lost
+    after the effect, ``down`` for an error before it.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.objects = {}
+        self.fates = []
+        self.before_write = lambda: None
+
+    def read(self, table, key):
+        """Read one row."""
+        row = self.rows.get((table, key))
+        if row is None:
+            return Failure(StoreError(StoreProblem.MISSING, 'read'))
+        return Success(row)
+
+    def write(self, table, key, content, expected):
+        """Write a row if it is at the version expected."""
+        self.before_write()
+        fate = self.fates.pop(0) if self.fates else 'ok'
+        if fate == 'down':
+            return Failure(StoreError(StoreProblem.UNAVAILABLE, 'write'))
+        known = self.rows.get((table, key))
+        version = known.version if known else 0
+        if version != expected:
+            return Failure(StoreError(StoreProblem.CONFLICT, 'write', known))
+        row = TableRow(key, version + 1, msgspec.Raw(content))
+        self.rows[table, key] = row
+        if fate == 'lost':
+            return Failure(StoreError(StoreProblem.UNCERTAIN, 'write'))
+        return Success(row)
+
+    def get_object(self, name):
+        """Read an object."""
+        if name in self.objects:
+            return Success(self.objects[name])
+        return Failure(StoreError(StoreProblem.MISSING, 'get-object'))
+
+    def put_object(self, name, body):
+        """Write an object."""
+        self.objects[name] = body
+        return Success(None)
--- /dev/null
+++ b/wigeonspoke/core/tests/golden_sessions.py
@@ -0,0 +1,269 @@
+"""Whole sessions of the core, recorded: events in, actions out.
+
+Run as a program, this regenerates the files and prints the difference.
+"""
+
+import difflib
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+import msgspec
+
+from wigeonspoke.core import events
+from wigeonspoke.core.actions import AnyAction, SendStep
+from wigeonspoke.core.claims import ClaimAnswer, ClaimRow, ClaimState
+from wigeonspoke.core.membership import EndpointMark, MarkState
+from wigeonspoke.core.outcomes import Outcome, Reason
+from wigeonspoke.core.router import Router
+from wigeonspoke.core.tests.examples import (
+    make_call,
+    make_configuration,
+    make_engine,
+    make_request,
+)
+
+FOLDER = Path(__file__).parent / 'golden'
+SEED = 7
+
+
+class Exchange(msgspec.Struct, frozen=True):
+    """One event, its time and the actions that it led to."""
+
+    now: float
+    event: events.AnyEvent
+    actions: tuple[AnyAction, ...]
+
+
+class Recorder:
+    """Feeds a router and records what it does."""
+
+    def __init__(self) -> None:
+        self.router = make_router()
+        self.now: float = 0
+        self.exchanges: list[Exchange] = []
+
+    def feed(self, event: events.AnyEvent, after: float = 0.01) -> list:
+        """Feed one event some time after the last one."""
+        self.now = round(self.now + after, 6)
+        actions = self.router.handle(event, self.now)
+        self.exchanges.append(Exchange(self.now, event, tuple(actions)))
+        return actions
+
+    def answer_steps(self, actions: list, tokens: list[int]) -> list:
+        """Answer steps as engines would, until the tokens run out."""
+        step = _last_step(actions)
+        while step and tokens:
+            token = None
+            outputs = step.inputs
+            if step.layers.end == 4:
+                token = tokens.pop(0)
+                outputs = ()
+            actions = self.feed(
+                events.StepReplied(step.key, step.endpoint, outputs, token),
+            )
+            step = _last_step(actions)
+        return actions
+
+    def fail(self, actions: list, outcome: Outcome, reason: Reason) -> list:
+        """Fail the step that was sent last."""
+        step = _last_step(actions)
+        return self.feed(
+            events.StepFailed(step.key, step.endpoint, outcome, reason),
+        )
+
+
+def make_router() -> Router:
+    """Make the router that all sessions start with."""
+    return Router('n1', 'a', random.Random(SEED))
+
+
+def _last_step(actions: list) -> SendStep | None:
+    steps = [action for action in actions if isinstance(action, SendStep)]
+    return steps[-1] if steps else None
+
+
+def _configured() -> Recorder:
+    recorder = Recorder()
+    recorder.feed(events.ConfigurationAdopted(make_configuration()))
+    return recorder
+
+
+def whole_answer() -> Recorder:
+    """Record an answer without any fault."""
+    recorder = _configured()
+    recorder.answer_steps(recorder.feed(make_request()), [65, 66, 67])
+    return recorder
+
+
+def stage_dies() -> Recorder:
+    """Record a stage that dies between two tokens, and comes back."""
+    recorder = _configured()
+    actions = recorder.answer_steps(recorder.feed(make_request()), [65])
+    rebuilt = recorder.fail(actions, Outcome.UNKNOWN, Reason.RESET)
+    recorder.answer_steps(rebuilt, [66, 67])
+    recorder.feed(events.TimerFired(), after=1)
+    recorder.feed(events.ProbeAnswered('a1', healthy=True))
+    recorder.feed(make_request('r2'))
+    return recorder
+
+
+def stage_falls_silent() -> Recorder:
+    """Record a stage that never answers, and its answer that comes late."""
+    recorder = _configured()
+    actions = recorder.feed(make_request())
+    step = _last_step(actions)
+    rebuilt = recorder.feed(events.TimerFired(), after=2)
+    recorder.feed(
+        events.StepReplied(step.key, step.endpoint, step.inputs, None),
+    )
+    recorder.answer_steps(rebuilt, [65, 66, 67])
+    return recorder
+
+
+def excess_waits() -> Recorder:
+    """Record requests beyond the engines' room: one waits, one expires."""
+    recorder = Recorder()
+    engines = (make_engine('a1', 'a', 0, 4, max_streams=1),)
+    recorder.feed(
+        events.ConfigurationAdopted(make_configuration(1, engines)),
+    )
+    running = recorder.feed(make_request('r1'))
+    recorder.feed(make_request('r2'))
+    recorder.answer_steps(running, [65, 66, 67])
+    recorder.feed(make_request('r3'))
+    recorder.feed(events.TimerFired(), after=6)
+    return recorder
+
+
+def drained_endpoint() -> Recorder:
+    """Record a drain: work in progress ends there, new work goes away."""
+    recorder = _configured()
+    running = recorder.feed(make_request('r1'))
+    mark = EndpointMark('a1', MarkState.DRAIN, 1)
+    recorder.feed(events.MarksHeard((mark,)))
+    recorder.feed(make_request('r2'))
+    recorder.answer_steps(running, [65, 66, 67])
+    recorder.feed(events.MarksHeard((mark,)))
+    return recorder
+
+
+def older_configuration() -> Recorder:
+    """Record a configuration that comes after a newer one."""
+    recorder = Recorder()
+    newer = make_configuration(2)
+    recorder.feed(events.ConfigurationAdopted(newer))
+    recorder.feed(events.ConfigurationAdopted(make_configuration(1)))
+    return recorder
+
+
+def claimed_call() -> Recorder:
+    """Record a claim whose answer was lost after the write."""
+    recorder = _configured()
+    recorder.feed(make_call())
+    recorder.feed(events.ClaimAnswered('c1', ClaimAnswer.UNCERTAIN))
+    row = ClaimRow(_key(recorder), 't1', 'd1', ClaimState.CLAIMED)
+    sent = recorder.feed(
+        events.ClaimAnswered('c1', ClaimAnswer.EXISTS, row),
+    )
+    recorder.feed(events.CallReplied('c1', 1, sent[0].endpoint, 200))
+    return recorder
+
+
+def unknown_call() -> Recorder:
+    """Record a claimed call whose try ended without an answer."""
+    recorder = _configured()
+    recorder.feed(make_call())
+    sent = recorder.feed(events.ClaimAnswered('c1', ClaimAnswer.INSERTED))
+    recorder.feed(
+        events.CallFailed(
+            'c1',
+            1,
+            sent[0].endpoint,
+            Outcome.UNKNOWN,
+            Reason.RESET,
+        ),
+    )
+    return recorder
+
+
+def store_down() -> Recorder:
+    """Record a store outage: claims are refused, the rest goes on."""
+    recorder = _configured()
+    recorder.feed(make_call())
+    recorder.feed(events.ClaimAnswered('c1', ClaimAnswer.UNAVAILABLE))
+    recorder.feed(make_call('c2', method='GET', path='/status'))
+    return recorder
+
+
+def planned_stop() -> Recorder:
+    """Record a planned stop with an answer in progress."""
+    recorder = _configured()
+    running = recorder.feed(make_request('r1'))
+    recorder.feed(events.StopRequested())
+    recorder.feed(make_request('r2'))
+    recorder.answer_steps(running, [65, 66, 67])
+    return recorder
+
+
+def caller_leaves() -> Recorder:
+    """Record a caller that leaves in the middle of an answer."""
+    recorder = _configured()
+    recorder.answer_steps(recorder.feed(make_request()), [65])
+    recorder.feed(events.CallerGone('r1'))
+    return recorder
+
+
+SESSIONS: tuple[Callable[[], Recorder], ...] = (
+    whole_answer,
+    stage_dies,
+    stage_falls_silent,
+    excess_waits,
+    drained_endpoint,
+    older_configuration,
+    claimed_call,
+    unknown_call,
+    store_down,
+    planned_stop,
+    caller_leaves,
+)
+
+
+def path_of(name: str) -> Path:
+    """Give the file of a session."""
+    return FOLDER / f'{name}.jsonl'
+
+
+def encode(exchanges: list[Exchange]) -> str:
+    """Write a session as lines of JSON."""
+    lines = [msgspec.json.encode(exchange).decode() for exchange in exchanges]
+    return '\n'.join([*lines, ''])
+
+
+def regenerate() -> None:
+    """Write all files and print what changed."""
+    for session in SESSIONS:
+        path = path_of(session.__name__)
+        before = path.read_text() if path.exists() else ''
+        after = encode(session().exchanges)
+        path.write_text(after)
+        click.echo(
+            ''.join(
+                difflib.unified_diff(
+                    before.splitlines(keepends=True),
+                    after.splitlines(keepends=True),
+                    f'{path.name} before',
+                    f'{path.name} after',
+                ),
+            ),
+            nl=False,
+        )
+
+
+def _key(recorder: Recorder) -> str:
+    return recorder.router.calls.sessions['c1'].row.key
+
+
+if __name__ == '__main__':
+    regenerate()
--- /dev/null
+++ b/wigeonspoke/core/tests/test_generation.py
@@ -0,0 +1,186 @@
+"""One request's life under every kind of failure."""
+
+import random
+
+import pytest
+
+from wigeonspoke.core.actions import (
+    CancelStream,
+    EmitToken,
+    FinishGeneration,
+    SendStep,
+)
+from wigeonspoke.core.events import (
+    CallerGone,
+    ConfigurationAdopted,
+    StepFailed,
+    StepReplied,
+    StopRequested,
+    TimerFired,
+)
+from wigeonspoke.core.outcomes import Outcome, Reason
+from wigeonspoke.core.router import Router
+from wigeonspoke.core.tests.examples import (
+    ENGINES,
+    PROMPT,
+    make_configuration,
+    make_engine,
+    make_request,
+)
+
+
+def _router(engines=ENGINES):
+    router = Router('n1', 'a', random.Random(3))
+    router.handle(ConfigurationAdopted(make_configuration(1, engines)), 0)
+    return router
+
+
+def _only(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def _step(actions):
+    return _only(actions, SendStep)[-1]
+
+
+def _reply(router, step, now=0.1, token=None):
+    outputs = step.inputs if token is None else ()
+    return router.handle(
+        StepReplied(step.key, step.endpoint, outputs, token),
+        now,
+    )
+
+
+def _fail(router, step, reason, outcome=Outcome.UNKNOWN, now=0.1):
+    return router.handle(
+        StepFailed(step.key, step.endpoint, outcome, reason),
+        now,
+    )
+
+
+def test_steps_follow_the_layers_and_tokens_their_order():
+    router = _router()
+    first = _step(router.handle(make_request(max_tokens=2), 0))
+    assert (first.endpoint, first.inputs, first.position) == ('a1', PROMPT, 0)
+    second = _step(_reply(router, first))
+    assert (second.endpoint, second.position) == ('a2', 0)
+    actions = _reply(router, second, token=65)
+    assert _only(actions, EmitToken) == [EmitToken('r1', 0, 65)]
+    third = _step(actions)
+    assert (third.inputs, third.position) == ((65,), len(PROMPT))
+    last = _reply(router, _step(_reply(router, third)), token=66)
+    assert _only(last, FinishGeneration)[0].error is None
+    assert len(_only(last, CancelStream)) == 2
+
+
+@pytest.mark.parametrize(
+    ('reason', 'outcome'),
+    [
+        (Reason.RESET, Outcome.UNKNOWN),
+        (Reason.TIMEOUT, Outcome.UNKNOWN),
+        (Reason.CONNECT, Outcome.NOT_RUN),
+        (Reason.BUSY, Outcome.NOT_RUN),
+        (Reason.REFUSED, Outcome.NOT_RUN),
+    ],
+)
+def test_failed_step_starts_a_fresh_attempt_elsewhere(reason, outcome):
+    router = _router()
+    first = _step(router.handle(make_request(), 0))
+    emitted = _reply(router, _step(_reply(router, first)), token=65)
+    actions = _fail(router, _step(emitted), reason, outcome)
+    rebuilt = _step(actions)
+    assert rebuilt.key.attempt == 2
+    assert rebuilt.endpoint == 'b1'
+    assert (rebuilt.inputs, rebuilt.position) == ((*PROMPT, 65), 0)
+    cancelled = [cancel.endpoint for cancel in _only(actions, CancelStream)]
+    assert cancelled == ['a1', 'a2']
+
+
+def test_late_reply_of_an_old_attempt_is_dropped():
+    router = _router()
+    first = _step(router.handle(make_request(), 0))
+    _fail(router, first, Reason.TIMEOUT)
+    assert _reply(router, first) == []
+    assert router.view.counters['reply_dropped', 'not-outstanding'] == 1
+
+
+def test_repeated_reply_is_dropped():
+    router = _router()
+    first = _step(router.handle(make_request(), 0))
+    _reply(router, first)
+    assert _reply(router, first) == []
+
+
+def test_reply_that_breaks_the_contract_counts_as_failure():
+    router = _router()
+    first = _step(router.handle(make_request(), 0))
+    broken = StepReplied(first.key, first.endpoint, (1,), None)
+    assert _step(router.handle(broken, 0.1)).key.attempt == 2
+
+
+def test_silent_stage_is_given_up_by_its_own_latency():
+    router = _router()
+    first = _step(router.handle(make_request(), 0))
+    waited = first.timeout_seconds
+    assert _only(router.handle(TimerFired(), waited / 2), SendStep) == []
+    rebuilt = _step(router.handle(TimerFired(), waited + 0.01))
+    assert (rebuilt.key.attempt, rebuilt.endpoint) == (2, 'b1')
+
+
+def test_caller_that_left_costs_no_further_step():
+    router = _router()
+    first = _step(router.handle(make_request(), 0))
+    actions = router.handle(CallerGone('r1'), 0.1)
+    assert len(_only(actions, CancelStream)) == 2
+    assert _reply(router, first) == []
+    assert router.is_idle
+
+
+def test_excess_waits_at_the_entry_and_expires_as_not_run():
+    engines = (make_engine('a1', 'a', 0, 4, max_streams=1),)
+    router = _router(engines)
+    assert _only(router.handle(make_request('r1'), 0), SendStep)
+    assert router.handle(make_request('r2'), 0) == []
+    late = _only(router.handle(TimerFired(), 5), FinishGeneration)
+    ended = {finish.request_id: finish.error.outcome for finish in late}
+    assert ended['r2'] is Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ('prepare', 'reason'),
+    [
+        (
+            lambda router: router.handle(StopRequested(), 0),
+            Reason.STOPPING,
+        ),
+        (
+            lambda router: [
+                router.handle(make_request(f'q{number}', 'small'), 0)
+                for number in range(2)
+            ],
+            Reason.ACCOUNT_LIMIT,
+        ),
+        (
+            lambda router: router.view.models.clear(),
+            Reason.NO_CONFIGURATION,
+        ),
+    ],
+)
+def test_refusals_say_not_run_and_when_to_come_back(prepare, reason):
+    router = _router()
+    prepare(router)
+    refused = _only(
+        router.handle(make_request('r9', 'small'), 0),
+        FinishGeneration,
+    )
+    assert refused[0].error.outcome is Outcome.NOT_RUN
+    assert refused[0].error.reason is reason
+    assert refused[0].retry_after_seconds > 0
+
+
+def test_request_in_progress_outlives_its_endpoint_in_the_configuration():
+    router = _router()
+    first = _step(router.handle(make_request(), 0))
+    newer = make_configuration(2, ENGINES[2:])
+    router.handle(ConfigurationAdopted(newer), 0.05)
+    assert _step(_reply(router, first)).endpoint == 'a2'
--- a/wigeonspoke/node/caller_watch.py
+++ b/wigeonspoke/node/caller_watch.py
@@ -1,6 +1,7 @@
 """Waiting for an answer while watching whether the caller is still there."""
 
 import socket
+import time
 from collections.abc import Iterable
 
 from eventlet.queue import Empty, LightQueue
@@ -18,14 +19,19 @@
 
 
 class CallerWatch:
-    """Takes parts of an answer from a queue as long as the caller stays."""
+    """Takes parts of an answer from a queue as long as the caller stays.
 
-    __slots__ = ('sock',)
+    It looks a few times a second, also when parts come without a pause,
+    since a whole answer is written only at its end.
+    """
+
+    __slots__ = ('checked_at', 'sock')
 
     def __init__(self, request: Request) -> None:
         source = request.environ['eventlet.input']
         # The green socket would wait for bytes; the one under it does not.
         self.sock: socket.socket = source.get_socket().fd
+        self.checked_at = time.monotonic()
 
     def next_parts(self, answers: LightQueue) -> Iterable[Part]:
         """Give all parts that are there, waiting for the first.
@@ -38,6 +44,8 @@
         parts = [self._wait(answers)]
         while not answers.empty():
             parts.append(answers.get())
+        if time.monotonic() - self.checked_at >= WATCH_SECONDS:
+            self._check()
         return parts
 
     def _wait(self, answers: LightQueue) -> Part:
@@ -48,6 +56,7 @@
                 self._check()
 
     def _check(self) -> None:
+        self.checked_at = time.monotonic()
         try:
             peeked = self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
--- /dev/null
+++ b/wigeonspoke/node/tests/conftest.py
@@ -0,0 +1,17 @@
+"""A whole small deployment on real sockets."""
+
+import pytest
+
+from wigeonspoke.demo.world import World, load_document
+
+
+@pytest.fixture
+def world():
+    """Give a running deployment with fast engines."""
+    document = load_document('consorcio.toml')
+    for kind in document['accelerators']:
+        kind['step_seconds'] = 0.01
+    running = World(document)
+    running.start()
+    yield running
+    running.close()
--- /dev/null
+++ b/wigeonspoke/node/tests/test_callers.py
@@ -0,0 +1,281 @@
+"""The callers' interface, end to end on real sockets."""
+
+import eventlet
+import msgspec
+import openai
+import pytest
+from returns.result import Success
+
+from wigeonspoke.core.membership import MarkState
+from wigeonspoke.load import Caller, Prompt, Verdict
+from wigeonspoke.node.callers_app import chat_prompt
+from wigeonspoke.node.openai_messages import ChatMessage
+from wigeonspoke.standins import Fault, expected_answer
+from wigeonspoke.standins.platform import FaultKind
+from wigeonspoke.transport import HttpClient
+
+LAYERS = 24
+KEY = 'demo-key-packer-1'
+
+
+def _client(world):
+    address = world.nodes[0].callers.address
+    return openai.OpenAI(
+        base_url=f'http://{address}/v1',
+        api_key=KEY,
+        max_retries=0,
+    )
+
+
+def _post(world, path, body, key=KEY, node=0):
+    client = HttpClient({'Authorization': f'Bearer {key}'})
+    encoded = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    address = world.nodes[node].callers.address
+    return client.post(address, path, encoded, 10).unwrap()
+
+
+def _error(reply):
+    return msgspec.json.decode(reply.body)['error']
+
+
+def test_openai_client_gets_whole_and_streamed_answers(world):
+    client = _client(world)
+    assert [model.id for model in client.models.list()] == ['drafting']
+    whole = client.completions.create(
+        model='drafting',
+        prompt='resin',
+        max_tokens=6,
+    )
+    assert whole.choices[0].text == expected_answer(LAYERS, 'resin', 6)
+    assert whole.usage.total_tokens == 5 + len(whole.choices[0].text)
+    message = {'role': 'user', 'content': 'año'}
+    pieces = client.chat.completions.create(
+        model='drafting',
+        messages=[message],
+        max_tokens=6,
+        stream=True,
+    )
+    text = ''.join(piece.choices[0].delta.content or '' for piece in pieces)
+    prompt = chat_prompt((ChatMessage('user', 'año'),))
+    assert text == expected_answer(LAYERS, prompt, 6)
+
+
+@pytest.mark.parametrize(
+    ('path', 'body', 'key', 'status', 'code'),
+    [
+        ('/v1/completions', b'{', KEY, 400, 'invalid_json'),
+        ('/v1/completions', b'\xff', KEY, 400, 'invalid_json'),
+        ('/v1/completions', {'model': 'drafting'}, KEY, 422, 'invalid_field'),
+        (
+            '/v1/completions',
+            {'model': 'drafting', 'prompt': 7},
+            KEY,
+            422,
+            'invalid_field',
+        ),
+        (
+            '/v1/completions',
+            {'model': 'drafting', 'prompt': 'x', 'max_tokens': 0},
+            KEY,
+            422,
+            'invalid_field',
+        ),
+        (
+            '/v1/completions',
+            {'model': 'drafting', 'prompt': 'x' * 2048},
+            KEY,
+            400,
+            'context_length_exceeded',
+        ),
+        (
+            '/v1/completions',
+            {'model': 'other', 'prompt': 'x'},
+            KEY,
+            404,
+            'model_not_found',
+        ),
+        (
+            '/v1/completions',
+            {'model': 'drafting', 'prompt': 'x'},
+            'wrong',
+            401,
+            'invalid_key',
+        ),
+        (
+            '/v1/completions',
+            {'model': 'drafting', 'prompt': 'x'},
+            '',
+            401,
+            'invalid_key',
+        ),
+        (
+            '/v1/chat/completions',
+            {'model': 'drafting', 'messages': []},
+            KEY,
+            422,
+            'invalid_field',
+        ),
+        ('/v1/completions', b'x' * 1_100_000, KEY, 413, 'body_too_large'),
+        ('/v1/nothing', {}, KEY, 404, 'not_found'),
+        ('/v1/services/filing/submissions', {}, KEY, 400, 'identity_required'),
+        ('/v1/services/filing/other', {}, KEY, 404, 'operation_not_found'),
+        ('/v1/services/other/x', {}, KEY, 404, 'operation_not_found'),
+    ],
+)
+def test_bad_input_is_refused_and_costs_no_step(
+    world,
+    path,
+    body,
+    key,
+    status,
+    code,
+):
+    reply = _post(world, path, body, key)
+    assert reply.status == status
+    assert _error(reply)['code'] == code
+    assert not world.ledger.steps
+    assert not world.ledger.calls
+
+
+def test_caller_that_leaves_frees_the_engines(world):
+    for engine in world.engines:
+        engine.slowdown = 10
+    body = {'model': 'drafting', 'prompt': 'x', 'max_tokens': 500}
+    client = HttpClient({'Authorization': f'Bearer {KEY}'})
+    address = world.nodes[0].callers.address
+    encoded = msgspec.json.encode(body)
+    sent = client.post(address, '/v1/completions', encoded, 0.5)
+    assert not isinstance(sent, Success)
+    eventlet.sleep(1)
+    assert not any(engine.streams for engine in world.engines)
+    assert world.nodes[0].runtime.router.is_idle
+
+
+def _ask(world, tokens=30, stream=True, node=0):
+    prompt = Prompt('drafting', LAYERS, 'declaration', tokens, stream, False)
+    address = world.nodes[node].callers.address
+    return Caller(KEY).ask(address, prompt, 0)
+
+
+@pytest.mark.parametrize('stream', [True, False])
+def test_answer_is_whole_though_its_stages_die(world, stream):
+    asked = eventlet.spawn(_ask, world, 40, stream)
+    eventlet.sleep(0.3)
+    used = {step.endpoint for step in world.ledger.steps}
+    for engine in world.engines[:5]:
+        if engine.name in used:
+            engine.kill()
+    assert asked.wait().verdict is Verdict.WHOLE
+    assert world.ledger.check().layers_out_of_order == 0
+
+
+def test_answer_that_can_not_be_finished_is_no_short_success(world):
+    asked = eventlet.spawn(_ask, world, 200)
+    eventlet.sleep(0.3)
+    for engine in world.engines:
+        engine.kill()
+    world.nodes[0].runtime.view.models['drafting'] = msgspec.structs.replace(
+        world.nodes[0].runtime.view.models['drafting'],
+        queue_seconds=0.2,
+    )
+    assert asked.wait().verdict is Verdict.CUT
+
+
+def test_planned_stop_cuts_nothing_off(world):
+    asked = [eventlet.spawn(_ask, world, 40, True, 2) for _ in range(8)]
+    eventlet.sleep(0.2)
+    stopping = eventlet.spawn(world.nodes[2].stop)
+    eventlet.sleep(0.1)
+    assert not world.nodes[2].is_ready
+    assert _ask(world, 5, True, 2).verdict is Verdict.WHOLE
+    verdicts = {answer.wait().verdict for answer in asked}
+    stopping.wait()
+    assert verdicts == {Verdict.WHOLE}
+
+
+@pytest.mark.parametrize('store_down', [False, True])
+def test_drain_through_one_node_reaches_all(world, store_down):
+    if store_down:
+        outage = Fault(FaultKind.OUTAGE, 'marks', count=0)
+        world.platform.faults.append(outage)
+    name = world.engines[0].name
+    assert world.nodes[5].mark_sync.mark(name, MarkState.DRAIN, 0)
+    eventlet.sleep(1.5)
+    states = {node.runtime.view.marks.state(name) for node in world.nodes}
+    assert states == {MarkState.DRAIN}
+
+
+def _submit(world, identity, body=b'{}', node=0):
+    address = world.nodes[node].callers.address
+    client = HttpClient(
+        {
+            'Authorization': f'Bearer {KEY}',
+            'Idempotency-Key': identity,
+        }
+    )
+    path = '/v1/services/filing/submissions'
+    return client.post(address, path, body, 10).unwrap()
+
+
+def test_repeat_gets_the_kept_answer_byte_for_byte(world):
+    first = _submit(world, 'op-1')
+    eventlet.sleep(0.2)
+    again = _submit(world, 'op-1', node=3)
+    assert (first.status, again.body) == (200, first.body)
+    assert len(world.ledger.calls) == 1
+    assert _submit(world, 'op-1', b'{"other": 1}').status == 422
+
+
+def test_same_operation_at_all_nodes_at_once_runs_once(world):
+    sent = [
+        eventlet.spawn(_submit, world, 'op-1', b'{}', node) for node in range(6)
+    ]
+    replies = [reply.wait() for reply in sent]
+    assert len(world.ledger.calls) == 1
+    assert {reply.status for reply in replies} <= {200, 409}
+    assert len({reply.body for reply in replies if reply.is_ok}) == 1
+
+
+@pytest.mark.parametrize(
+    ('kind', 'count', 'status', 'runs'),
+    [
+        (FaultKind.LOST_ANSWER, 1, 200, 1),
+        (FaultKind.LOST_ANSWER, 3, 200, 1),
+        (FaultKind.OUTAGE, 0, 503, 0),
+        (FaultKind.ERROR_BEFORE, 1, 503, 0),
+    ],
+)
+def test_store_faults(world, kind, count, status, runs):
+    world.platform.faults.append(Fault(kind, 'claims', count))
+    reply = _submit(world, 'op-1')
+    assert (reply.status, len(world.ledger.calls)) == (status, runs)
+    if status == 503:
+        assert _error(reply)['outcome'] == 'not-run'
+
+
+def test_call_whose_replica_dies_is_unknown_and_stays_so(world):
+    for replica in world.services:
+        replica.work_seconds = 5
+    sent = eventlet.spawn(_submit, world, 'op-1')
+    eventlet.sleep(0.2)
+    for replica in world.services:
+        replica.kill()
+    reply = sent.wait()
+    assert (reply.status, _error(reply)['outcome']) == (504, 'unknown')
+    eventlet.sleep(0.3)
+    assert _error(_submit(world, 'op-1', node=1))['outcome'] == 'unknown'
+    outcome = HttpClient({'Authorization': f'Bearer {KEY}'}).get(
+        world.nodes[2].callers.address,
+        '/v1/outcomes/filing/op-1',
+    )
+    assert b'"unknown"' in outcome.unwrap().body
+
+
+def test_call_that_no_replica_takes_is_not_run_and_may_come_again(world):
+    for replica in world.services:
+        replica.kill()
+    reply = _submit(world, 'op-1')
+    assert (reply.status, _error(reply)['outcome']) == (503, 'not-run')
+    eventlet.sleep(0.3)
+    assert 'claims' in world.platform.tables
+    assert not world.platform.tables['claims']
--- /dev/null
+++ b/wigeonspoke/node/tests/test_settings.py
@@ -0,0 +1,51 @@
+"""Wrong settings end the start with name, value and what is allowed."""
+
+import msgspec
+import pytest
+from returns.result import Success
+
+from wigeonspoke.node import NodeSettings, check_settings
+
+GOOD = NodeSettings('n1', 'a', '127.0.0.1:1', 'admin-key', 'cluster-key')
+
+
+@pytest.mark.parametrize(
+    ('name', 'wrong'),
+    [
+        ('name', ''),
+        ('name', 'Has Spaces'),
+        ('failure_domain', 'x/y'),
+        ('platform', 'localhost'),
+        ('platform', 'a.example:80'),
+        ('admin_key', 'short'),
+        ('cluster_key', ''),
+        ('callers_port', 65536),
+        ('admin_port', -1),
+        ('peers_port', 70000),
+        ('seeds', ('127.0.0.1',)),
+        ('look_away_seconds', -1),
+        ('log_level', 'LOUD'),
+    ],
+)
+def test_wrong_setting(name, wrong):
+    settings = msgspec.structs.replace(GOOD, **{name: wrong})
+    error = check_settings(settings).failure()[0]
+    assert error.name == name
+    flag = name.replace('_', '-')
+    assert f'--{flag} (WIGEONSPOKE_NODE_{name.upper()})' in error.describe()
+    assert error.allowed in error.describe()
+
+
+def test_keys_are_not_shown():
+    settings = msgspec.structs.replace(GOOD, admin_key='secret')
+    assert 'secret' not in check_settings(settings).failure()[0].describe()
+
+
+def test_all_errors_come_at_once():
+    settings = NodeSettings('', '', '', '', '')
+    names = [error.name for error in check_settings(settings).failure()]
+    assert len(names) == 5
+
+
+def test_good_settings():
+    assert isinstance(check_settings(GOOD), Success)
--- /dev/null
+++ b/wigeonspoke/tests/test_processes.py
@@ -0,0 +1,85 @@
+"""The daemons as processes of their own."""
+
+import re
+import signal
+import subprocess  # noqa: S404
+import sys
+
+import eventlet
+import pytest
+from returns.result import Success
+
+from wigeonspoke.transport import HttpClient
+
+PROGRAM = (sys.executable, '-m', 'wigeonspoke')
+NODE = (
+    'node',
+    '--name=n1',
+    '--failure-domain=a',
+    '--admin-key=admin-key',
+    '--cluster-key=cluster-key',
+    '--look-away-seconds=0.2',
+)
+ADDRESS = r'127\.0\.0\.1:\d+'
+
+
+@pytest.fixture
+def start():
+    """Give a function that starts a process and reads its first line."""
+    started = []
+
+    def run(*arguments):
+        process = subprocess.Popen(  # noqa: S603
+            [*PROGRAM, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        started.append(process)
+        return process
+
+    yield run
+    for process in started:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+
+def _addresses(process):
+    while line := process.stdout.readline():
+        found = re.findall(ADDRESS, line)
+        if found:
+            return found
+    return []
+
+
+def test_node_starts_without_platform_and_stops_on_sigterm(start):
+    node = start(*NODE, '--platform=127.0.0.1:1')
+    _, admin, _ = _addresses(node)
+    client = HttpClient()
+    assert client.get(admin, '/healthz').unwrap().is_ok
+    assert client.get(admin, '/readyz').unwrap().status == 503
+    node.send_signal(signal.SIGTERM)
+    assert node.wait(timeout=20) == 0
+
+
+def test_second_sigterm_ends_the_node_at_once(start):
+    node = start(*NODE[:-1], '--platform=127.0.0.1:1')
+    _addresses(node)
+    node.send_signal(signal.SIGTERM)
+    eventlet.sleep(0.5)
+    node.send_signal(signal.SIGTERM)
+    assert node.wait(timeout=20) == 1
+
+
+def test_wrong_settings_end_the_start(start):
+    node = start('node', '--name=n1')
+    output, _ = node.communicate(timeout=20)
+    assert node.returncode == 2
+    assert '--failure-domain (WIGEONSPOKE_NODE_FAILURE_DOMAIN)' in output
+
+
+def test_standin_platform_serves(start):
+    address = _addresses(start('standin', 'platform'))[0]
+    reply = HttpClient().get(address, '/hosts')
+    assert isinstance(reply, Success)
--- a/wigeonspoke/transport/http_app.py
+++ b/wigeonspoke/transport/http_app.py
@@ -202,9 +202,11 @@
 
 
 def _read_stream(request: Request, limit: int) -> bytes:
+    # The server's own stream knows both ways to give a body its length.
+    source = request.environ['wsgi.input']
     chunks: list[bytes] = []
     size = 0
-    while chunk := request.stream.read(READ_BYTES):
+    while chunk := source.read(READ_BYTES):
         size += len(chunk)
         if size > limit:
             raise _too_large(limit)
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -97,6 +97,9 @@
 
     def close(self) -> None:
         """Stop accepting connections."""
+        # The loop must not wait on a descriptor that is closed and may come
+        # again as another's.
+        self.greenlet.kill()
         shutdown_safe(self.sock)
         self.sock.close()
 
--- /dev/null
+++ b/wigeonspoke/transport/tests/test_transport.py
@@ -0,0 +1,163 @@
+"""Outcomes of the client and limits of the listener, on real sockets."""
+
+import socket
+
+import eventlet
+import pytest
+from returns.result import Success
+from werkzeug.wrappers import Response
+
+from wigeonspoke.transport import (
+    HttpApp,
+    HttpClient,
+    HttpListener,
+    ListenerLimits,
+)
+from wigeonspoke.transport.http_app import read_body
+
+HEAD = b'POST /echo HTTP/1.1\r\nHost: x\r\n'
+
+
+def _echo(request):
+    return Response(read_body(request, limit=100))
+
+
+def _slow(request):
+    eventlet.sleep(5)
+    return Response('late')
+
+
+def _broken(request):
+    raise ValueError('a fault of the handler')
+
+
+@pytest.fixture
+def listener():
+    app = HttpApp(
+        [
+            ('POST', '/echo', _echo),
+            ('GET', '/slow', _slow),
+            ('GET', '/broken', _broken),
+        ]
+    )
+    limits = ListenerLimits(read_seconds=0.3)
+    served = HttpListener(app, limits=limits)
+    yield served
+    served.abort()
+
+
+def _free_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def _exchange(address, *pieces):
+    host, port = address.split(':')
+    with socket.create_connection((host, int(port))) as client:
+        for piece in pieces:
+            client.sendall(piece)
+        client.settimeout(5)
+        return client.recv(65536).decode()
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'code'),
+    [
+        ('/nothing', 404, 'not_found'),
+        ('/echo', 405, 'method_not_allowed'),
+        ('/broken', 500, 'internal'),
+    ],
+)
+def test_errors_have_typed_bodies(listener, path, status, code):
+    reply = HttpClient().get(listener.address, path).unwrap()
+    assert reply.status == status
+    assert f'"code":"{code}"' in reply.body.decode()
+
+
+@pytest.mark.parametrize(
+    ('pieces', 'status', 'code'),
+    [
+        (
+            [HEAD, b'Content-Length: 101\r\n\r\n'],
+            '413',
+            'body_too_large',
+        ),
+        (
+            [
+                HEAD,
+                b'Transfer-Encoding: chunked\r\n\r\n',
+                b'65\r\n' + b'x' * 101 + b'\r\n0\r\n\r\n',
+            ],
+            '413',
+            'body_too_large',
+        ),
+        (
+            [HEAD, b'Content-Length: 10\r\n\r\n', b'12345'],
+            '408',
+            'slow_body',
+        ),
+        (
+            [HEAD, b'X-Long: ', b'y' * 9000, b'\r\n\r\n'],
+            '431',
+            'headers',
+        ),
+        (
+            [HEAD, *[b'X-Many: ' + b'y' * 8000 + b'\r\n'] * 9, b'\r\n'],
+            '431',
+            'headers',
+        ),
+    ],
+)
+def test_limits(listener, pieces, status, code):
+    reply = _exchange(listener.address, *pieces)
+    assert reply.split(' ')[1] == status
+    assert code in reply
+
+
+def test_refused_connection_proves_not_run():
+    error = HttpClient().get(f'127.0.0.1:{_free_port()}', '/').failure()
+    assert (error.outcome.value, error.reason.value) == (
+        'not-run',
+        'connect-failed',
+    )
+
+
+def test_silence_is_unknown(listener):
+    error = HttpClient().get(listener.address, '/slow', 0.1).failure()
+    assert (error.outcome.value, error.reason.value) == (
+        'unknown',
+        'timeout',
+    )
+
+
+@pytest.mark.parametrize('fresh', [True, False])
+def test_reset_in_the_middle_is_unknown(listener, fresh):
+    eventlet.spawn_after(0.1, listener.abort)
+    sent = HttpClient().send(listener.address, 'GET', '/slow', fresh=fresh)
+    error = sent.failure()
+    assert (error.outcome.value, error.reason.value) == (
+        'unknown',
+        'connection-lost',
+    )
+
+
+def test_active_requests_are_counted(listener):
+    client = HttpClient()
+    waiting = eventlet.spawn(client.get, listener.address, '/slow', 0.3)
+    eventlet.sleep(0.1)
+    assert listener.active == 1
+    waiting.wait()
+    reply = client.post(listener.address, '/echo', b'body')
+    assert isinstance(reply, Success)
+
+
+def test_body_that_comes_too_slowly_is_given_up(listener, monkeypatch):
+    monkeypatch.setattr('wigeonspoke.transport.http_app.BODY_SECONDS', 0.2)
+    reply = _exchange(
+        listener.address,
+        HEAD,
+        b'Content-Length: 10\r\n\r\n',
+        b'1',
+    )
+    assert '408' in reply
