--- a/wigeonspoke/cli/operator.py
+++ b/wigeonspoke/cli/operator.py
@@ -161,12 +161,14 @@
 
 
 def _print_endpoint(endpoint: EndpointStatus) -> None:
-    empty = 'empty' if endpoint.empty else f'{endpoint.streams} streams'
-    click.echo(
-        f'{endpoint.name} in {endpoint.failure_domain}: '
-        f'{endpoint.mark.value} (version {endpoint.mark_version}), '
-        f'{endpoint.health} {endpoint.reason}, {empty}',
-    )
+    parts = [
+        f'{endpoint.mark.value} (version {endpoint.mark_version})',
+        endpoint.health,
+        endpoint.reason,
+        'empty' if endpoint.empty else f'{endpoint.streams} in progress',
+    ]
+    found = ', '.join(filter(None, parts))
+    click.echo(f'{endpoint.name} in {endpoint.failure_domain}: {found}')
 
 
 def _print_errors(errors: tuple[AnswerError, ...]) -> None:
--- a/wigeonspoke/load/caller.py
+++ b/wigeonspoke/load/caller.py
@@ -96,7 +96,7 @@
             verdict=_judge(prompt, reading, status, outcome),
             due=due,
             started=started,
-            first_token=reading.first_token,
+            first_token=reading.first_token if prompt.stream else None,
             ended=time.monotonic(),
             tokens=len(reading.text),
             status=status,
