--- a/wigeonspoke/bench/cluster.py
+++ b/wigeonspoke/bench/cluster.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
 from wigeonspoke.bench.engine import StepEvent, VirtualEngine
 from wigeonspoke.bench.scheduler import Scheduler
 from wigeonspoke.core import actions, events
@@ -40,14 +42,26 @@
 class AnswerLog:
     """What the caller of one request saw, and when."""
 
-    __slots__ = ('arrived', 'ended', 'finish', 'request', 'times', 'tokens')
+    __slots__ = (
+        'arrived',
+        'ended',
+        'finish',
+        'moved',
+        'node',
+        'request',
+        'times',
+        'tokens',
+    )
 
     def __init__(
         self,
         request: events.GenerationRequested,
+        node: str,
         arrived: float,
     ) -> None:
         self.request = request
+        self.node = node
+        self.moved = 0
         self.arrived = arrived
         self.times: list[float] = []
         self.tokens: list[int] = []
@@ -228,10 +242,35 @@
 
     def ask(self, node: str, request: events.GenerationRequested) -> None:
         """Let a caller ask a node now."""
-        log = AnswerLog(request, self.scheduler.now)
+        log = AnswerLog(request, node, self.scheduler.now)
         self.answers[request.request_id] = log
         self.nodes[node].dispatch(request)
 
+    def lose_node(self, name: str) -> None:
+        """Let a node die; its callers ask again at another one."""
+        lost = self.nodes[name]
+        lost.alive = False
+        heirs = [node for node in self.nodes.values() if node.alive]
+        asked = [
+            log
+            for log in self.answers.values()
+            if log.node == name and log.finish is None
+        ]
+        for number, log in enumerate(asked):
+            log.tokens.clear()
+            self.move(log, heirs[number % len(heirs)].name)
+
+    def move(self, log: AnswerLog, node: str) -> None:
+        """Let a caller ask another node for the whole answer."""
+        log.node = node
+        log.moved += 1
+        moved = msgspec.structs.replace(
+            log.request,
+            request_id=f'{log.request.request_id}-{log.moved}',
+        )
+        self.answers[moved.request_id] = log
+        self.nodes[node].dispatch(moved)
+
     def delay(self, one: str, other: str) -> float:
         """Give the one-way delay between two failure domains."""
         if one == other:
--- a/wigeonspoke/cli/commands.py
+++ b/wigeonspoke/cli/commands.py
@@ -3,6 +3,7 @@
 import click
 
 from wigeonspoke import __version__
+from wigeonspoke.cli.bench import bench
 from wigeonspoke.cli.demo import demo
 from wigeonspoke.cli.load import load
 from wigeonspoke.cli.node import node
@@ -22,6 +23,7 @@
 
 
 COMMANDS = (
+    bench,
     demo,
     endpoints,
     load,
--- a/wigeonspoke/core/admission/fair_queue.py
+++ b/wigeonspoke/core/admission/fair_queue.py
@@ -9,6 +9,8 @@
 import heapq
 import itertools
 
+from wigeonspoke.core.timers import LazyTimers
+
 BATCH_TURN = 4
 
 
@@ -57,13 +59,22 @@
 class FairQueue:
     """The waiting requests of one model at this node."""
 
-    __slots__ = ('batch', 'interactive', 'order', 'turn', 'waiting', 'work')
+    __slots__ = (
+        'batch',
+        'deadlines',
+        'interactive',
+        'order',
+        'turn',
+        'waiting',
+        'work',
+    )
 
     def __init__(self) -> None:
         self.interactive = _Lane()
         self.batch = _Lane()
         self.order = itertools.count()
         self.turn = 0
+        self.deadlines = LazyTimers()
         self.waiting: dict[str, Waiting] = {}
         self.work = 0
 
@@ -108,17 +119,18 @@
 
     def expired(self, now: float) -> list[Waiting]:
         """Take out the requests whose deadline has passed."""
-        late = [
-            waiting
-            for waiting in self.waiting.values()
-            if waiting.deadline <= now
-        ]
-        for waiting in late:
-            self.remove(waiting.request_id)
+        late: list[Waiting] = []
+        for request_id in self.deadlines.fire(now):
+            waiting = self.waiting.get(request_id)
+            # A request that was put back has entries of both its waits.
+            if waiting and waiting.deadline <= now:
+                self.remove(request_id)
+                late.append(waiting)
         return late
 
     def _admit(self, waiting: Waiting) -> None:
         self.waiting[waiting.request_id] = waiting
+        self.deadlines.arm(waiting.request_id, waiting.deadline)
         self.work += waiting.work
 
     def _next_lane(self) -> _Lane | None:
--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -19,12 +19,14 @@
     StepFailed,
     StepReplied,
 )
+from wigeonspoke.core.health import MIN_TIMEOUT_SECONDS
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.pace import TokenPace
 from wigeonspoke.core.retries import RetryBudget
 from wigeonspoke.core.routes import EndpointState, Route
 from wigeonspoke.core.streams.session import GenerationSession, Outstanding
 from wigeonspoke.core.streams.tokens import END_OF_ANSWER
+from wigeonspoke.core.timers import LazyTimers
 from wigeonspoke.core.view import EJECTING_REASONS, ClusterView
 
 MAX_ATTEMPTS = 12
@@ -34,7 +36,7 @@
 class GenerationCoordinator:
     """Runs the sessions: admission, steps, rebuilding and ends."""
 
-    __slots__ = ('budget', 'pace', 'queues', 'sessions', 'view')
+    __slots__ = ('budget', 'pace', 'queues', 'sessions', 'timers', 'view')
 
     def __init__(self, view: ClusterView) -> None:
         self.view = view
@@ -42,6 +44,7 @@
         self.queues: dict[str, FairQueue] = {}
         self.budget = RetryBudget()
         self.pace = TokenPace()
+        self.timers = LazyTimers()
 
     def request(
         self,
@@ -63,6 +66,7 @@
             return [self._refuse(event, Reason.ACCOUNT_LIMIT)]
         session = GenerationSession(event, model, now)
         self.sessions[event.request_id] = session
+        self.timers.arm(event.request_id, now + MIN_TIMEOUT_SECONDS)
         self.budget.deposit(session.work)
         waiting = self._waiting(session, now)
         queue.push(waiting, view.limits.weight(event.account))
@@ -142,8 +146,10 @@
             for waiting in queue.expired(now):
                 session = self.sessions[waiting.request_id]
                 actions.extend(self._expire(session, now))
-        for session in tuple(self.sessions.values()):
-            actions.extend(self._check_overdue(session, now))
+        for request_id in self.timers.fire(now):
+            session = self.sessions.get(request_id)
+            if session:
+                actions.extend(self._check_overdue(session, now))
         return [*actions, *self.dispatch(now)]
 
     def open_streams(self) -> int:
@@ -304,8 +310,14 @@
     ) -> list[AnyAction]:
         outstanding = session.outstanding
         if outstanding is None:
+            self.timers.arm(session.request_id, now + MIN_TIMEOUT_SECONDS)
             return []
         step = outstanding.step
+        due = outstanding.sent_at + step.timeout_seconds
+        if now < min(due, session.deadline):
+            soonest = min(due, session.deadline, now + MIN_TIMEOUT_SECONDS)
+            self.timers.arm(session.request_id, soonest)
+            return []
         if now >= session.deadline:
             error = StepError(
                 outcome=Outcome.FAILED,
@@ -314,8 +326,7 @@
                 peer=step.endpoint,
             )
             return self._finish(session, now, error)
-        if now - outstanding.sent_at < step.timeout_seconds:
-            return []
+        self.timers.arm(session.request_id, now + MIN_TIMEOUT_SECONDS)
         silent = StepFailed(
             step.key,
             step.endpoint,
--- a/wigeonspoke/core/health/__init__.py
+++ b/wigeonspoke/core/health/__init__.py
@@ -1,5 +1,9 @@
 """Suspicion, ejection and slow start of endpoints."""
 
-from wigeonspoke.core.health.endpoint import EndpointHealth, HealthState
+from wigeonspoke.core.health.endpoint import (
+    MIN_TIMEOUT_SECONDS,
+    EndpointHealth,
+    HealthState,
+)
 
-__all__ = ('EndpointHealth', 'HealthState')
+__all__ = ('MIN_TIMEOUT_SECONDS', 'EndpointHealth', 'HealthState')
--- a/wigeonspoke/core/router.py
+++ b/wigeonspoke/core/router.py
@@ -120,10 +120,7 @@
         event: events.ProbeAnswered,
         now: float,
     ) -> list[AnyAction]:
-        state = self.view.endpoint(event.endpoint)
-        if state and state.health.note_probe(event.healthy, now):
-            self.view.count('endpoint_returned', 'probe')
-            self.view.note('endpoint-returned', state.name)
+        if self.view.take_probe(event.endpoint, event.healthy, now):
             return self.generation.dispatch(now)
         return []
 
@@ -140,9 +137,5 @@
         for peer in self.view.peers.forget_stale(now):
             self.view.count('peer_forgotten', 'silent')
             self.view.note('peer-lost', peer)
-        probes = [
-            ProbeEndpoint(state.name)
-            for state in self.view.registry.endpoints.values()
-            if state.health.wants_probe(now)
-        ]
+        probes = map(ProbeEndpoint, self.view.wanted_probes(now))
         return [*probes, *self.calls.tick(now), *self.generation.tick(now)]
--- a/wigeonspoke/core/routes/planner.py
+++ b/wigeonspoke/core/routes/planner.py
@@ -20,7 +20,7 @@
 )
 from wigeonspoke.core.routes.route import Route, build_route
 
-SAMPLE_SIZE = 4
+SAMPLE_SIZE = 2
 HOPS_PER_STAGE = 2
 NOBODY: frozenset[str] = frozenset()
 
--- a/wigeonspoke/core/tests/test_admission.py
+++ b/wigeonspoke/core/tests/test_admission.py
@@ -67,6 +67,15 @@
     assert (queue.work, queue.pop()) == (0, None)
 
 
+def test_request_put_back_expires_once_and_by_its_new_deadline():
+    queue = _queue([('a', 1, 10, True)])
+    first = queue.pop()
+    queue.push_back(Waiting(first.request_id, 'a', 10, 12, True))
+    assert queue.expired(9) == []
+    assert [late.request_id for late in queue.expired(12)] == ['a0']
+    assert queue.expired(99) == []
+
+
 @pytest.mark.parametrize(
     ('limit', 'nodes', 'entered'),
     [(4, 1, 4), (4, 2, 2), (5, 2, 3), (1, 6, 1)],
--- a/wigeonspoke/core/view.py
+++ b/wigeonspoke/core/view.py
@@ -33,6 +33,7 @@
     __slots__ = (
         'configuration',
         'counters',
+        'ejected',
         'home',
         'limits',
         'marks',
@@ -55,6 +56,7 @@
         self.peers = PeerBook()
         self.limits = AccountLimits()
         self.stopping = False
+        self.ejected: set[str] = set()
         self.notes: list[Note] = []
         self.counters: dict[tuple[str, str], int] = {}
         self.planner = RoutePlanner(
@@ -98,9 +100,32 @@
     def eject(self, state: EndpointState, reason: Reason, now: float) -> None:
         """Take an endpoint that failed out of the choice."""
         if state.health.note_failure(reason.value, now):
+            self.ejected.add(state.name)
             self.count('endpoint_ejected', reason.value)
             self.note('endpoint-ejected', state.name, detail=reason.value)
 
+    def take_probe(self, name: str, healthy: bool, now: float) -> bool:
+        """Take in a probe's answer; tell whether the endpoint is back."""
+        state = self.endpoint(name)
+        if state is None:
+            self.ejected.discard(name)
+            return False
+        if not state.health.note_probe(healthy, now):
+            return False
+        self.ejected.discard(name)
+        self.count('endpoint_returned', 'probe')
+        self.note('endpoint-returned', name)
+        return True
+
+    def wanted_probes(self, now: float) -> list[str]:
+        """Give the ejected endpoints that it is time to probe."""
+        known = [self.endpoint(name) for name in sorted(self.ejected)]
+        return [
+            state.name
+            for state in known
+            if state and state.health.wants_probe(now)
+        ]
+
     def note(
         self,
         kind: str,
