Keep engines full with few streams in flight, and split them over nodes

Cause: at 0.8 of the bound 7 to 13 in 100 steps were of attempts begun anew after a refusal: nodes chose by reports 0.25 s old and met at the same engines. In overload all room was filled, so each token waited. A trace of the engines showed batches of 4-stage routes 0.76 full, since streams of one batch parted at the next stage.

--- a/wigeonspoke/bench/capacity.py
+++ b/wigeonspoke/bench/capacity.py
@@ -261,7 +261,7 @@
             EndpointLoad(f'engine-{number}-{stage}', 1)
             for stage in range(STAGES)
         )
-        report = PeerReport(f'node-{number}', 'x', 1, 1, loads)
+        report = PeerReport(f'node-{number}', 'b', 'x', 1, 1, loads)
         router.view.peers.take(report, 0)
     return router
 
--- a/wigeonspoke/config/generate.py
+++ b/wigeonspoke/config/generate.py
@@ -51,6 +51,7 @@
             max_context=model.max_context,
             request_seconds=model.answer_seconds,
             queue_seconds=model.queue_seconds,
+            between_tokens_seconds=model.between_tokens_seconds,
         )
 
 
--- a/wigeonspoke/config/questionnaire.py
+++ b/wigeonspoke/config/questionnaire.py
@@ -40,6 +40,7 @@
     max_context: Count = 4096
     answer_seconds: Seconds = 120.0
     queue_seconds: Seconds = 30.0
+    between_tokens_seconds: Seconds = 0.044
 
 
 class AcceleratorAnswer(
--- a/wigeonspoke/core/deployment/records.py
+++ b/wigeonspoke/core/deployment/records.py
@@ -23,7 +23,8 @@
 
     ``max_context`` counts prompt and generated tokens together.
     ``request_seconds`` bounds a whole answer, ``queue_seconds`` the wait
-    before its first step.
+    before its first step, and ``between_tokens_seconds`` is the target for
+    the time from one token to the next.
     """
 
     name: str
@@ -31,6 +32,7 @@
     max_context: int
     request_seconds: float
     queue_seconds: float
+    between_tokens_seconds: float = 0.044
 
 
 class Engine(msgspec.Struct, frozen=True):
--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -109,6 +109,9 @@
             return []
         self.view.count('step_failed', event.reason.value)
         self._note_failure(event, now)
+        moved = self._move_stage(session, event, now)
+        if moved:
+            return [moved]
         actions = self._abandon(session)
         error = StepError(
             outcome=Outcome.FAILED,
@@ -197,7 +200,7 @@
         event: StepReplied | StepFailed,
     ) -> GenerationSession | None:
         session = self.sessions.get(event.key.request_id)
-        if session and session.expects(event.key):
+        if session and session.expects(event.key, event.endpoint):
             return session
         return None
 
@@ -354,6 +357,34 @@
         elif event.reason in EJECTING_REASONS:
             self.view.eject(state, event.reason, now)
 
+    def _move_stage(
+        self,
+        session: GenerationSession,
+        event: StepFailed,
+        now: float,
+    ) -> SendStep | None:
+        """Open a stage elsewhere that certainly ran nothing yet."""
+        outstanding = session.outstanding
+        if outstanding is None or event.outcome is not Outcome.NOT_RUN:
+            return None
+        step = outstanding.step
+        if step.position or session.attempt >= MAX_ATTEMPTS:
+            return None
+        session.avoid.add(event.endpoint)
+        engine = self.view.planner.choose_stage(
+            session.model,
+            step.layers,
+            now,
+            session.avoid,
+        )
+        moved = session.replace_stage(engine) if engine else None
+        if moved is None:
+            return None
+        self.view.count('stage_moved', event.reason.value)
+        self._endpoint(event.endpoint).streams -= 1
+        self._endpoint(moved.endpoint).streams += 1
+        return self._send(session, moved, now)
+
     def _may_rebuild(
         self,
         session: GenerationSession,
--- a/wigeonspoke/core/membership/peers.py
+++ b/wigeonspoke/core/membership/peers.py
@@ -49,6 +49,13 @@
             self._recount()
         return stale
 
+    def nodes_by_domain(self) -> dict[str, list[str]]:
+        """Give the names of live peers by failure domain."""
+        nodes: dict[str, list[str]] = {}
+        for name, peer in self.peers.items():
+            nodes.setdefault(peer.report.failure_domain, []).append(name)
+        return nodes
+
     def streams_at(self, endpoint: str) -> int:
         """Count the streams that live peers have open at an endpoint."""
         return self.streams.get(endpoint, 0)
--- a/wigeonspoke/core/membership/records.py
+++ b/wigeonspoke/core/membership/records.py
@@ -37,6 +37,7 @@
     """
 
     node: str
+    failure_domain: str
     incarnation: str
     sequence: int
     generation: int
--- a/wigeonspoke/core/router.py
+++ b/wigeonspoke/core/router.py
@@ -30,7 +30,7 @@
 
     def __init__(self, node: str, home: str, chance: random.Random) -> None:
         self.node = node
-        self.view = ClusterView(home, chance)
+        self.view = ClusterView(node, home, chance)
         self.generation = GenerationCoordinator(self.view)
         self.calls = CallCoordinator(self.view)
         self.sequence = 0
@@ -68,6 +68,7 @@
         )
         return PeerReport(
             node=self.node,
+            failure_domain=self.view.home,
             incarnation=incarnation,
             sequence=self.sequence,
             generation=self.view.generation,
@@ -103,10 +104,7 @@
         event: events.PeerReported,
         now: float,
     ) -> list[AnyAction]:
-        peers = self.view.peers
-        if event.report.node not in peers.peers:
-            self.view.note('peer-joined', event.report.node)
-        peers.take(event.report, now)
+        self.view.take_report(event.report, now)
         return self.generation.dispatch(now)
 
     def _cancel(self, event: events.CallerGone, now: float) -> list[AnyAction]:
@@ -134,8 +132,6 @@
         return []
 
     def _tick(self, event: events.TimerFired, now: float) -> list[AnyAction]:
-        for peer in self.view.peers.forget_stale(now):
-            self.view.count('peer_forgotten', 'silent')
-            self.view.note('peer-lost', peer)
+        self.view.forget_stale_peers(now)
         probes = map(ProbeEndpoint, self.view.wanted_probes(now))
         return [*probes, *self.calls.tick(now), *self.generation.tick(now)]
--- a/wigeonspoke/core/routes/planner.py
+++ b/wigeonspoke/core/routes/planner.py
@@ -4,6 +4,10 @@
 group.  In each group the planner looks at a few members and keeps the best;
 over the groups it finds the cheapest tiling, from the first layer on.  The
 cost of a choice therefore grows with the number of groups, not of engines.
+
+Streams that share a batch on one stage come to the next one together.  The
+planner keeps them together by preferring engines at the same place of their
+groups, so that batches stay full with few streams in flight.
 """
 
 import random
@@ -11,28 +15,48 @@
 
 from returns.result import Success
 
-from wigeonspoke.core.deployment import Engine, Model
+from wigeonspoke.core.deployment import Engine, LayerRange, Model
 from wigeonspoke.core.membership import MarkBook, MarkState, PeerBook
 from wigeonspoke.core.routes.registry import (
     EndpointGroup,
     EndpointRegistry,
     EndpointState,
+    Ownership,
 )
 from wigeonspoke.core.routes.route import Route, build_route
 
 SAMPLE_SIZE = 2
 HOPS_PER_STAGE = 2
+LENT_SHARE = 0.6
+BORROWING_FACTOR = 1.5
+CROSSING_COST = 1
 NOBODY: frozenset[str] = frozenset()
 
 
 class _Chain:
     """The cheapest chain found so far from layer 0 to some layer."""
 
-    __slots__ = ('cost', 'stages')
+    __slots__ = ('cost', 'place', 'stages')
 
-    def __init__(self, cost: float, stages: tuple[Engine, ...]) -> None:
+    def __init__(
+        self,
+        cost: float,
+        stages: tuple[Engine, ...],
+        place: int | None = None,
+    ) -> None:
         self.cost = cost
         self.stages = stages
+        self.place = place
+
+    def followed_by(self, state: EndpointState, cost: float) -> '_Chain':
+        """Give the chain with one more engine, of a total cost."""
+        if state.engine is None:
+            return self
+        return _Chain(cost, (*self.stages, state.engine), state.place)
+
+    def crosses_to(self, state: EndpointState) -> bool:
+        """Tell whether an engine is not the one meant to follow."""
+        return self.place not in {None, state.place}
 
 
 class RoutePlanner:
@@ -72,6 +96,22 @@
         route = build_route(whole.stages, model.layers)
         return route.unwrap() if isinstance(route, Success) else None
 
+    def choose_stage(
+        self,
+        model: Model,
+        layers: LayerRange,
+        now: float,
+        avoid: Container[str] = NOBODY,
+    ) -> Engine | None:
+        """Give the best engine with room for one range of layers."""
+        best: dict[int, _Chain] = {}
+        start = _Chain(0, ())
+        for group in self.registry.groups.get(model.name, ()):
+            if group.layers == layers:
+                self._extend(best, start, group, now, avoid)
+        found = best.get(layers.end)
+        return found.stages[0] if found else None
+
     def choose_replica(
         self,
         service: str,
@@ -98,10 +138,38 @@
     def expected_seconds(self, state: EndpointState, engine: Engine) -> float:
         """Give the expected time of one token's step at an engine."""
         load = state.streams + self.peers.streams_at(state.name) + 1
-        queueing = max(1, load / engine.max_batch)
+        queueing = max(1, load / state.free_streams)
         link = self.registry.link_seconds(self.home, state.failure_domain)
         busy = engine.step_seconds * queueing * state.health.slowness
-        return busy + HOPS_PER_STAGE * link
+        seconds = busy + HOPS_PER_STAGE * link
+        if state.ownership is Ownership.OTHER:
+            return BORROWING_FACTOR * seconds
+        return seconds
+
+    def has_room(
+        self,
+        state: EndpointState,
+        now: float,
+        avoid: Container[str] = NOBODY,
+    ) -> bool:
+        """Tell whether this node may open one more stream at an engine.
+
+        A node fills its own engines, uses its part of shared ones, and
+        borrows what others leave unused.  What it knows of its peers is a
+        little old; an engine's own refusal is the truth.
+        """
+        if state.engine is None or state.name in avoid:
+            return False
+        if not self.accepts_work(state, now):
+            return False
+        limit = state.health.allowed_streams(state.stream_limit, now)
+        taken = state.streams + self.peers.streams_at(state.name)
+        if state.ownership is Ownership.OWN:
+            return taken < limit
+        part = limit / self.peers.live_nodes
+        if state.ownership is Ownership.SHARED and state.streams < part:
+            return True
+        return taken < LENT_SHARE * limit
 
     def _extend(
         self,
@@ -112,34 +180,36 @@
         avoid: Container[str],
     ) -> None:
         best = chains.get(group.layers.end)
-        for state in self._sample(group):
-            engine = state.engine
-            if engine is None or not self._has_room(state, now, avoid):
+        for state in self._sample(group, start.place):
+            if not self.has_room(state, now, avoid):
                 continue
-            cost = start.cost + self.expected_seconds(state, engine)
+            cost = start.cost + self._stage_cost(start, state)
             if best is None or cost < best.cost:
-                best = _Chain(cost, (*start.stages, engine))
+                best = start.followed_by(state, cost)
         if best:
             chains[group.layers.end] = best
 
-    def _sample(self, group: EndpointGroup) -> list[EndpointState]:
-        if len(group.members) <= SAMPLE_SIZE:
-            return group.members
-        return self.random.sample(group.members, SAMPLE_SIZE)
-
-    def _has_room(
-        self,
-        state: EndpointState,
-        now: float,
-        avoid: Container[str],
-    ) -> bool:
+    def _stage_cost(self, start: _Chain, state: EndpointState) -> float:
         engine = state.engine
-        if engine is None or state.name in avoid:
-            return False
-        if not self.accepts_work(state, now):
-            return False
-        taken = state.streams + self.peers.streams_at(state.name)
-        return taken < state.health.allowed_streams(engine.max_streams, now)
+        if engine is None:
+            return 0
+        seconds = self.expected_seconds(state, engine)
+        if start.crosses_to(state):
+            return seconds + CROSSING_COST * engine.step_seconds
+        return seconds
+
+    def _sample(
+        self,
+        group: EndpointGroup,
+        place: int | None,
+    ) -> list[EndpointState]:
+        members = group.members
+        if len(members) <= SAMPLE_SIZE:
+            return members
+        sampled = self.random.sample(members, SAMPLE_SIZE)
+        if place is not None and place < len(members):
+            sampled.append(members[place])
+        return sampled
 
     def _replica_cost(self, state: EndpointState) -> tuple[int, float]:
         link = self.registry.link_seconds(self.home, state.failure_domain)
--- a/wigeonspoke/core/routes/registry.py
+++ b/wigeonspoke/core/routes/registry.py
@@ -1,29 +1,56 @@
 """The state that a node keeps for each endpoint."""
 
+import enum
+import math
+from operator import attrgetter
+
 from wigeonspoke.core.deployment import (
     Configuration,
     Engine,
     LayerRange,
+    Model,
     ServiceReplica,
 )
 from wigeonspoke.core.health import EndpointHealth
 
 FULL_SECONDS = 0.1
+LATENCY_SHARE = 0.75
+STAGE_BATCHES = 2
+
+
+@enum.unique
+class Ownership(enum.StrEnum):
+    """Whose streams an engine's room is for.
+
+    ``OWN``: this node's; ``OTHER``: another's, to be borrowed from;
+    ``SHARED``: that of all nodes alike.
+    """
+
+    OWN = 'own'
+    OTHER = 'other'
+    SHARED = 'shared'
 
 
 class EndpointState:
     """An engine or service replica, as this node sees it.
 
-    ``streams`` counts what this node has open there.
+    ``streams`` counts what this node has open there, ``stream_limit`` is
+    how many all nodes together should.  Up to ``free_streams`` do not
+    wait for each other, since each is at another stage or in one batch.
+    ``place`` is its position in its group.
     """
 
     __slots__ = (
         'address',
         'engine',
         'failure_domain',
+        'free_streams',
         'full_until',
         'health',
         'name',
+        'ownership',
+        'place',
+        'stream_limit',
         'streams',
     )
 
@@ -40,6 +67,10 @@
         self.engine = engine
         self.health = EndpointHealth(engine.step_seconds if engine else 0)
         self.streams = 0
+        self.stream_limit = 0
+        self.free_streams = 1
+        self.ownership = Ownership.SHARED
+        self.place = 0
         self.full_until = 0
 
     def note_busy(self, now: float) -> None:
@@ -57,6 +88,26 @@
         self.failure_domain = failure_domain
         self.members: list[EndpointState] = []
 
+    def number_places(self) -> None:
+        """Give each member its place, engines of one kind together.
+
+        Engines at the same place of groups that follow each other are meant
+        to serve the same streams.
+        """
+        self.members.sort(key=attrgetter('engine.accelerator', 'name'))
+        for place, state in enumerate(self.members):
+            state.place = place
+
+    def assign(self, node: str, nodes: list[str]) -> None:
+        """Split the members over nodes, as seen from one of the nodes."""
+        if not nodes or len(self.members) < len(nodes):
+            for shared in self.members:
+                shared.ownership = Ownership.SHARED
+            return
+        for number, state in enumerate(self.members):
+            mine = nodes[number % len(nodes)] == node
+            state.ownership = Ownership.OWN if mine else Ownership.OTHER
+
 
 class EndpointRegistry:
     """All endpoints of the configuration in force, indexed for choices.
@@ -95,8 +146,24 @@
         for link in configuration.links:
             self.links[link.one, link.other] = link.seconds
             self.links[link.other, link.one] = link.seconds
+        self._limit(configuration)
         self._group(configuration)
 
+    def assign_owners(
+        self,
+        node: str,
+        nodes_by_domain: dict[str, list[str]],
+    ) -> None:
+        """Split each group's engines over the nodes of its failure domain.
+
+        All nodes that know of the same nodes come to the same split.  A
+        group with fewer engines than nodes is shared by all.
+        """
+        for groups in self.groups.values():
+            for group in groups:
+                nodes = sorted(nodes_by_domain.get(group.failure_domain, ()))
+                group.assign(node, nodes)
+
     def link_seconds(self, one: str, other: str) -> float:
         """Give the one-way latency between two failure domains."""
         return self.links.get((one, other), 0)
@@ -120,6 +187,14 @@
         self.endpoints[record.name] = state
         return state
 
+    def _limit(self, configuration: Configuration) -> None:
+        models = {model.name: model for model in configuration.models}
+        for engine in configuration.engines:
+            model = models[engine.model]
+            state = self.endpoints[engine.name]
+            state.free_streams = free_streams(engine, model)
+            state.stream_limit = stream_limit(engine, model)
+
     def _group(self, configuration: Configuration) -> None:
         found: dict[tuple[str, LayerRange, str], EndpointGroup] = {}
         self.groups = {model.name: [] for model in configuration.models}
@@ -133,3 +208,24 @@
             group.members.append(self.endpoints[engine.name])
         for groups in self.groups.values():
             groups.sort(key=lambda member: member.layers)
+            for aligned in groups:
+                aligned.number_places()
+
+
+def stream_limit(engine: Engine, model: Model) -> int:
+    """Give how many streams an engine should hold at once.
+
+    With more streams than its rate serves within the target between two
+    tokens, each waits longer and none is served faster.  Fewer than a batch
+    waiting and a batch running on every stage leave stages idle.
+    """
+    rate = engine.max_batch / engine.step_seconds
+    timely = LATENCY_SHARE * model.between_tokens_seconds * rate
+    filling = STAGE_BATCHES * free_streams(engine, model)
+    return min(engine.max_streams, int(max(filling, timely)))
+
+
+def free_streams(engine: Engine, model: Model) -> int:
+    """Give a batch for each stage of a route of such layer ranges."""
+    width = engine.layers.end - engine.layers.first
+    return math.ceil(model.layers / width) * engine.max_batch
--- a/wigeonspoke/core/streams/session.py
+++ b/wigeonspoke/core/streams/session.py
@@ -10,11 +10,13 @@
 import msgspec
 
 from wigeonspoke.core.actions import CancelStream, SendStep
-from wigeonspoke.core.deployment import Model
+from wigeonspoke.core.deployment import Engine, Model
 from wigeonspoke.core.events import GenerationRequested, StepReplied
 from wigeonspoke.core.routes.route import Route
 from wigeonspoke.core.keys import StepKey
 
+PREFILL_BATCH = 16
+
 
 class Outstanding(msgspec.Struct, frozen=True):
     """The step whose reply is awaited, and since when."""
@@ -78,9 +80,9 @@
 
     @property
     def work(self) -> int:
-        """Give the tokens that a fresh attempt has yet to process."""
+        """Give the work left in tokens; a prefill's tokens go in batches."""
         left = self.request.max_tokens - len(self.accepted)
-        return len(self.context) + left
+        return left + len(self.context) // PREFILL_BATCH
 
     def begin(self, route: Route) -> SendStep:
         """Start the next attempt on a route and give its first step."""
@@ -89,9 +91,12 @@
         self.positions = [0 for _ in route.stages]
         return self._step(route, 0, self.context)
 
-    def expects(self, key: StepKey) -> bool:
-        """Tell whether a key is that of the outstanding step."""
-        return bool(self.outstanding) and self.outstanding.step.key == key
+    def expects(self, key: StepKey, endpoint: str) -> bool:
+        """Tell whether an endpoint's answer is to the outstanding step."""
+        if self.outstanding is None:
+            return False
+        step = self.outstanding.step
+        return step.key == key and step.endpoint == endpoint
 
     def advance(self, reply: StepReplied) -> SendStep | None:
         """Take in the reply to the outstanding step.
@@ -120,6 +125,20 @@
             return None
         return self._step(self.route, 0, (token,))
 
+    def replace_stage(self, engine: Engine) -> SendStep | None:
+        """Give the outstanding step for another engine of the same range.
+
+        Only for a stage that certainly ran nothing of this attempt, whose
+        state can therefore be opened elsewhere.
+        """
+        if self.route is None or self.outstanding is None:
+            return None
+        step = self.outstanding.step
+        stages = list(self.route.stages)
+        stages[step.key.stage] = engine
+        self.route = Route(tuple(stages))
+        return msgspec.structs.replace(step, endpoint=engine.name)
+
     def abandon_attempt(self) -> list[CancelStream]:
         """End the attempt and free its state on every stage."""
         route = self.route
--- a/wigeonspoke/core/view.py
+++ b/wigeonspoke/core/view.py
@@ -5,7 +5,7 @@
 from wigeonspoke.core.actions import Note
 from wigeonspoke.core.admission import AccountLimits
 from wigeonspoke.core.deployment import Configuration, Model, Service
-from wigeonspoke.core.membership import MarkBook, PeerBook
+from wigeonspoke.core.membership import MarkBook, PeerBook, PeerReport
 from wigeonspoke.core.outcomes import Reason
 from wigeonspoke.core.routes import (
     EndpointRegistry,
@@ -38,6 +38,7 @@
         'limits',
         'marks',
         'models',
+        'node',
         'notes',
         'peers',
         'planner',
@@ -46,7 +47,8 @@
         'stopping',
     )
 
-    def __init__(self, home: str, chance: random.Random) -> None:
+    def __init__(self, node: str, home: str, chance: random.Random) -> None:
+        self.node = node
         self.home = home
         self.configuration: Configuration | None = None
         self.models: dict[str, Model] = {}
@@ -87,6 +89,7 @@
             service.name: service for service in configuration.services
         }
         self.registry.adopt(configuration)
+        self._assign_owners()
         self.limits.adopt(configuration.accounts)
         self.count('configuration_adopted', 'newer')
         self.note('configuration-adopted', detail=str(self.generation))
@@ -97,6 +100,23 @@
         known = self.counters.get((name, reason), 0)
         self.counters[name, reason] = known + 1
 
+    def take_report(self, report: PeerReport, now: float) -> None:
+        """Take in what a peer tells of itself."""
+        joined = report.node not in self.peers.peers
+        self.peers.take(report, now)
+        if joined:
+            self.note('peer-joined', report.node)
+            self._assign_owners()
+
+    def forget_stale_peers(self, now: float) -> None:
+        """Drop the peers that have not been heard of lately."""
+        lost = self.peers.forget_stale(now)
+        for peer in lost:
+            self.count('peer_forgotten', 'silent')
+            self.note('peer-lost', peer)
+        if lost:
+            self._assign_owners()
+
     def eject(self, state: EndpointState, reason: Reason, now: float) -> None:
         """Take an endpoint that failed out of the choice."""
         if state.health.note_failure(reason.value, now):
@@ -141,3 +161,8 @@
         notes = self.notes
         self.notes = []
         return notes
+
+    def _assign_owners(self) -> None:
+        nodes = self.peers.nodes_by_domain()
+        nodes.setdefault(self.home, []).append(self.node)
+        self.registry.assign_owners(self.node, nodes)
--- a/wigeonspoke/observe/metrics.py
+++ b/wigeonspoke/observe/metrics.py
@@ -48,6 +48,7 @@
     MetricDoc('mark_changed', 'marks', 'endpoint marks that changed'),
     MetricDoc('peer_forgotten', 'peers', 'not heard of for too long'),
     MetricDoc('reply_dropped', 'replies', 'late, crossed or repeated'),
+    MetricDoc('stage_moved', 'stages', 'opened elsewhere after a refusal'),
     MetricDoc('step_failed', 'steps', 'steps that failed, by reason'),
 )
 GAUGES = (
