Give no new work to leaving hosts; plan and show answers

Cause: a host that the platform lists as leaving still got work, and an operator could not see what a revision would change. Change: the host list is read each second and endpoints on leaving hosts are left out; questionnaire plan tells changes in words, show prints the answers in force. Before: no check. After: with a host listed as leaving, 0 streams were opened there from 2 s on, and four answers came whole. Conclusion: draining, stopping and leaving end in the same rule.

--- a/wigeonspoke/cli/operator.py
+++ b/wigeonspoke/cli/operator.py
@@ -9,8 +9,9 @@
 from returns.result import Success
 
 from wigeonspoke.cli.admin_client import AdminClient, admin_options
-from wigeonspoke.config import AnswerError, ConfigHead, read_answers
+from wigeonspoke.config import AnswerError, describe_changes, read_answers
 from wigeonspoke.node.admin_messages import (
+    AnswersInForce,
     Applied,
     ApplyRequest,
     EndpointStatus,
@@ -128,11 +129,36 @@
 @admin_options
 def history(client: AdminClient) -> None:
     """Show the latest revisions and who made them."""
-    head = client.ask('GET', '/questionnaire', kind=ConfigHead)
-    for revision in head.history:
+    found = client.ask('GET', '/questionnaire', kind=AnswersInForce)
+    for revision in found.history:
         click.echo(f'{revision.generation} {revision.who}')
 
 
+@questionnaire.command()
+@admin_options
+def show(client: AdminClient) -> None:
+    """Print the answers in force as JSON, to be revised and applied."""
+    found = client.ask('GET', '/questionnaire', kind=AnswersInForce)
+    click.echo(msgspec.json.format(msgspec.json.encode(found.answers)))
+    click.echo(f'generation {found.generation}', err=True)
+
+
+@questionnaire.command()
+@click.argument('answers', type=AnswersFile)
+@admin_options
+def plan(client: AdminClient, answers: Path) -> None:
+    """Show in words what would change, and the generation to base it on."""
+    checked = read_answers(answers.read_bytes())
+    if not isinstance(checked, Success):
+        _print_errors(checked.failure())
+        sys.exit(WRONG_ANSWERS)
+    found = client.ask('GET', '/questionnaire', kind=AnswersInForce)
+    changes = describe_changes(found.answers, checked.unwrap())
+    for change in changes or ['nothing changes']:
+        click.echo(change)
+    click.echo(f'apply with --base {found.generation}')
+
+
 @click.command()
 @click.option('--admin', 'nodes', multiple=True, required=True)
 @click.option('--admin-key', required=True, envvar='WIGEONSPOKE_ADMIN_KEY')
--- a/wigeonspoke/config/__init__.py
+++ b/wigeonspoke/config/__init__.py
@@ -1,5 +1,6 @@
 """From an operator's answers to a configuration in force."""
 
+from wigeonspoke.config.difference import describe_changes
 from wigeonspoke.config.generate import generate
 from wigeonspoke.config.publisher import (
     ConfigHead,
@@ -22,6 +23,7 @@
     'PublishProblem',
     'Questionnaire',
     'Revision',
+    'describe_changes',
     'generate',
     'read_answers',
 )
--- /dev/null
+++ b/wigeonspoke/config/difference.py
@@ -0,0 +1,77 @@
+"""The difference between two questionnaires, in words."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from wigeonspoke.config.questionnaire import Questionnaire
+
+Tree = dict[str, Any]
+KEYS = ('name', 'model', 'method', 'one', 'address')
+
+
+def describe_changes(
+    before: Questionnaire | None,
+    after: Questionnaire,
+) -> list[str]:
+    """Give a line for each answer that is new, gone or changed."""
+    old = msgspec.to_builtins(before) if before else {}
+    return sorted(_compare('', old, msgspec.to_builtins(after)))
+
+
+def _compare(path: str, old: Any, new: Any) -> Iterable[str]:
+    if isinstance(old, dict) and isinstance(new, dict):
+        yield from _compare_tables(path, old, new)
+    elif _is_table_list(old) or _is_table_list(new):
+        yield from _compare_tables(path, _keyed(old), _keyed(new))
+    elif old != new:
+        yield f'{path}: {_shown(old)} becomes {_shown(new)}'
+
+
+def _compare_tables(path: str, old: Tree, new: Tree) -> Iterable[str]:
+    for name in old.keys() | new.keys():
+        here = f'{path}.{name}' if path else name
+        if name not in old:
+            yield from _new_answer(here, new[name])
+        elif name not in new:
+            yield f'{here}: taken away'
+        else:
+            yield from _compare(here, old[name], new[name])
+
+
+def _new_answer(path: str, new: Any) -> Iterable[str]:
+    if _is_table_list(new):
+        yield from _compare_tables(path, {}, _keyed(new))
+    elif isinstance(new, dict):
+        yield f'{path}: added'
+    else:
+        yield f'{path}: {_shown(new)} added'
+
+
+def _is_table_list(answer: Any) -> bool:
+    return bool(
+        isinstance(answer, list | tuple)
+        and answer
+        and isinstance(answer[0], dict),
+    )
+
+
+def _keyed(entries: Any) -> Tree:
+    """Give entries by what names them, in place of their position."""
+    keyed: Tree = {}
+    for entry in entries or ():
+        parts = [str(entry[key]) for key in KEYS if key in entry]
+        parts.extend(
+            str(entry[key])
+            for key in ('failure_domain', 'first_layer', 'path', 'other')
+            if key in entry
+        )
+        keyed[f'[{" ".join(parts)}]'] = entry
+    return keyed
+
+
+def _shown(answer: Any) -> str:
+    if isinstance(answer, list | tuple):
+        return ', '.join(map(str, answer)) or 'nothing'
+    return str(answer)
--- /dev/null
+++ b/wigeonspoke/config/tests/test_difference.py
@@ -0,0 +1,59 @@
+"""Changes of answers, told in words."""
+
+import msgspec
+import pytest
+
+from wigeonspoke.config import Questionnaire, describe_changes
+from wigeonspoke.config.questionnaire import AccountAnswer, ModelAnswer
+
+DIGEST = '0' * 64
+BEFORE = Questionnaire(
+    deployment='d',
+    region='r',
+    failure_domains=('a',),
+    models=(ModelAnswer('m', 4),),
+    accounts=(AccountAnswer('x', DIGEST), AccountAnswer('y', DIGEST)),
+)
+
+
+def _revised(**answers):
+    return msgspec.structs.replace(BEFORE, **answers)
+
+
+@pytest.mark.parametrize(
+    ('after', 'words'),
+    [
+        (BEFORE, []),
+        (
+            _revised(accounts=BEFORE.accounts[::-1]),
+            [],
+        ),
+        (
+            _revised(accounts=(AccountAnswer('x', DIGEST, 2.0),)),
+            [
+                'accounts.[x].weight: 1.0 becomes 2.0',
+                'accounts.[y]: taken away',
+            ],
+        ),
+        (
+            _revised(models=(ModelAnswer('m', 4), ModelAnswer('n', 2))),
+            ['models.[n]: added'],
+        ),
+        (
+            _revised(failure_domains=('a', 'b')),
+            ['failure_domains: a becomes a, b'],
+        ),
+        (
+            _revised(models=()),
+            ['models.[m]: taken away'],
+        ),
+    ],
+)
+def test_changes(after, words):
+    assert describe_changes(BEFORE, after) == words
+
+
+def test_first_answers_are_all_new():
+    words = describe_changes(None, BEFORE)
+    assert 'deployment: d added' in words
+    assert 'accounts.[x]: added' in words
--- a/wigeonspoke/core/events.py
+++ b/wigeonspoke/core/events.py
@@ -29,6 +29,16 @@
     marks: tuple[EndpointMark, ...]
 
 
+class HostsListed(Event, frozen=True):
+    """The platform's list names these addresses as leaving.
+
+    An address is an IP number, which stands for every endpoint there, or an
+    IP number with a port.
+    """
+
+    leaving: tuple[str, ...]
+
+
 class PeerReported(Event, frozen=True):
     """A peer told its load."""
 
@@ -136,6 +146,7 @@
 AnyEvent = (
     ConfigurationAdopted
     | MarksHeard
+    | HostsListed
     | PeerReported
     | GenerationRequested
     | StepReplied
--- a/wigeonspoke/core/router.py
+++ b/wigeonspoke/core/router.py
@@ -37,6 +37,7 @@
         self.handlers: dict[type, Callable[..., list[AnyAction]]] = {
             events.ConfigurationAdopted: self._adopt,
             events.MarksHeard: self._hear_marks,
+            events.HostsListed: self._hear_hosts,
             events.PeerReported: self._hear_peer,
             events.GenerationRequested: self.generation.request,
             events.StepReplied: self.generation.replied,
@@ -99,6 +100,14 @@
             self.view.note('mark', mark.endpoint, detail=mark.state.value)
         return self.generation.dispatch(now)
 
+    def _hear_hosts(
+        self,
+        event: events.HostsListed,
+        now: float,
+    ) -> list[AnyAction]:
+        self.view.take_leaving(event.leaving)
+        return self.generation.dispatch(now)
+
     def _hear_peer(
         self,
         event: events.PeerReported,
--- a/wigeonspoke/core/routes/planner.py
+++ b/wigeonspoke/core/routes/planner.py
@@ -131,7 +131,8 @@
 
     def accepts_work(self, state: EndpointState, now: float) -> bool:
         """Tell whether new work may go to an endpoint at all."""
-        if self.marks.state(state.name) is not MarkState.ACTIVE:
+        marked = self.marks.state(state.name) is not MarkState.ACTIVE
+        if marked or state.leaving:
             return False
         return state.health.is_usable(now) and state.full_until <= now
 
--- a/wigeonspoke/core/routes/registry.py
+++ b/wigeonspoke/core/routes/registry.py
@@ -47,6 +47,7 @@
         'free_streams',
         'full_until',
         'health',
+        'leaving',
         'name',
         'ownership',
         'place',
@@ -66,6 +67,7 @@
         self.failure_domain = failure_domain
         self.engine = engine
         self.health = EndpointHealth(engine.step_seconds if engine else 0)
+        self.leaving = False
         self.streams = 0
         self.stream_limit = 0
         self.free_streams = 1
--- a/wigeonspoke/core/tests/examples.py
+++ b/wigeonspoke/core/tests/examples.py
@@ -28,7 +28,7 @@
     """Make an engine of the model ``m``."""
     return Engine(
         name=name,
-        address=f'10.0.0.1:{first}',
+        address=f'10.0.0.{1 + (domain == "b")}:{first}',
         failure_domain=domain,
         model='m',
         layers=LayerRange(first, end),
--- a/wigeonspoke/core/tests/test_routes.py
+++ b/wigeonspoke/core/tests/test_routes.py
@@ -112,6 +112,19 @@
     view.endpoint('a1').note_busy(10)
 
 
+def _leave(view):
+    view.take_leaving((view.endpoint('a1').address,))
+
+
+def _leave_host(view):
+    view.take_leaving(('10.0.0.1',))
+
+
+def _leave_and_stay(view):
+    _leave(view)
+    view.take_leaving(())
+
+
 def _drain_all(view):
     view.marks.merge(
         EndpointMark(name, MarkState.DRAIN, 1) for name in ('a1', 'b1')
@@ -130,6 +143,9 @@
         (_slow, ('b1', 'a2')),
         (_busy, ('b1', 'a2')),
         (_drain_all, None),
+        (_leave, ('b1', 'a2')),
+        (_leave_host, ('b1', 'b2')),
+        (_leave_and_stay, ('a1', 'a2')),
     ],
 )
 def test_choice(change, route):
--- a/wigeonspoke/core/view.py
+++ b/wigeonspoke/core/view.py
@@ -100,6 +100,17 @@
         known = self.counters.get((name, reason), 0)
         self.counters[name, reason] = known + 1
 
+    def take_leaving(self, leaving: tuple[str, ...]) -> None:
+        """Take in which hosts are leaving; the newest list counts."""
+        hosts = frozenset(leaving)
+        for state in self.registry.endpoints.values():
+            was_leaving = state.leaving
+            address, _, _ = state.address.rpartition(':')
+            state.leaving = bool(hosts & {address, state.address})
+            if state.leaving and not was_leaving:
+                self.count('host_leaving', 'platform')
+                self.note('host-leaving', state.name)
+
     def take_report(self, report: PeerReport, now: float) -> None:
         """Take in what a peer tells of itself."""
         joined = report.node not in self.peers.peers
--- a/wigeonspoke/demo/world.py
+++ b/wigeonspoke/demo/world.py
@@ -165,6 +165,7 @@
                 node.settings.name,
                 node.peers.address,
                 node.settings.failure_domain,
+                is_entry=True,
             )
             for node in nodes
         )
--- a/wigeonspoke/node/admin_app.py
+++ b/wigeonspoke/node/admin_app.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from functools import partial
 
+import msgspec
 from returns.result import Success
 from werkzeug.wrappers import Request, Response
 
@@ -12,11 +13,13 @@
     ConfigStore,
     PublishError,
     PublishProblem,
+    Questionnaire,
     read_answers,
 )
 from wigeonspoke.core.membership import MarkState
 from wigeonspoke.core.routes import EndpointState
 from wigeonspoke.node.admin_messages import (
+    AnswersInForce,
     Applied,
     ApplyRequest,
     EndpointStatus,
@@ -158,7 +161,16 @@
         read = self.store.read_head()
         if not isinstance(read, Success):
             raise _store_down()
-        return JsonReply(read.unwrap().head)
+        head = read.unwrap().head
+        if not head.generation:
+            return JsonReply(AnswersInForce(0, ()))
+        body = self.store.read_answers(head)
+        if not isinstance(body, Success):
+            raise _store_down()
+        answers = msgspec.json.decode(body.unwrap(), type=Questionnaire)
+        return JsonReply(
+            AnswersInForce(head.generation, head.history, answers),
+        )
 
     def put_questionnaire(self, request: Request) -> Response:
         """Put answers in force if their base generation still is."""
--- a/wigeonspoke/node/admin_messages.py
+++ b/wigeonspoke/node/admin_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from wigeonspoke.config import Questionnaire, Revision
 from wigeonspoke.core.membership import MarkState
 from wigeonspoke.observe import TimelineEvent
 
@@ -14,6 +15,14 @@
     who: str = 'operator'
 
 
+class AnswersInForce(msgspec.Struct, frozen=True):
+    """The answers in force and the latest revisions."""
+
+    generation: int
+    history: tuple[Revision, ...]
+    answers: Questionnaire | None = None
+
+
 class Applied(msgspec.Struct, frozen=True):
     """The generation that answers became."""
 
--- a/wigeonspoke/node/gossip.py
+++ b/wigeonspoke/node/gossip.py
@@ -6,17 +6,21 @@
 import msgspec
 from returns.result import Success
 
-from wigeonspoke.core.events import MarksHeard, PeerReported
+from wigeonspoke.core.events import (
+    HostsListed,
+    MarksHeard,
+    PeerReported,
+)
 from wigeonspoke.core.membership import EndpointMark, PeerReport
 from wigeonspoke.node.config_sync import ConfigSync
 from wigeonspoke.node.runtime import Runtime
 from wigeonspoke.observe import HybridTime
-from wigeonspoke.platform import HostList
+from wigeonspoke.platform import HostEntry, HostList
 from wigeonspoke.transport import HttpClient
 
 GOSSIP_SECONDS = 0.25
 FANOUT = 8
-HOSTS_SECONDS = 2.0
+HOSTS_SECONDS = 1.0
 GOSSIP_PATH = '/peers/v1/gossip'
 
 
@@ -95,15 +99,21 @@
             eventlet.sleep(GOSSIP_SECONDS)
 
     def follow_hosts_forever(self) -> None:
-        """Learn of peers from the platform's host list."""
+        """Learn of peers and of leaving hosts from the platform's list."""
         while True:
             read = self.hosts.hosts()
             if isinstance(read, Success):
-                self.addresses.update(
-                    host.address for host in read.unwrap() if not host.leaving
-                )
+                self._take_hosts(read.unwrap())
             eventlet.sleep(HOSTS_SECONDS)
 
+    def _take_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
+        entries = [host for host in hosts if host.is_entry]
+        self.addresses.update(
+            host.address for host in entries if not host.leaving
+        )
+        leaving = tuple(host.address for host in hosts if host.leaving)
+        self.runtime.dispatch(HostsListed(leaving))
+
     def _choose_peers(self) -> list[str]:
         others = sorted(self.addresses - {self.own_address})
         if len(others) <= FANOUT:
--- a/wigeonspoke/node/tests/test_callers.py
+++ b/wigeonspoke/node/tests/test_callers.py
@@ -1,5 +1,7 @@
 """The callers' interface, end to end on real sockets."""
 
+import time
+
 import eventlet
 import msgspec
 import openai
@@ -10,6 +12,7 @@
 from wigeonspoke.load import Caller, Prompt, Verdict
 from wigeonspoke.node.callers_app import chat_prompt
 from wigeonspoke.node.openai_messages import ChatMessage
+from wigeonspoke.platform import HostEntry
 from wigeonspoke.standins import Fault, expected_answer
 from wigeonspoke.standins.platform import FaultKind
 from wigeonspoke.transport import HttpClient
@@ -205,6 +208,16 @@
     assert states == {MarkState.DRAIN}
 
 
+def test_endpoints_of_a_leaving_host_get_no_new_work(world):
+    gone = world.engines[0]
+    leaving = HostEntry('h', gone.address, 'ar-centro-1', leaving=True)
+    world.platform.host_entries = (*world.platform.host_entries, leaving)
+    eventlet.sleep(2)
+    moment = time.monotonic()
+    assert {_ask(world, 5).verdict for _ in range(4)} == {Verdict.WHOLE}
+    assert world.ledger.opened_after(gone.name, moment) == 0
+
+
 def _submit(world, identity, body=b'{}', node=0):
     address = world.nodes[node].callers.address
     client = HttpClient(
--- a/wigeonspoke/observe/metrics.py
+++ b/wigeonspoke/observe/metrics.py
@@ -45,6 +45,7 @@
     MetricDoc('generation_cancelled', 'requests', 'given up by callers'),
     MetricDoc('generation_finished', 'requests', 'ended, by outcome'),
     MetricDoc('generation_refused', 'requests', 'refused before any step'),
+    MetricDoc('host_leaving', 'endpoints', 'on hosts listed as leaving'),
     MetricDoc('mark_changed', 'marks', 'endpoint marks that changed'),
     MetricDoc('peer_forgotten', 'peers', 'not heard of for too long'),
     MetricDoc('reply_dropped', 'replies', 'late, crossed or repeated'),
--- a/wigeonspoke/platform/protocols.py
+++ b/wigeonspoke/platform/protocols.py
@@ -42,11 +42,16 @@
 
 
 class HostEntry(msgspec.Struct, frozen=True):
-    """A host in the platform's list, which lags behind reality."""
+    """A host in the platform's list, which lags behind reality.
+
+    ``address`` is where an entry host listens for its peers, and the IP
+    number of any other host, with or without a port.
+    """
 
     name: str
     address: str
     failure_domain: str
+    is_entry: bool = False
     leaving: bool = False
 
 
