--- a/wigeonspoke/bench/runner.py
+++ b/wigeonspoke/bench/runner.py
@@ -1,7 +1,8 @@
 """Runs a scenario and works out its figures."""
 
 import itertools
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable
 from functools import cache
 from statistics import quantiles
 
@@ -126,8 +127,9 @@
 
     def _result(self, bound: float, bound_left: float) -> ScenarioResult:
         logs = list(set(self.cluster.answers.values()))
-        times = sorted(time for log in logs for time in log.times)
-        counted = sum(1 for time in times if time >= WARM_SECONDS)
+        counted = sum(
+            1 for log in logs for time in log.times if time >= WARM_SECONDS
+        )
         goodput = counted / self.scenario.seconds
         judged = [log for log in logs if log.arrived >= WARM_SECONDS]
         wanted = min(self._offered(judged), bound_left)
@@ -139,7 +141,7 @@
             goodput=round(goodput, 1),
             goodput_over_bound=round(goodput / bound, 4),
             offered_over_bound=round(self._offered(judged) / bound, 4),
-            recovery_seconds=self._recovery(times, wanted),
+            recovery_seconds=self._recovery(logs, wanted),
             answers_whole=sum(1 for log in logs if log.is_whole),
             answers_cut=sum(map(_is_cut, logs)),
             answers_wrong=sum(map(_is_wrong, logs)),
@@ -164,21 +166,39 @@
 
     def _recovery(
         self,
-        times: Sequence[float],
+        logs: Iterable[AnswerLog],
         wanted: float,
     ) -> float | None:
-        """Give the time from the last fault until a second is normal."""
+        """Give the time from the last fault until things are normal.
+
+        Normal is when goodput stays near what is wanted and every answer
+        that was in progress has gone on.
+        """
         if not self.scenario.strikes:
             return None
         last = max(strike.after for strike in self.scenario.strikes)
         fault = WARM_SECONDS + last
+        found = list(logs)
+        rate = self._seconds_to_rate(found, fault, wanted)
+        answers = _seconds_to_answers(found, fault)
+        if rate is None or answers is None:
+            return None
+        return round(max(rate, answers), 3)
+
+    def _seconds_to_rate(
+        self,
+        logs: Iterable[AnswerLog],
+        fault: float,
+        wanted: float,
+    ) -> float | None:
+        times = [time for log in logs for time in log.times if time >= fault]
         needed = RECOVERED_SHARE * wanted
         start = fault
         span = STEADY_BUCKETS * BUCKET_SECONDS
         while start + span <= self.cluster.scheduler.now:
             tokens = sum(1 for time in times if start <= time < start + span)
             if tokens >= needed * span:
-                return round(start - fault, 3)
+                return start - fault
             start += BUCKET_SECONDS
         return None
 
@@ -192,6 +212,27 @@
         return round(retried / max(1, len(runs)), 4)
 
 
+def _seconds_to_answers(
+    logs: Iterable[AnswerLog],
+    fault: float,
+) -> float | None:
+    """Give the time until the last answer in progress has gone on."""
+    waits = [
+        _seconds_to_next(log, fault)
+        for log in logs
+        if log.arrived <= fault < (log.ended if log.finish else math.inf)
+    ]
+    longest = max(waits, default=0)
+    return None if math.isinf(longest) else longest
+
+
+def _seconds_to_next(log: AnswerLog, fault: float) -> float:
+    following = [time for time in log.times if time > fault]
+    if log.finish:
+        following.append(log.ended)
+    return min(following, default=math.inf) - fault
+
+
 def _is_cut(log: AnswerLog) -> bool:
     return bool(log.finish and log.finish.error and log.tokens)
 
