Do not blame endpoints for a node's own pause

Cause: a node that stood still for longer than a step's timeout woke with every outstanding step overdue, and would eject every endpoint that it was waiting for and rebuild all its streams. Change: a timer that fires 0.5 s late notes a pause and gives 0.3 s of grace, in which the answers that wait unread are handled; timeline leaves out nodes without an answer and says so. Conclusion: a pause costs no rebuild.

--- a/wigeonspoke/bench/runner.py
+++ b/wigeonspoke/bench/runner.py
@@ -218,14 +218,17 @@
 ) -> float | None:
     """Give the time until the last answer in progress has gone on."""
     waits = [
-        _seconds_to_next(log, fault)
-        for log in logs
-        if log.arrived <= fault < (log.ended if log.finish else math.inf)
+        _seconds_to_next(log, fault) for log in logs if _in_progress(log, fault)
     ]
     longest = max(waits, default=0)
     return None if math.isinf(longest) else longest
 
 
+def _in_progress(log: AnswerLog, moment: float) -> bool:
+    ended = log.finish is not None and log.ended <= moment
+    return log.arrived <= moment and not ended
+
+
 def _seconds_to_next(log: AnswerLog, fault: float) -> float:
     following = [time for time in log.times if time > fault]
     if log.finish:
--- a/wigeonspoke/cli/admin_client.py
+++ b/wigeonspoke/cli/admin_client.py
@@ -36,6 +36,14 @@
         sent = None if body is None else msgspec.json.encode(body)
         return self.ask_raw(method, path, sent, kind)
 
+    def try_to_ask(self, path: str, kind: type) -> Any:
+        """Ask for a message; say so and give ``None`` if there is no answer."""
+        reply = self.client.get(self.node, f'/admin/v1{path}', ADMIN_SECONDS)
+        if isinstance(reply, Success) and reply.unwrap().is_ok:
+            return msgspec.json.decode(reply.unwrap().body, type=kind)
+        click.echo(f'{self.node}: no answer, left out', err=True)
+        return None
+
     def ask_raw(
         self,
         method: str,
--- a/wigeonspoke/cli/operator.py
+++ b/wigeonspoke/cli/operator.py
@@ -8,7 +8,11 @@
 import msgspec
 from returns.result import Success
 
-from wigeonspoke.cli.admin_client import AdminClient, admin_options
+from wigeonspoke.cli.admin_client import (
+    NO_ANSWER,
+    AdminClient,
+    admin_options,
+)
 from wigeonspoke.config import AnswerError, describe_changes, read_answers
 from wigeonspoke.node.admin_messages import (
     AnswersInForce,
@@ -170,13 +174,22 @@
     request_id: str,
     as_json: bool,
 ) -> None:
-    """Merge the time lines of several nodes in causal order."""
+    """Merge the time lines of several nodes in causal order.
+
+    A node without an answer is named and left out.
+
+    \b
+    Example:
+      wigeonspoke timeline --admin 127.0.0.1:8001 --admin 127.0.0.1:8002
+    """
     path = f'/timeline?request={request_id}'
     pages = [
-        AdminClient(node, admin_key).ask('GET', path, kind=TimelinePage)
+        AdminClient(node, admin_key).try_to_ask(path, TimelinePage)
         for node in nodes
     ]
-    for event in merge_events(page.events for page in pages):
+    if not any(pages):
+        sys.exit(NO_ANSWER)
+    for event in merge_events(page.events for page in pages if page):
         if as_json:
             click.echo(msgspec.json.encode(event))
             continue
--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -31,12 +31,23 @@
 
 MAX_ATTEMPTS = 12
 RETRY_AFTER_SECONDS = 1.0
+PAUSE_SECONDS = 0.5
+GRACE_SECONDS = 0.3
 
 
 class GenerationCoordinator:
     """Runs the sessions: admission, steps, rebuilding and ends."""
 
-    __slots__ = ('budget', 'pace', 'queues', 'sessions', 'timers', 'view')
+    __slots__ = (
+        'budget',
+        'grace_until',
+        'pace',
+        'queues',
+        'sessions',
+        'ticked_at',
+        'timers',
+        'view',
+    )
 
     def __init__(self, view: ClusterView) -> None:
         self.view = view
@@ -45,6 +56,8 @@
         self.budget = RetryBudget()
         self.pace = TokenPace()
         self.timers = LazyTimers()
+        self.ticked_at: float = 0
+        self.grace_until: float = 0
 
     def request(
         self,
@@ -144,6 +157,7 @@
 
     def tick(self, now: float) -> list[AnyAction]:
         """End what is overdue and start what has room."""
+        self._note_pause(now)
         actions: list[AnyAction] = []
         for queue in self.queues.values():
             for waiting in queue.expired(now):
@@ -159,6 +173,18 @@
         """Count the sessions that have not ended."""
         return len(self.sessions)
 
+    def _note_pause(self, now: float) -> None:
+        """See whether this node stood still, and give endpoints grace then.
+
+        What came in meanwhile has yet to be read, so silence says nothing
+        of the endpoints.
+        """
+        if now - self.ticked_at > PAUSE_SECONDS and self.ticked_at:
+            self.grace_until = now + GRACE_SECONDS
+            self.view.count('pause_noticed', 'late-tick')
+            self.view.note('node-paused', detail=f'{now - self.ticked_at:.1f}')
+        self.ticked_at = now
+
     def _dispatch_queue(self, queue: FairQueue, now: float) -> list[AnyAction]:
         actions: list[AnyAction] = []
         while waiting := queue.peek():
@@ -317,6 +343,7 @@
             return []
         step = outstanding.step
         due = outstanding.sent_at + step.timeout_seconds
+        due = max(due, self.grace_until)
         if now < min(due, session.deadline):
             soonest = min(due, session.deadline, now + MIN_TIMEOUT_SECONDS)
             self.timers.arm(session.request_id, soonest)
--- a/wigeonspoke/core/tests/test_generation.py
+++ b/wigeonspoke/core/tests/test_generation.py
@@ -122,8 +122,36 @@
     router = _router()
     first = _step(router.handle(make_request(), 0))
     waited = first.timeout_seconds
-    assert _only(router.handle(TimerFired(), waited / 2), SendStep) == []
-    rebuilt = _step(router.handle(TimerFired(), waited + 0.01))
+    assert _only(_tick_until(router, 0.05, waited - 0.05), SendStep) == []
+    rebuilt = _step(_tick_until(router, waited, waited + 0.1))
+    assert (rebuilt.key.attempt, rebuilt.endpoint) == (2, 'b1')
+
+
+def _tick_until(router, start, end):
+    """Let a router's timer fire as often as it does, and no pause show."""
+    actions = []
+    now = start
+    while now <= end:
+        actions.extend(router.handle(TimerFired(), now))
+        now = round(now + 0.05, 3)
+    return actions
+
+
+def test_node_that_stood_still_does_not_blame_its_endpoints():
+    router = _router()
+    first = _step(router.handle(make_request(), 0.05))
+    _tick_until(router, 0.05, 0.2)
+    woke = 50
+    assert router.handle(TimerFired(), woke - 0.1)[-1].kind == 'node-paused'
+    assert _step(_reply(router, first, now=woke)).endpoint == 'a2'
+    assert not router.view.ejected
+
+
+def test_endpoint_still_silent_after_the_grace_is_given_up():
+    router = _router()
+    router.handle(make_request(), 0.05)
+    _tick_until(router, 0.05, 0.2)
+    rebuilt = _step(_tick_until(router, 50, 51))
     assert (rebuilt.key.attempt, rebuilt.endpoint) == (2, 'b1')
 
 
--- a/wigeonspoke/observe/metrics.py
+++ b/wigeonspoke/observe/metrics.py
@@ -47,6 +47,7 @@
     MetricDoc('generation_refused', 'requests', 'refused before any step'),
     MetricDoc('host_leaving', 'endpoints', 'on hosts listed as leaving'),
     MetricDoc('mark_changed', 'marks', 'endpoint marks that changed'),
+    MetricDoc('pause_noticed', 'pauses', 'this process stood still'),
     MetricDoc('peer_forgotten', 'peers', 'not heard of for too long'),
     MetricDoc('reply_dropped', 'replies', 'late, crossed or repeated'),
     MetricDoc('stage_moved', 'stages', 'opened elsewhere after a refusal'),
