Gossip within 4 KB a second at 400 nodes, and drop dead nodes at once

Cause: whole load reports to each peer four times a second would cost a node 2,843 KB/s at the size to design for; a dead node's engines lay idle until 3 s of silence had passed. Change: gossip's decisions moved into the core; loads by place in the configuration, own ones in turn; marks by digest, and at once when they change; near peers in turn; departures that later reports refute; incarnations ordered by start.

--- a/wigeonspoke/bench/capacity.py
+++ b/wigeonspoke/bench/capacity.py
@@ -258,8 +258,7 @@
     router = _router(1, models=1)
     for number in range(nodes):
         loads = tuple(
-            EndpointLoad(f'engine-{number}-{stage}', 1)
-            for stage in range(STAGES)
+            EndpointLoad(STAGES * number + stage, 1) for stage in range(STAGES)
         )
         report = PeerReport(f'node-{number}', 'b', 'x', 1, 1, loads)
         router.view.peers.take(report, 0)
--- a/wigeonspoke/bench/capacity_page.py
+++ b/wigeonspoke/bench/capacity_page.py
@@ -28,12 +28,13 @@
 FAILED_HOSTS = 130
 REPLACED_HOSTS = 2500
 TICKS = 20
-GOSSIP = 4
 KILO = 1024
 RING_EVENTS = 4096
 SESSIONS = TOKENS / TOKENS_PER_STREAM
 DAILY_EVENTS = CHANGES + FAILED_HOSTS + REPLACED_HOSTS
-PEERS_ASKED = 8
+PEERS_ASKED = 4
+ROUND_SECONDS = 3.4
+OVERHEAD_KILOBYTES = 0.25
 
 
 class Cost(msgspec.Struct, frozen=True):
@@ -101,11 +102,11 @@
     report = found.at('load report', REPLICAS_HERE)
     exchange = found.at('exchange of a load report', REPLICAS_HERE)
     yield Cost(
-        'membership, whole reports as today',
+        'membership',
         f'{peers:.0f} nodes of its failure domain',
-        _share(GOSSIP * PEERS_ASKED * 2 * exchange),
+        _share(PEERS_ASKED / ROUND_SECONDS * 2 * exchange),
         found.at('memory of peers', peers) / KILO,
-        GOSSIP * PEERS_ASKED * 2 * report,
+        PEERS_ASKED / ROUND_SECONDS * 4 * (report + OVERHEAD_KILOBYTES),
     )
     yield Cost(
         'timers',
--- a/wigeonspoke/cli/bench.py
+++ b/wigeonspoke/cli/bench.py
@@ -7,6 +7,7 @@
 
 from wigeonspoke.bench.capacity import measure_all
 from wigeonspoke.bench.capacity_page import insert, render
+from wigeonspoke.bench.membership import SIZES, measure_membership
 from wigeonspoke.bench.runner import (
     POLICIES,
     ScenarioResult,
@@ -37,6 +38,21 @@
         page.write_text(insert(page.read_text(), tables))
 
 
+@bench.command()
+@click.option('--nodes', multiple=True, type=int, help='Only this size.')
+def membership(nodes: tuple[int, ...]) -> None:
+    """Measure gossip at several sizes, in virtual time."""
+    for size in nodes or SIZES:
+        found = measure_membership(size)
+        click.echo(
+            f'{size} nodes: {found.bytes_per_second:.0f} B/s, '
+            f'{found.core_percent:.2f}% of a core, a round each '
+            f'{found.round_seconds:.2f} s, a mark everywhere in '
+            f'{found.mark_seconds:.2f} s, a dead node forgotten in '
+            f'{found.lost_seconds:.2f} s',
+        )
+
+
 @bench.command('list')
 def list_scenarios() -> None:
     """List the scenarios."""
--- a/wigeonspoke/core/events.py
+++ b/wigeonspoke/core/events.py
@@ -8,7 +8,11 @@
 
 from wigeonspoke.core.claims.records import ClaimAnswer, ClaimRow
 from wigeonspoke.core.deployment import Configuration
-from wigeonspoke.core.membership.records import EndpointMark, PeerReport
+from wigeonspoke.core.membership.records import (
+    Departure,
+    EndpointMark,
+    PeerReport,
+)
 from wigeonspoke.core.outcomes import Outcome, Reason
 from wigeonspoke.core.keys import StepKey
 
@@ -45,6 +49,12 @@
     report: PeerReport
 
 
+class PeersDeparted(Event, frozen=True):
+    """Peers did not answer this node or another one."""
+
+    departures: tuple[Departure, ...]
+
+
 class GenerationRequested(Event, frozen=True):
     """A caller asks for a generated answer to ``prompt``."""
 
@@ -148,6 +158,7 @@
     | MarksHeard
     | HostsListed
     | PeerReported
+    | PeersDeparted
     | GenerationRequested
     | StepReplied
     | StepFailed
--- a/wigeonspoke/core/membership/marks.py
+++ b/wigeonspoke/core/membership/marks.py
@@ -1,9 +1,15 @@
 """Merging of endpoint marks that arrive in any order, any number of times."""
 
+import hashlib
 from collections.abc import Iterable
+from operator import attrgetter
+
+import msgspec
 
 from wigeonspoke.core.membership.records import EndpointMark, MarkState
 
+DIGEST_LENGTH = 16
+
 _RANKS = {
     MarkState.ACTIVE: 0,
     MarkState.DRAIN: 1,
@@ -22,10 +28,25 @@
     that merging is commutative, associative and idempotent.
     """
 
-    __slots__ = ('marks',)
+    __slots__ = ('cached_digest', 'marks')
 
     def __init__(self) -> None:
         self.marks: dict[str, EndpointMark] = {}
+        self.cached_digest = ''
+
+    @property
+    def digest(self) -> str:
+        """Give a digest that is the same for the same marks."""
+        if not self.cached_digest:
+            ordered = sorted(self.marks.values(), key=attrgetter('endpoint'))
+            body = msgspec.json.encode(ordered)
+            hashed = hashlib.sha256(body).hexdigest()
+            self.cached_digest = hashed[:DIGEST_LENGTH]
+        return self.cached_digest
+
+    def newest(self, count: int) -> tuple[EndpointMark, ...]:
+        """Give so many marks at the most, those that changed last first."""
+        return tuple(reversed(self.marks.values()))[:count]
 
     def merge(self, marks: Iterable[EndpointMark]) -> tuple[EndpointMark, ...]:
         """Take in marks and return those that changed something."""
@@ -40,5 +61,8 @@
         known = self.marks.get(mark.endpoint)
         if known and _order(known) >= _order(mark):
             return False
+        # A mark that changes goes to the end, where the newest are.
+        self.marks.pop(mark.endpoint, None)
         self.marks[mark.endpoint] = mark
+        self.cached_digest = ''
         return True
--- a/wigeonspoke/core/membership/records.py
+++ b/wigeonspoke/core/membership/records.py
@@ -22,18 +22,24 @@
     version: int
 
 
-class EndpointLoad(msgspec.Struct, frozen=True):
-    """How many streams a node has open at an endpoint."""
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """How many streams are open at an endpoint.
 
-    endpoint: str
+    ``index`` is the endpoint's place in the configuration of the report's
+    generation, which is far shorter than its name.
+    """
+
+    index: int
     streams: int
 
 
-class PeerReport(msgspec.Struct, frozen=True):
+class PeerReport(msgspec.Struct, frozen=True, array_like=True):
     """A node's load, as it tells its peers.
 
-    ``incarnation`` is new at each start, so that a restarted node is not
+    ``incarnation`` is greater at each start, so that a restarted node is not
     taken for its former self; ``sequence`` rises within one incarnation.
+    ``loads`` are this node's streams on engines that are not its own,
+    ``own`` all streams on some of its own, in turn.
     """
 
     node: str
@@ -42,3 +48,37 @@
     sequence: int
     generation: int
     loads: tuple[EndpointLoad, ...]
+    own: tuple[EndpointLoad, ...] = ()
+    round_seconds: float = 0.25
+
+
+class Contact(msgspec.Struct, frozen=True, array_like=True):
+    """Where a node listens for peers."""
+
+    address: str
+    failure_domain: str
+
+
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """A node that did not answer, and its last report that was heard.
+
+    A later report of the node refutes it.
+    """
+
+    node: str
+    incarnation: str
+    sequence: int
+
+
+class GossipMessage(msgspec.Struct, frozen=True, array_like=True):
+    """What one node tells another.
+
+    ``marks`` are left out while the other has the same, by its digest.
+    """
+
+    report: PeerReport
+    address: str
+    marks_digest: str
+    marks: tuple[EndpointMark, ...] = ()
+    contacts: tuple[Contact, ...] = ()
+    departures: tuple[Departure, ...] = ()
--- a/wigeonspoke/core/router.py
+++ b/wigeonspoke/core/router.py
@@ -14,7 +14,9 @@
 from wigeonspoke.core.actions import AnyAction, ProbeEndpoint
 from wigeonspoke.core.calls import CallCoordinator
 from wigeonspoke.core.generation import GenerationCoordinator
-from wigeonspoke.core.membership import EndpointLoad, PeerReport
+from wigeonspoke.core.load_report import foreign_loads, own_loads
+from wigeonspoke.core.membership import PeerReport
+from wigeonspoke.core.membership.exchange import ROUND_SECONDS
 from wigeonspoke.core.view import ClusterView
 
 
@@ -26,7 +28,15 @@
     times lead to the same actions.
     """
 
-    __slots__ = ('calls', 'generation', 'handlers', 'node', 'sequence', 'view')
+    __slots__ = (
+        'calls',
+        'generation',
+        'handlers',
+        'node',
+        'round_seconds',
+        'sequence',
+        'view',
+    )
 
     def __init__(self, node: str, home: str, chance: random.Random) -> None:
         self.node = node
@@ -34,11 +44,13 @@
         self.generation = GenerationCoordinator(self.view)
         self.calls = CallCoordinator(self.view)
         self.sequence = 0
+        self.round_seconds = ROUND_SECONDS
         self.handlers: dict[type, Callable[..., list[AnyAction]]] = {
             events.ConfigurationAdopted: self._adopt,
             events.MarksHeard: self._hear_marks,
             events.HostsListed: self._hear_hosts,
             events.PeerReported: self._hear_peer,
+            events.PeersDeparted: self._lose_peers,
             events.GenerationRequested: self.generation.request,
             events.StepReplied: self.generation.replied,
             events.StepFailed: self.generation.failed,
@@ -62,18 +74,15 @@
     def report(self, incarnation: str) -> PeerReport:
         """Give the load report that this node sends its peers."""
         self.sequence += 1
-        loads = tuple(
-            EndpointLoad(state.name, state.streams)
-            for state in self.view.registry.endpoints.values()
-            if state.streams
-        )
         return PeerReport(
             node=self.node,
             failure_domain=self.view.home,
             incarnation=incarnation,
             sequence=self.sequence,
             generation=self.view.generation,
-            loads=loads,
+            loads=foreign_loads(self.view),
+            own=own_loads(self.view, self.sequence),
+            round_seconds=self.round_seconds,
         )
 
     @property
@@ -116,6 +125,14 @@
         self.view.take_report(event.report, now)
         return self.generation.dispatch(now)
 
+    def _lose_peers(
+        self,
+        event: events.PeersDeparted,
+        now: float,
+    ) -> list[AnyAction]:
+        self.view.lose_peers(event.departures)
+        return self.generation.dispatch(now)
+
     def _cancel(self, event: events.CallerGone, now: float) -> list[AnyAction]:
         return [
             *self.generation.cancel(event.request_id, now),
--- a/wigeonspoke/core/routes/__init__.py
+++ b/wigeonspoke/core/routes/__init__.py
@@ -1,12 +1,17 @@
 """Layer ranges, routes that tile a model exactly, and their choice."""
 
 from wigeonspoke.core.routes.planner import RoutePlanner
-from wigeonspoke.core.routes.registry import EndpointRegistry, EndpointState
+from wigeonspoke.core.routes.registry import (
+    EndpointRegistry,
+    EndpointState,
+    Ownership,
+)
 from wigeonspoke.core.routes.route import Route, RouteError, build_route
 
 __all__ = (
     'EndpointRegistry',
     'EndpointState',
+    'Ownership',
     'Route',
     'RouteError',
     'RoutePlanner',
--- a/wigeonspoke/core/routes/planner.py
+++ b/wigeonspoke/core/routes/planner.py
@@ -138,7 +138,7 @@
 
     def expected_seconds(self, state: EndpointState, engine: Engine) -> float:
         """Give the expected time of one token's step at an engine."""
-        load = state.streams + self.peers.streams_at(state.name) + 1
+        load = self.streams_at(state) + 1
         queueing = max(1, load / state.free_streams)
         link = self.registry.link_seconds(self.home, state.failure_domain)
         busy = engine.step_seconds * queueing * state.health.slowness
@@ -164,13 +164,25 @@
         if not self.accepts_work(state, now):
             return False
         limit = state.health.allowed_streams(state.stream_limit, now)
-        taken = state.streams + self.peers.streams_at(state.name)
+        taken = self.streams_at(state)
         if state.ownership is Ownership.OWN:
             return taken < limit
+        if state.ownership is Ownership.OTHER:
+            known = self.peers.is_told_by_owner(state.index, now)
+            return known and taken < LENT_SHARE * limit
         part = limit / self.peers.live_nodes
-        if state.ownership is Ownership.SHARED and state.streams < part:
-            return True
-        return taken < LENT_SHARE * limit
+        return state.streams < part or taken < LENT_SHARE * limit
+
+    def streams_at(self, state: EndpointState) -> int:
+        """Give the streams of all nodes at an engine, as far as known.
+
+        An owner's count of its engine has in it what this node had there
+        when it was taken.
+        """
+        if state.ownership is Ownership.OTHER:
+            told = self.peers.told_by_owner(state.index)
+            return max(told, state.streams)
+        return state.streams + self.peers.streams_at(state.index)
 
     def _extend(
         self,
--- a/wigeonspoke/core/routes/registry.py
+++ b/wigeonspoke/core/routes/registry.py
@@ -1,6 +1,7 @@
 """The state that a node keeps for each endpoint."""
 
 import enum
+import itertools
 import math
 from operator import attrgetter
 
@@ -14,6 +15,7 @@
 from wigeonspoke.core.health import EndpointHealth
 
 FULL_SECONDS = 0.1
+RETIRED = -1
 LATENCY_SHARE = 0.75
 STAGE_BATCHES = 2
 
@@ -37,7 +39,7 @@
     ``streams`` counts what this node has open there, ``stream_limit`` is
     how many all nodes together should.  Up to ``free_streams`` do not
     wait for each other, since each is at another stage or in one batch.
-    ``place`` is its position in its group.
+    ``place`` is its position in its group, ``index`` in the configuration.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         'free_streams',
         'full_until',
         'health',
+        'index',
         'leaving',
         'name',
         'ownership',
@@ -68,6 +71,7 @@
         self.engine = engine
         self.health = EndpointHealth(engine.step_seconds if engine else 0)
         self.leaving = False
+        self.index = 0
         self.streams = 0
         self.stream_limit = 0
         self.free_streams = 1
@@ -100,15 +104,19 @@
         for place, state in enumerate(self.members):
             state.place = place
 
-    def assign(self, node: str, nodes: list[str]) -> None:
-        """Split the members over nodes, as seen from one of the nodes."""
+    def assign(self, node: str, nodes: list[str]) -> list[EndpointState]:
+        """Split the members over nodes, and give those of one of them."""
         if not nodes or len(self.members) < len(nodes):
             for shared in self.members:
                 shared.ownership = Ownership.SHARED
-            return
+            return []
+        own: list[EndpointState] = []
         for number, state in enumerate(self.members):
-            mine = nodes[number % len(nodes)] == node
-            state.ownership = Ownership.OWN if mine else Ownership.OTHER
+            state.ownership = Ownership.OTHER
+            if nodes[number % len(nodes)] == node:
+                state.ownership = Ownership.OWN
+                own.append(state)
+        return own
 
 
 class EndpointRegistry:
@@ -119,13 +127,14 @@
     configuration keeps the state of the endpoints that stay.
     """
 
-    __slots__ = ('endpoints', 'groups', 'links', 'replicas')
+    __slots__ = ('endpoints', 'groups', 'links', 'own', 'replicas')
 
     def __init__(self) -> None:
         self.endpoints: dict[str, EndpointState] = {}
         self.groups: dict[str, list[EndpointGroup]] = {}
         self.replicas: dict[str, list[EndpointState]] = {}
         self.links: dict[tuple[str, str], float] = {}
+        self.own: list[EndpointState] = []
 
     def adopt(self, configuration: Configuration) -> None:
         """Take over a configuration's endpoints and links.
@@ -140,11 +149,14 @@
         for engine in configuration.engines:
             self._keep(known, engine, engine)
         for replica in configuration.replicas:
-            state = self._keep(known, replica)
-            self.replicas.setdefault(replica.service, []).append(state)
+            kept = self._keep(known, replica)
+            self.replicas.setdefault(replica.service, []).append(kept)
+        for index, state in enumerate(self.endpoints.values()):
+            state.index = index
         for name, leftover in known.items():
-            if leftover.streams:
-                self.endpoints.setdefault(name, leftover)
+            if leftover.streams and name not in self.endpoints:
+                leftover.index = RETIRED
+                self.endpoints[name] = leftover
         for link in configuration.links:
             self.links[link.one, link.other] = link.seconds
             self.links[link.other, link.one] = link.seconds
@@ -161,10 +173,10 @@
         All nodes that know of the same nodes come to the same split.  A
         group with fewer engines than nodes is shared by all.
         """
-        for groups in self.groups.values():
-            for group in groups:
-                nodes = sorted(nodes_by_domain.get(group.failure_domain, ()))
-                group.assign(node, nodes)
+        self.own = []
+        for group in itertools.chain.from_iterable(self.groups.values()):
+            nodes = sorted(nodes_by_domain.get(group.failure_domain, ()))
+            self.own.extend(group.assign(node, nodes))
 
     def link_seconds(self, one: str, other: str) -> float:
         """Give the one-way latency between two failure domains."""
--- a/wigeonspoke/core/tests/test_membership.py
+++ b/wigeonspoke/core/tests/test_membership.py
@@ -51,7 +51,7 @@
 
 
 def _report(incarnation, sequence, streams):
-    loads = (EndpointLoad('e', streams),)
+    loads = (EndpointLoad(7, streams),)
     return PeerReport('n2', 'a', incarnation, sequence, 1, loads)
 
 
@@ -62,13 +62,14 @@
         ([('x', 1, 5), ('x', 2, 3)], 3),
         ([('x', 2, 3), ('x', 1, 5)], 3),
         ([('x', 9, 5), ('y', 1, 0)], 0),
+        ([('y', 1, 0), ('x', 9, 5)], 0),
     ],
 )
 def test_reports_of_peers(reports, streams):
     book = PeerBook()
     for report in reports:
         book.take(_report(*report), 0)
-    assert book.streams_at('e') == streams
+    assert book.streams_at(7) == streams
 
 
 def test_silent_peer_is_forgotten():
@@ -76,4 +77,4 @@
     book.take(_report('x', 1, 5), 0)
     assert (book.live_nodes, book.forget_stale(2)) == (2, ())
     assert book.forget_stale(4) == ('n2',)
-    assert (book.live_nodes, book.streams_at('e')) == (1, 0)
+    assert (book.live_nodes, book.streams_at(7)) == (1, 0)
--- a/wigeonspoke/core/tests/test_routes.py
+++ b/wigeonspoke/core/tests/test_routes.py
@@ -206,7 +206,7 @@
 )
 def test_shared_engine_has_room(own, peers, has_room):
     view = _view()
-    view.take_report(_report('n2', 'a', peers), 10)
+    view.take_report(_report(view, 'n2', 'a', peers), 10)
     state = view.endpoint('a1')
     state.streams = own
     assert state.ownership is Ownership.SHARED
@@ -228,15 +228,15 @@
 def test_owned_engine_has_room(name, own, peers, has_room):
     twin = msgspec.structs.replace(ENGINES[0], name='a3')
     view = _view((*ENGINES, twin))
-    view.take_report(_report('n2', 'a', peers, name), 10)
+    view.take_report(_report(view, 'n2', 'a', peers, name), 10)
     state = view.endpoint(name)
     state.streams = own
     assert view.planner.has_room(state, 10) is has_room
 
 
-def _report(node, domain, streams, endpoint='a1'):
-    loads = (EndpointLoad(endpoint, streams),)
-    return PeerReport(node, domain, 'x', 1, 1, loads)
+def _report(view, node, domain, streams, endpoint='a1'):
+    loads = (EndpointLoad(view.endpoint(endpoint).index, streams),)
+    return PeerReport(node, domain, 'x', 1, 1, loads, loads)
 
 
 def test_nodes_agree_on_owners_and_take_over_from_the_lost():
@@ -246,7 +246,7 @@
     for node, peer in (('n1', 'n2'), ('n2', 'n1')):
         view = ClusterView(node, 'a', random.Random(1))
         view.adopt(configuration)
-        view.take_report(_report(peer, 'a', 0), 0)
+        view.take_report(_report(view, peer, 'a', 0), 0)
         owned[node] = _owned(view)
     assert owned == {'n1': {'a1'}, 'n2': {'a3'}}
     view.forget_stale_peers(100)
--- a/wigeonspoke/core/view.py
+++ b/wigeonspoke/core/view.py
@@ -2,10 +2,17 @@
 
 import random
 
+import msgspec
+
 from wigeonspoke.core.actions import Note
 from wigeonspoke.core.admission import AccountLimits
 from wigeonspoke.core.deployment import Configuration, Model, Service
-from wigeonspoke.core.membership import MarkBook, PeerBook, PeerReport
+from wigeonspoke.core.membership import (
+    Departure,
+    MarkBook,
+    PeerBook,
+    PeerReport,
+)
 from wigeonspoke.core.outcomes import Reason
 from wigeonspoke.core.routes import (
     EndpointRegistry,
@@ -89,6 +96,7 @@
             service.name: service for service in configuration.services
         }
         self.registry.adopt(configuration)
+        self.peers.forget_loads()
         self._assign_owners()
         self.limits.adopt(configuration.accounts)
         self.count('configuration_adopted', 'newer')
@@ -114,6 +122,8 @@
     def take_report(self, report: PeerReport, now: float) -> None:
         """Take in what a peer tells of itself."""
         joined = report.node not in self.peers.peers
+        if report.generation != self.generation:
+            report = msgspec.structs.replace(report, loads=(), own=())
         self.peers.take(report, now)
         if joined:
             self.note('peer-joined', report.node)
@@ -121,12 +131,11 @@
 
     def forget_stale_peers(self, now: float) -> None:
         """Drop the peers that have not been heard of lately."""
-        lost = self.peers.forget_stale(now)
-        for peer in lost:
-            self.count('peer_forgotten', 'silent')
-            self.note('peer-lost', peer)
-        if lost:
-            self._assign_owners()
+        self._note_lost(self.peers.forget_stale(now), 'silent')
+
+    def lose_peers(self, departures: tuple[Departure, ...]) -> None:
+        """Drop peers that did not answer a node."""
+        self._note_lost(self.peers.depart(departures), 'no-answer')
 
     def eject(self, state: EndpointState, reason: Reason, now: float) -> None:
         """Take an endpoint that failed out of the choice."""
@@ -177,3 +186,10 @@
         nodes = self.peers.nodes_by_domain()
         nodes.setdefault(self.home, []).append(self.node)
         self.registry.assign_owners(self.node, nodes)
+
+    def _note_lost(self, lost: tuple[str, ...], reason: str) -> None:
+        for peer in lost:
+            self.count('peer_forgotten', reason)
+            self.note('peer-lost', peer, detail=reason)
+        if lost:
+            self._assign_owners()
--- a/wigeonspoke/node/admin_app.py
+++ b/wigeonspoke/node/admin_app.py
@@ -236,7 +236,7 @@
 
     def _endpoint(self, state: EndpointState) -> EndpointStatus:
         view = self.runtime.view
-        streams = state.streams + view.peers.streams_at(state.name)
+        streams = state.streams + view.peers.streams_at(state.index)
         return EndpointStatus(
             name=state.name,
             failure_domain=state.failure_domain,
--- a/wigeonspoke/node/daemon.py
+++ b/wigeonspoke/node/daemon.py
@@ -27,7 +27,8 @@
 from wigeonspoke.transport import HttpClient, HttpListener
 from wigeonspoke.transport.http_app import key_digest
 
-INCARNATION_LENGTH = 8
+CHANCE_LENGTH = 4
+MILLISECONDS = 1000
 IDLE_POLL_SECONDS = 0.05
 
 
@@ -55,7 +56,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self.settings = settings
-        self.incarnation = uuid.uuid4().hex[:INCARNATION_LENGTH]
+        self.incarnation = new_incarnation()
         self.stopping = False
         self.greenlets: list[GreenThread] = []
         client = HttpClient()
@@ -164,4 +165,10 @@
         )
         self.admin = HttpListener(admin, settings.host, settings.admin_port)
         self.peers = HttpListener(peers, settings.host, settings.peers_port)
-        self.gossip.own_address = self.peers.address
+        self.gossip.listen_at(self.peers.address)
+
+
+def new_incarnation() -> str:
+    """Give a tag that is greater at each start of a node."""
+    started = int(time.time() * MILLISECONDS)
+    return f'{started:012x}{uuid.uuid4().hex[:CHANCE_LENGTH]}'
--- a/wigeonspoke/node/gossip.py
+++ b/wigeonspoke/node/gossip.py
@@ -1,6 +1,7 @@
-"""What nodes tell each other, a few times a second."""
+"""Exchanges messages with peers, a few times a second at the most."""
 
 import random
+import time
 
 import eventlet
 import msgspec
@@ -10,26 +11,31 @@
     HostsListed,
     MarksHeard,
     PeerReported,
+    PeersDeparted,
 )
-from wigeonspoke.core.membership import EndpointMark, PeerReport
+from wigeonspoke.core.membership import (
+    Exchange,
+    GossipMessage,
+    message_size,
+    round_seconds,
+)
+from wigeonspoke.core.outcomes import Outcome
+from wigeonspoke.core.membership.exchange import ROUND_SECONDS
 from wigeonspoke.node.config_sync import ConfigSync
 from wigeonspoke.node.runtime import Runtime
 from wigeonspoke.observe import HybridTime
 from wigeonspoke.platform import HostEntry, HostList
-from wigeonspoke.transport import HttpClient
+from wigeonspoke.transport import HttpClient, HttpError
 
-GOSSIP_SECONDS = 0.25
-FANOUT = 8
 HOSTS_SECONDS = 1.0
+NEWS_SECONDS = 0.05
 GOSSIP_PATH = '/peers/v1/gossip'
 
 
-class GossipMessage(msgspec.Struct, frozen=True):
-    """A node's load, its marks and where it listens for peers."""
+class TimedMessage(msgspec.Struct, frozen=True):
+    """A message with the hybrid time at which it was sent."""
 
-    report: PeerReport
-    marks: tuple[EndpointMark, ...]
-    address: str
+    message: GossipMessage
     at: HybridTime
 
 
@@ -41,13 +47,11 @@
     """
 
     __slots__ = (
-        'addresses',
         'client',
         'config_sync',
+        'exchange',
         'hosts',
         'incarnation',
-        'own_address',
-        'random',
         'runtime',
     )
 
@@ -65,27 +69,38 @@
         self.client = client
         self.hosts = hosts
         self.incarnation = incarnation
-        self.addresses = set(seeds)
-        self.own_address = ''
-        self.random = random.Random()
-
-    def message(self) -> GossipMessage:
-        """Give what this node tells its peers now."""
-        router = self.runtime.router
-        return GossipMessage(
-            report=router.report(self.incarnation),
-            marks=tuple(router.view.marks.marks.values()),
-            address=self.own_address,
-            at=self.runtime.timeline.clock.tick(),
+        view = runtime.view
+        self.exchange = Exchange(
+            view.home,
+            '',
+            view.marks,
+            view.peers,
+            random.Random(),
         )
+        for seed in seeds:
+            self.exchange.meet(seed)
+
+    def listen_at(self, address: str) -> None:
+        """Tell where this node listens for peers."""
+        self.exchange.address = address
+        self.exchange.forget(address)
+
+    def message_to(self, address: str) -> TimedMessage:
+        """Give what a peer is told now."""
+        report = self.runtime.router.report(self.incarnation)
+        message = self.exchange.message_to(address, report)
+        return TimedMessage(message, self.runtime.timeline.clock.tick())
 
-    def take(self, message: GossipMessage) -> None:
+    def take(self, timed: TimedMessage) -> None:
         """Take in what a peer told."""
+        message = timed.message
         if message.report.node == self.runtime.router.node:
             return
-        self.runtime.timeline.clock.merge(message.at)
-        self.addresses.add(message.address)
+        self.runtime.timeline.clock.merge(timed.at)
+        self.exchange.take(message)
         self.runtime.dispatch(PeerReported(message.report))
+        if message.departures:
+            self.runtime.dispatch(PeersDeparted(message.departures))
         if message.marks:
             self.runtime.dispatch(MarksHeard(message.marks))
         if message.report.generation > self.config_sync.generation:
@@ -93,10 +108,12 @@
 
     def gossip_forever(self) -> None:
         """Exchange messages with some peers again and again."""
+        news = False
         while True:
-            for peer in self._choose_peers():
+            peers = self.exchange.choose_peers(news)
+            for peer in peers:
                 eventlet.spawn(self._exchange, peer)
-            eventlet.sleep(GOSSIP_SECONDS)
+            news = self._wait_for_round(len(peers))
 
     def follow_hosts_forever(self) -> None:
         """Learn of peers and of leaving hosts from the platform's list."""
@@ -107,29 +124,42 @@
             eventlet.sleep(HOSTS_SECONDS)
 
     def _take_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
-        entries = [host for host in hosts if host.is_entry]
-        self.addresses.update(
-            host.address for host in entries if not host.leaving
-        )
+        for entry in hosts:
+            if entry.is_entry and not entry.leaving:
+                self.exchange.meet(entry.address, entry.failure_domain)
         leaving = tuple(host.address for host in hosts if host.leaving)
         self.runtime.dispatch(HostsListed(leaving))
 
-    def _choose_peers(self) -> list[str]:
-        others = sorted(self.addresses - {self.own_address})
-        if len(others) <= FANOUT:
-            return others
-        return self.random.sample(others, FANOUT)
+    def _wait_for_round(self, peers: int) -> bool:
+        """Wait for the next round, or for a mark; tell whether one came."""
+        pause = ROUND_SECONDS
+        if not self.exchange.is_small:
+            size = message_size(self.message_to('').message)
+            pause = round_seconds(size, peers)
+        self.runtime.router.round_seconds = pause
+        seen = self.exchange.news
+        end = time.monotonic() + pause
+        while time.monotonic() < end and seen == self.exchange.news:
+            eventlet.sleep(NEWS_SECONDS)
+        return seen != self.exchange.news
 
     def _exchange(self, peer: str) -> None:
-        body = msgspec.json.encode(self.message())
+        body = msgspec.json.encode(self.message_to(peer))
         reply = self.client.post(peer, GOSSIP_PATH, body)
         if not isinstance(reply, Success):
+            self._note_failure(peer, reply.failure())
             return
         whole = reply.unwrap()
         if not whole.is_ok:
             return
         try:
-            answer = msgspec.json.decode(whole.body, type=GossipMessage)
+            answer = msgspec.json.decode(whole.body, type=TimedMessage)
         except msgspec.MsgspecError:
             return
         self.take(answer)
+
+    def _note_failure(self, peer: str, error: HttpError) -> None:
+        sure = error.outcome is Outcome.NOT_RUN
+        departure = self.exchange.note_failure(peer, sure)
+        if departure:
+            self.runtime.dispatch(PeersDeparted((departure,)))
--- a/wigeonspoke/node/peers_app.py
+++ b/wigeonspoke/node/peers_app.py
@@ -4,7 +4,7 @@
 
 from werkzeug.wrappers import Request, Response
 
-from wigeonspoke.node.gossip import Gossip, GossipMessage
+from wigeonspoke.node.gossip import Gossip, TimedMessage
 from wigeonspoke.transport import (
     ApiError,
     HttpApp,
@@ -32,8 +32,9 @@
     def post_gossip(self, request: Request) -> Response:
         """Take in a peer's message and answer with this node's."""
         authorise(request, self.key_digest)
-        self.gossip.take(read_json(request, GossipMessage))
-        return JsonReply(self.gossip.message())
+        timed = read_json(request, TimedMessage)
+        self.gossip.take(timed)
+        return JsonReply(self.gossip.message_to(timed.message.address))
 
     def get_configuration(self, request: Request) -> Response:
         """Answer with the configuration in force."""
