--- a/wigeonspoke/bench/runner.py
+++ b/wigeonspoke/bench/runner.py
@@ -4,7 +4,6 @@
 import math
 from collections.abc import Iterable
 from functools import cache
-from statistics import quantiles
 
 import msgspec
 
@@ -24,29 +23,19 @@
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.router import Router
 from wigeonspoke.core.routes.bound import throughput_bound
+from wigeonspoke.observe import LatencyRecorder, Percentiles
 from wigeonspoke.standins.model import expected_tokens
 
 WARM_SECONDS = 2.0
 BUCKET_SECONDS = 0.25
 STEADY_BUCKETS = 4
 RECOVERED_SHARE = 0.95
-PERCENTILES = 100
-RANKS = (50, 95, 99)
-DIGITS = 5
 POLICIES: dict[str, PolicyFactory] = {
     'present': Router,
     'naive': NaiveRouter,
 }
 
 
-class Percentiles(msgspec.Struct, frozen=True):
-    """Percentiles of a latency in seconds."""
-
-    p50: float
-    p95: float
-    p99: float
-
-
 class ScenarioResult(msgspec.Struct, frozen=True):
     """What one policy did in one scenario.
 
@@ -266,11 +255,10 @@
 
 
 def _percentiles(seconds: Iterable[float]) -> Percentiles:
-    found = list(seconds)
-    if len(found) < 2:
-        return Percentiles(0, 0, 0)
-    cuts = quantiles(found, n=PERCENTILES)
-    return Percentiles(*(round(cuts[rank - 1], DIGITS) for rank in RANKS))
+    recorder = LatencyRecorder()
+    for latency in seconds:
+        recorder.add(latency)
+    return recorder.percentiles()
 
 
 def _fairness(logs: Iterable[AnswerLog]) -> float:
--- a/wigeonspoke/load/driver.py
+++ b/wigeonspoke/load/driver.py
@@ -7,18 +7,14 @@
 import eventlet
 import msgspec
 from eventlet.greenpool import GreenPool
-from hdrh.histogram import HdrHistogram
 
 from wigeonspoke.load.balancer import Balancer
 from wigeonspoke.load.caller import Caller, Prompt
 from wigeonspoke.load.records import AnswerRecord, Verdict
+from wigeonspoke.observe import LatencyRecorder, Percentiles
 
 MAX_CALLERS = 4096
-MILLISECONDS = 1000
-LONGEST_MILLISECONDS = 3_600_000
-DIGITS = 3
 EITHER = (True, False)
-RANKS = (50, 95, 99)
 
 
 class LoadPlan(msgspec.Struct, frozen=True):
@@ -38,14 +34,6 @@
     seed: int = 1
 
 
-class Percentiles(msgspec.Struct, frozen=True):
-    """Percentiles of a latency in seconds."""
-
-    p50: float
-    p95: float
-    p99: float
-
-
 class LoadSummary(msgspec.Struct, frozen=True):
     """What the callers of one run saw.
 
@@ -109,12 +97,12 @@
     def summary(self) -> LoadSummary:
         """Sum up what the callers saw."""
         records = self.records
-        first = HdrHistogram(1, LONGEST_MILLISECONDS, DIGITS)
-        whole = HdrHistogram(1, LONGEST_MILLISECONDS, DIGITS)
+        first = LatencyRecorder()
+        whole = LatencyRecorder()
         for answer in records:
-            _record(whole, answer.ended - answer.due)
+            whole.add(answer.ended - answer.due)
             if answer.first_token is not None:
-                _record(first, answer.first_token - answer.due)
+                first.add(answer.first_token - answer.due)
         tokens = sum(record.tokens for record in records)
         counts = {
             verdict: sum(1 for one in records if one.verdict is verdict)
@@ -129,8 +117,8 @@
             failed=counts[Verdict.FAILED],
             tokens=tokens,
             tokens_per_second=tokens / _span(records),
-            first_token_seconds=_percentiles(first),
-            answer_seconds=_percentiles(whole),
+            first_token_seconds=first.percentiles(),
+            answer_seconds=whole.percentiles(),
         )
 
     def _run_open(self, end: float) -> None:
@@ -169,16 +157,3 @@
         return 1
     start = min(record.started for record in records)
     return max(record.ended for record in records) - start or 1
-
-
-def _record(histogram: HdrHistogram, seconds: float) -> None:
-    histogram.record_value(max(1, int(seconds * MILLISECONDS)))
-
-
-def _percentiles(histogram: HdrHistogram) -> Percentiles:
-    return Percentiles(
-        *(
-            histogram.get_value_at_percentile(rank) / MILLISECONDS
-            for rank in RANKS
-        ),
-    )
