Do not count refusals among a request's failures

Cause: with one engine left for a range after a kill, nodes met at it and were refused, 0.1 s apart; twelve refusals ended an answer as failed. Ruled out: the planned stop, stale connections. Change: only failures that may have run count to the bound of twelve; a full engine is left alone twice as long after each refusal, up to 0.8 s; callers of the load keep the text of an error. Conclusion: a refusal is a wait, not a failure.

--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -29,7 +29,7 @@
 from wigeonspoke.core.timers import LazyTimers
 from wigeonspoke.core.view import EJECTING_REASONS, ClusterView
 
-MAX_ATTEMPTS = 12
+MAX_FAILURES = 12
 RETRY_AFTER_SECONDS = 1.0
 PAUSE_SECONDS = 0.5
 GRACE_SECONDS = 0.3
@@ -395,7 +395,7 @@
         if outstanding is None or event.outcome is not Outcome.NOT_RUN:
             return None
         step = outstanding.step
-        if step.position or session.attempt >= MAX_ATTEMPTS:
+        if step.position:
             return None
         session.avoid.add(event.endpoint)
         engine = self.view.planner.choose_stage(
@@ -417,11 +417,14 @@
         session: GenerationSession,
         event: StepFailed,
     ) -> Reason | None:
-        if session.attempt >= MAX_ATTEMPTS:
-            return Reason.ATTEMPTS_SPENT
         session.avoid.add(event.endpoint)
+        # A refusal ran nothing and says nothing against a later try; the
+        # request's deadline bounds how long it is refused.
         if event.outcome is Outcome.NOT_RUN:
             return None
+        session.failures += 1
+        if session.failures >= MAX_FAILURES:
+            return Reason.ATTEMPTS_SPENT
         if self.budget.withdraw(len(session.context)):
             return None
         return Reason.BUDGET_SPENT
--- a/wigeonspoke/core/routes/registry.py
+++ b/wigeonspoke/core/routes/registry.py
@@ -15,6 +15,7 @@
 from wigeonspoke.core.health import EndpointHealth
 
 FULL_SECONDS = 0.1
+MAX_FULL_SECONDS = 0.8
 RETIRED = -1
 LATENCY_SHARE = 0.75
 STAGE_BATCHES = 2
@@ -47,6 +48,7 @@
         'engine',
         'failure_domain',
         'free_streams',
+        'full_seconds',
         'full_until',
         'health',
         'index',
@@ -77,11 +79,16 @@
         self.free_streams = 1
         self.ownership = Ownership.SHARED
         self.place = 0
-        self.full_until = 0
+        self.full_until: float = 0
+        self.full_seconds = FULL_SECONDS
 
     def note_busy(self, now: float) -> None:
-        """Leave the endpoint alone for a moment after it was full."""
-        self.full_until = now + FULL_SECONDS
+        """Leave the endpoint alone after it was full, longer each time."""
+        if now >= self.full_until:
+            again = now < self.full_until + 2 * self.full_seconds
+            grown = 2 * self.full_seconds if again else FULL_SECONDS
+            self.full_seconds = min(MAX_FULL_SECONDS, grown)
+            self.full_until = now + self.full_seconds
 
 
 class EndpointGroup:
--- a/wigeonspoke/core/streams/session.py
+++ b/wigeonspoke/core/streams/session.py
@@ -30,7 +30,8 @@
 
     ``accepted`` holds the tokens handed to the caller; their indexes are
     contiguous by construction.  ``positions`` counts the inputs that each
-    stage of the route has taken in this attempt.
+    stage of the route has taken in this attempt, ``failures`` the attempts
+    that ended after an endpoint may have run something.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         'attempt',
         'avoid',
         'deadline',
+        'failures',
         'model',
         'outstanding',
         'positions',
@@ -58,6 +60,7 @@
         self.admitted_at = now
         self.deadline = now + model.request_seconds
         self.attempt = 0
+        self.failures = 0
         self.route: Route | None = None
         self.positions: list[int] = []
         self.outstanding: Outstanding | None = None
--- a/wigeonspoke/load/caller.py
+++ b/wigeonspoke/load/caller.py
@@ -47,11 +47,12 @@
 class Reading:
     """What has been read of an answer so far."""
 
-    __slots__ = ('finish', 'first_token', 'text', 'whole')
+    __slots__ = ('finish', 'first_token', 'problem', 'text', 'whole')
 
     def __init__(self) -> None:
         self.text = ''
         self.finish = ''
+        self.problem = ''
         self.first_token: float | None = None
         self.whole = False
 
@@ -101,7 +102,7 @@
             tokens=len(reading.text),
             status=status,
             request_id=request_id,
-            detail=detail,
+            detail=detail or reading.problem,
         )
 
     def operate(
@@ -170,6 +171,8 @@
         if response.status == HTTPStatus.OK:
             reading.take(msgspec.json.decode(body, type=_Reply))
             reading.whole = True
+        else:
+            reading.problem = body.decode(errors='replace')
         return
     for line in read_lines(response):
         if not line.startswith(LINE_START):
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -56,13 +56,15 @@
 class HttpListener:
     """Serves an application on one address, port 0 for any free port.
 
-    ``active`` counts the requests whose replies are not yet written whole.
+    ``address`` is the one in use, as ``host:port``.  ``active`` counts the
+    requests whose replies are not yet written whole.
     :meth:`close` stops accepting and leaves open connections alone;
     :meth:`abort` also resets them, as a crash would.
     """
 
     __slots__ = (
         'active',
+        'address',
         'application',
         'greenlet',
         'limits',
@@ -81,6 +83,8 @@
         self.active = 0
         self.limits = limits or ListenerLimits()
         self.sock = eventlet.listen((host, port), backlog=self.backlog)
+        bound_host, bound_port = self.sock.getsockname()[:2]
+        self.address = f'{bound_host}:{bound_port}'
         self.open: set[socket.socket] = set()
         self.greenlet = eventlet.spawn(self._serve)
 
@@ -89,12 +93,6 @@
         """Give the length of the queue of unaccepted connections."""
         return self.limits.connections
 
-    @property
-    def address(self) -> str:
-        """Give the address as ``host:port``."""
-        host, port = self.sock.getsockname()[:2]
-        return f'{host}:{port}'
-
     def close(self) -> None:
         """Stop accepting connections."""
         # The loop must not wait on a descriptor that is closed and may come
