--- a/wigeonspoke/bench/capacity.py
+++ b/wigeonspoke/bench/capacity.py
@@ -8,6 +8,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable
+from functools import partial
 from itertools import starmap
 
 import msgspec
@@ -271,13 +272,13 @@
 
 def _adoption(replicas: int) -> float:
     body = msgspec.json.encode(make_configuration(replicas))
+    return _microseconds(3, partial(_adopt, body))
 
-    def adopt() -> None:  # noqa: WPS430
-        found = msgspec.json.decode(body, type=Configuration)
-        router = Router('n1', 'a', random.Random(1))
-        router.handle(events.ConfigurationAdopted(found), 0)
 
-    return _microseconds(3, adopt)
+def _adopt(body: bytes) -> None:
+    found = msgspec.json.decode(body, type=Configuration)
+    router = Router('n1', 'a', random.Random(1))
+    router.handle(events.ConfigurationAdopted(found), 0)
 
 
 def _loaded_router(replicas: int) -> Router:
@@ -292,14 +293,13 @@
 
 
 def _exchange(replicas: int) -> float:
-    router = _loaded_router(replicas)
+    return _microseconds(10, partial(_hear_itself, _loaded_router(replicas)))
 
-    def exchange() -> None:  # noqa: WPS430
-        body = msgspec.json.encode(router.report('x'))
-        report = msgspec.json.decode(body, type=PeerReport)
-        router.handle(events.PeerReported(report), 0)
 
-    return _microseconds(10, exchange)
+def _hear_itself(router: Router) -> None:
+    body = msgspec.json.encode(router.report('x'))
+    report = msgspec.json.decode(body, type=PeerReport)
+    router.handle(events.PeerReported(report), 0)
 
 
 def _fill_timeline(count: int) -> Timeline:
--- a/wigeonspoke/conftest.py
+++ b/wigeonspoke/conftest.py
@@ -4,10 +4,10 @@
 
 warnings.simplefilter('ignore')
 
-import eventlet  # noqa: E402
+import eventlet
 
 eventlet.monkey_patch()
 
-from wigeonspoke.observe import configure_logs  # noqa: E402
+from wigeonspoke.observe import configure_logs
 
 configure_logs('ERROR', as_json=False)
--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -169,10 +169,6 @@
                 actions.extend(self._check_overdue(session, now))
         return [*actions, *self.dispatch(now)]
 
-    def open_streams(self) -> int:
-        """Count the sessions that have not ended."""
-        return len(self.sessions)
-
     def _note_pause(self, now: float) -> None:
         """See whether this node stood still, and give endpoints grace then.
 
--- a/wigeonspoke/tests/test_processes.py
+++ b/wigeonspoke/tests/test_processes.py
@@ -2,7 +2,7 @@
 
 import re
 import signal
-import subprocess  # noqa: S404
+import subprocess
 import sys
 
 import eventlet
@@ -29,7 +29,7 @@
     started = []
 
     def run(*arguments):
-        process = subprocess.Popen(  # noqa: S603
+        process = subprocess.Popen(
             [*PROGRAM, *arguments],
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
