Take out three methods that nobody calls

Cause: a reading of the whole change found them left over: a lookup of nodes in the demo, the end of a freeze in the bench, the stop of a load. Change: they went, and with the last its flag in two loops. Conclusion: no change of behaviour.

--- a/wigeonspoke/bench/engine.py
+++ b/wigeonspoke/bench/engine.py
@@ -96,11 +96,6 @@
         """Come back with no state."""
         self.alive = True
 
-    def thaw(self) -> None:
-        """Go on after a freeze."""
-        self.frozen = False
-        self._start_batch()
-
     def _admit(self, step: SendStep) -> Reason | None:
         key = (step.key.request_id, step.key.attempt)
         if step.position == 0:
--- a/wigeonspoke/demo/world.py
+++ b/wigeonspoke/demo/world.py
@@ -105,14 +105,6 @@
         ]
         return throughput_bound(engines, self.layers)
 
-    def node_at(self, callers_address: str) -> Node:
-        """Give the node whose callers' listener has an address."""
-        return next(
-            node
-            for node in self.nodes
-            if node.callers.address == callers_address
-        )
-
     def close(self) -> None:
         """End everything."""
         for node in self.nodes:
--- a/wigeonspoke/load/driver.py
+++ b/wigeonspoke/load/driver.py
@@ -63,7 +63,6 @@
         'pool',
         'random',
         'records',
-        'running',
     )
 
     def __init__(
@@ -78,7 +77,6 @@
         self.random = random.Random(plan.seed)
         self.records: list[AnswerRecord] = []
         self.pool = GreenPool(MAX_CALLERS)
-        self.running = True
 
     def run(self) -> None:
         """Drive the traffic and wait for the last answer."""
@@ -90,10 +88,6 @@
                 self.pool.spawn(self._run_closed, end)
         self.pool.waitall()
 
-    def stop(self) -> None:
-        """Start no further requests."""
-        self.running = False
-
     def summary(self) -> LoadSummary:
         """Sum up what the callers saw."""
         records = self.records
@@ -123,13 +117,13 @@
 
     def _run_open(self, end: float) -> None:
         due = time.monotonic()
-        while due < end and self.running:
+        while due < end:
             eventlet.sleep(max(0, due - time.monotonic()))
             self.pool.spawn(self._ask, due)
             due += self.random.expovariate(self.plan.rate)
 
     def _run_closed(self, end: float) -> None:
-        while time.monotonic() < end and self.running:
+        while time.monotonic() < end:
             self._ask(time.monotonic())
 
     def _ask(self, due: float) -> None:
