--- a/wigeonspoke/config/publisher.py
+++ b/wigeonspoke/config/publisher.py
@@ -16,7 +16,7 @@
 from wigeonspoke.config.generate import generate
 from wigeonspoke.config.questionnaire import Questionnaire
 from wigeonspoke.core.deployment import Configuration
-from wigeonspoke.platform import (
+from wigeonspoke.store import (
     HttpPlatform,
     StoreError,
     StoreProblem,
--- a/wigeonspoke/config/tests/fake_store.py
+++ b/wigeonspoke/config/tests/fake_store.py
@@ -3,7 +3,7 @@
 import msgspec
 from returns.result import Failure, Success
 
-from wigeonspoke.platform import StoreError, StoreProblem, TableRow
+from wigeonspoke.store import StoreError, StoreProblem, TableRow
 
 
 class FakeStore:
--- /dev/null
+++ b/wigeonspoke/core/chains/chooser.py
@@ -0,0 +1,123 @@
+"""The choice of a chain for a request.
+
+The load pattern it answers: each failure domain has a whole copy of the
+model and its own callers, so a request goes to its own domain's chain.  If
+that one is broken or in doubt, whole requests go to another domain, least
+loaded first: a prompt's activations would fill the pipe between domains,
+the text of an answer does not.
+"""
+
+from collections import Counter
+from collections.abc import Collection
+
+import msgspec
+
+from wigeonspoke.core.chains.paths import Chain, find_chain
+from wigeonspoke.core.chains.suspects import SuspectBook
+from wigeonspoke.core.fleet import Endpoint, EngineProfile, Fleet
+
+
+class ChainSet(msgspec.Struct):
+    """The chains of a service as they were computed at one moment."""
+
+    fleet_changes: int
+    suspect_changes: int
+    chains: tuple[Chain, ...]
+
+
+class ChainChooser:
+    """Keeps the chains of each service and chooses among them."""
+
+    __slots__ = ('failure_domain', 'fleet', 'in_flight', 'kept', 'suspects')
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        suspects: SuspectBook,
+        failure_domain: str,
+    ) -> None:
+        self.fleet = fleet
+        self.suspects = suspects
+        self.failure_domain = failure_domain
+        self.in_flight: Counter[str] = Counter()
+        self.kept: dict[str, ChainSet] = {}
+
+    def chains(
+        self,
+        service: str,
+        profile: EngineProfile,
+    ) -> tuple[Chain, ...]:
+        """Give a whole chain of each domain, or one over all of them."""
+        kept = self.kept.get(service)
+        fleet_changes = self.fleet.changes
+        suspect_changes = self.suspects.changes
+        if (
+            kept is None
+            or kept.fleet_changes != fleet_changes
+            or kept.suspect_changes != suspect_changes
+        ):
+            found = self._compute(service, profile)
+            kept = ChainSet(fleet_changes, suspect_changes, found)
+            self.kept[service] = kept
+        return kept.chains
+
+    def choose(
+        self,
+        service: str,
+        profile: EngineProfile,
+        avoided: Collection[str],
+        now: float,
+    ) -> Chain | None:
+        """Choose a chain that holds none of the avoided heads."""
+        usable = [
+            chain
+            for chain in self.chains(service, profile)
+            if chain.head.endpoint_id not in avoided
+        ]
+        if not usable:
+            return None
+        return min(usable, key=lambda chain: self._rank(chain, now))
+
+    def begin(self, chain: Chain) -> None:
+        """Count a request into its chain."""
+        self.in_flight[chain.head.endpoint_id] += 1
+
+    def end(self, chain: Chain) -> None:
+        """Count a request out of its chain."""
+        head_id = chain.head.endpoint_id
+        self.in_flight[head_id] -= 1
+        if not self.in_flight[head_id]:
+            self.in_flight.pop(head_id)
+
+    def _rank(self, chain: Chain, now: float) -> tuple[bool, bool, int]:
+        head = chain.head
+        return (
+            self.suspects.is_doubted(head.endpoint_id, now),
+            head.failure_domain != self.failure_domain,
+            self.in_flight[head.endpoint_id],
+        )
+
+    def _compute(
+        self,
+        service: str,
+        profile: EngineProfile,
+    ) -> tuple[Chain, ...]:
+        engines = [
+            engine
+            for engine in self.fleet.of_service(service)
+            if not self.suspects.is_suspect(engine)
+        ]
+        domains = sorted({engine.failure_domain for engine in engines})
+        found = [
+            find_chain(_in_domain(engines, domain), profile)
+            for domain in domains
+        ]
+        whole = tuple(chain for chain in found if chain is not None)
+        if whole:
+            return whole
+        across = find_chain(engines, profile)
+        return () if across is None else (across,)
+
+
+def _in_domain(engines: list[Endpoint], domain: str) -> list[Endpoint]:
+    return [engine for engine in engines if engine.failure_domain == domain]
--- /dev/null
+++ b/wigeonspoke/core/fleet/__init__.py
@@ -0,0 +1,10 @@
+"""Endpoints that register themselves."""
+
+from wigeonspoke.core.fleet.records import (
+    Accelerator,
+    Endpoint,
+    EngineProfile,
+)
+from wigeonspoke.core.fleet.registry import Fleet
+
+__all__ = ('Accelerator', 'Endpoint', 'EngineProfile', 'Fleet')
--- /dev/null
+++ b/wigeonspoke/core/leases/lease.py
@@ -0,0 +1,119 @@
+"""The lease on the stewardship of a failure domain.
+
+A lease is a row in the platform's store, written under the version that it
+had.  That version is the fence of every order given under the lease: an
+engine that has seen a later one refuses.
+"""
+
+import enum
+
+import msgspec
+
+LEASE_SECONDS = 3.0
+RENEW_SECONDS = 1.2
+# A domain without a steward of its own is taken by another domain's node
+# after this long.
+FOREIGN_SECONDS = 2.0
+# Without the store nobody can take the lease over, and engines refuse what
+# is stale: the steward goes on for this long.
+STORE_OUTAGE_SECONDS = 20.0
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """A lease as it lies in the store.
+
+    ``until`` is in seconds of the store's steady clock.
+    """
+
+    holder: str
+    until: float
+
+
+class SeenLease(msgspec.Struct, frozen=True):
+    """A lease row with its version in the store, 0 for none."""
+
+    version: int
+    row: LeaseRow | None = None
+
+
+@enum.unique
+class LeaseStep(enum.StrEnum):
+    """What to do about a lease."""
+
+    WAIT = 'wait'
+    TAKE = 'take'
+    RENEW = 'renew'
+
+
+class LeaseKeeper:
+    """Decides about the lease of one domain from one node's view."""
+
+    __slots__ = (
+        'domain',
+        'fence',
+        'holder',
+        'is_own_domain',
+        'lost_store_at',
+        'renewed_at',
+        'row_version',
+    )
+
+    def __init__(self, domain: str, holder: str, is_own_domain: bool) -> None:
+        self.domain = domain
+        self.holder = holder
+        self.is_own_domain = is_own_domain
+        self.fence = 0
+        self.row_version = 0
+        self.renewed_at = 0
+        self.lost_store_at = 0
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether this node has the lease as far as it knows."""
+        return self.fence > 0
+
+    def may_order(self, now: float) -> bool:
+        """Tell whether orders may be given at a moment of our clock."""
+        if not self.is_held:
+            return False
+        bound = LEASE_SECONDS
+        if self.lost_store_at > self.renewed_at:
+            bound = STORE_OUTAGE_SECONDS
+        return now < self.renewed_at + bound
+
+    def judge(self, seen: SeenLease, store_now: float) -> LeaseStep:
+        """Decide about a lease that was just read."""
+        row = seen.row
+        if row is not None and row.holder == self.holder:
+            return LeaseStep.RENEW
+        if row is None:
+            return self._take_if_own()
+        patience = 0 if self.is_own_domain else FOREIGN_SECONDS
+        if store_now > row.until + patience:
+            return LeaseStep.TAKE
+        return LeaseStep.WAIT
+
+    def renewal_due(self, now: float) -> bool:
+        """Tell whether a lease that is held is to be renewed."""
+        return self.is_held and now >= self.renewed_at + RENEW_SECONDS
+
+    def note_held(self, version: int, sent_at: float) -> None:
+        """Take in a write of the lease that the store acknowledged.
+
+        The fence stays that of the first write of a term, so that orders
+        on their way during a renewal are not refused.
+        """
+        self.fence = self.fence or version
+        self.row_version = version
+        self.renewed_at = sent_at
+
+    def note_store_lost(self, now: float) -> None:
+        """Take in that the store gave no answer."""
+        self.lost_store_at = now
+
+    def note_lost(self) -> None:
+        """Take in that somebody else has the lease."""
+        self.fence = 0
+
+    def _take_if_own(self) -> LeaseStep:
+        return LeaseStep.TAKE if self.is_own_domain else LeaseStep.WAIT
--- /dev/null
+++ b/wigeonspoke/core/placement/orders.py
@@ -0,0 +1,115 @@
+"""Orders that engines were given and have not yet carried out."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from wigeonspoke.core.fleet import Endpoint, EngineProfile
+from wigeonspoke.core.placement.plan import Placing
+from wigeonspoke.core.placement.repair import repair_domain
+
+# Engines register over some seconds at the start of a deployment.  A first
+# placement made before the list is settled leaves engines out.
+SETTLE_SECONDS = 1.2
+# How long an order without an answer counts as one that may be carried out.
+UNANSWERED_SECONDS = 1.0
+LOAD_SLACK = 3.0
+LOAD_SLACK_SECONDS = 1.0
+
+
+class PendingOrder(msgspec.Struct):
+    """An order on its way, or the load that it began.
+
+    ``due_at`` is when it is no longer believed in.
+    """
+
+    placing: Placing
+    due_at: float
+
+
+class Steward:
+    """Decides which orders one failure domain's engines need."""
+
+    __slots__ = ('changed_at', 'known_ids', 'pending', 'profile')
+
+    def __init__(self, profile: EngineProfile) -> None:
+        self.profile = profile
+        self.pending: dict[str, PendingOrder] = {}
+        self.known_ids: frozenset[str] = frozenset()
+        self.changed_at = 0
+
+    def decide(
+        self,
+        engines: Iterable[Endpoint],
+        now: float,
+    ) -> tuple[Placing, ...]:
+        """Give the orders that are needed and not yet on their way."""
+        listed = list(engines)
+        self._note_list(listed, now)
+        self._forget(listed, now)
+        is_fresh = all(engine.layers is None for engine in listed)
+        if is_fresh and now < self.changed_at + SETTLE_SECONDS:
+            return ()
+        expected = [self._expected(engine) for engine in listed]
+        return tuple(
+            placing
+            for placing in repair_domain(expected, self.profile)
+            if placing.endpoint.endpoint_id not in self.pending
+        )
+
+    def note_sent(self, placing: Placing, now: float) -> None:
+        """Take in that an order is being sent."""
+        self.pending[placing.endpoint.endpoint_id] = PendingOrder(
+            placing,
+            now + UNANSWERED_SECONDS,
+        )
+
+    def note_accepted(self, placing: Placing, now: float) -> None:
+        """Take in that an engine has begun to carry an order out."""
+        pending = self.pending.get(placing.endpoint.endpoint_id)
+        if pending is None or pending.placing != placing:
+            return
+        seconds = self.load_seconds(placing)
+        pending.due_at = now + LOAD_SLACK_SECONDS + LOAD_SLACK * seconds
+
+    def note_refused(self, placing: Placing) -> None:
+        """Take in that an engine will not carry an order out."""
+        self.pending.pop(placing.endpoint.endpoint_id, None)
+
+    def load_seconds(self, placing: Placing) -> float:
+        """Estimate how long an engine takes to load what it lacks."""
+        held = placing.endpoint.layers
+        layers = placing.layers
+        missing = layers.end - layers.first
+        if held is not None:
+            shared = min(held.end, layers.end) - max(held.first, layers.first)
+            missing -= max(0, shared)
+        return self.profile.load_seconds * missing / self.profile.layers
+
+    def _note_list(self, listed: list[Endpoint], now: float) -> None:
+        ids = frozenset(engine.endpoint_id for engine in listed)
+        if ids != self.known_ids:
+            self.known_ids = ids
+            self.changed_at = now
+
+    def _forget(self, listed: list[Endpoint], now: float) -> None:
+        by_id = {engine.endpoint_id: engine for engine in listed}
+        for endpoint_id, pending in list(self.pending.items()):
+            engine = by_id.get(endpoint_id)
+            if engine is None or _is_over(engine, pending, now):
+                self.pending.pop(endpoint_id)
+
+    def _expected(self, engine: Endpoint) -> Endpoint:
+        pending = self.pending.get(engine.endpoint_id)
+        if pending is None:
+            return engine
+        return msgspec.structs.replace(engine, layers=pending.placing.layers)
+
+
+def _is_over(engine: Endpoint, pending: PendingOrder, now: float) -> bool:
+    ordered = pending.placing
+    return (
+        engine.born != ordered.endpoint.born
+        or engine.layers == ordered.layers
+        or now >= pending.due_at
+    )
--- /dev/null
+++ b/wigeonspoke/core/routing/__init__.py
@@ -0,0 +1,24 @@
+"""The configuration in force and the look-up of rules in it."""
+
+from wigeonspoke.core.routing.rules import (
+    ClientAccount,
+    ClientLimits,
+    RequestKind,
+    RoutingConfiguration,
+    Rule,
+    ServiceProfile,
+    Target,
+)
+from wigeonspoke.core.routing.table import RoutingTable, choose_target
+
+__all__ = (
+    'ClientAccount',
+    'ClientLimits',
+    'RequestKind',
+    'RoutingConfiguration',
+    'RoutingTable',
+    'Rule',
+    'ServiceProfile',
+    'Target',
+    'choose_target',
+)
--- /dev/null
+++ b/wigeonspoke/core/routing/table.py
@@ -0,0 +1,104 @@
+"""Look-up of the rule and the account of a request."""
+
+from wigeonspoke.core.routing.rules import (
+    ClientAccount,
+    ClientLimits,
+    Rule,
+    RoutingConfiguration,
+    ServiceProfile,
+    Target,
+)
+
+
+class RoutingTable:
+    """The newest configuration that the node has heard of.
+
+    It never goes back: a version that is not newer changes nothing.
+    """
+
+    __slots__ = ('accounts', 'by_host', 'configuration', 'services')
+
+    def __init__(self) -> None:
+        self.configuration: RoutingConfiguration | None = None
+        self.by_host: dict[str, list[Rule]] = {}
+        self.accounts: dict[str, ClientAccount] = {}
+        self.services: dict[str, ServiceProfile] = {}
+
+    @property
+    def version(self) -> int:
+        """Give the version in force, -1 where there is none yet."""
+        return self.configuration.version if self.configuration else -1
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Give the limits in force."""
+        if self.configuration is None:
+            return ClientLimits()
+        return self.configuration.limits
+
+    def adopt(self, configuration: RoutingConfiguration) -> bool:
+        """Put a configuration in force if it is newer."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        self.by_host = _rules_by_host(configuration)
+        self.accounts = {
+            key: account
+            for account in configuration.accounts
+            for key in account.keys
+        }
+        self.services = {
+            service.name: service for service in configuration.services
+        }
+        return True
+
+    def find_rule(self, host: str, path: str) -> Rule | None:
+        """Find the rule of a host with the longest prefix of a path."""
+        for rule in self.by_host.get(host, ()):
+            if path.startswith(rule.prefix):
+                return rule
+        return None
+
+    def find_account(self, key: str) -> ClientAccount | None:
+        """Find the account that holds a key."""
+        return self.accounts.get(key)
+
+    def allows(self, rule: Rule, key: str) -> bool:
+        """Tell whether a rule and a key are still as they were."""
+        current = self.find_rule(rule.host, rule.prefix)
+        if current is None:
+            return False
+        if rule.is_anonymous or not self.requires_keys:
+            return True
+        return key in self.accounts
+
+    @property
+    def requires_keys(self) -> bool:
+        """Tell whether requests must carry the key of an account."""
+        return bool(self.configuration and self.configuration.has_accounts)
+
+
+def choose_target(targets: tuple[Target, ...], point: float) -> str:
+    """Choose a service by weight with a random point in ``[0, 1)``."""
+    total = sum(target.weight for target in targets)
+    left = point * total
+    for target in targets:
+        left -= target.weight
+        if left < 0:
+            return target.service
+    return targets[-1].service
+
+
+def _rules_by_host(
+    configuration: RoutingConfiguration,
+) -> dict[str, list[Rule]]:
+    by_host: dict[str, list[Rule]] = {}
+    for rule in configuration.rules:
+        by_host.setdefault(rule.host, []).append(rule)
+    for rules in by_host.values():
+        rules.sort(key=_prefix_length, reverse=True)
+    return by_host
+
+
+def _prefix_length(rule: Rule) -> int:
+    return len(rule.prefix)
--- /dev/null
+++ b/wigeonspoke/core/tests/fleet_examples.py
@@ -0,0 +1,71 @@
+"""Engines of mixed accelerators for the core's tests."""
+
+import msgspec
+
+from wigeonspoke.core.deployment import LayerRange
+from wigeonspoke.core.fleet import Accelerator, Endpoint, EngineProfile
+
+PROFILE = EngineProfile(
+    model='m',
+    layers=80,
+    layer_mb=1750.0,
+    state_bytes=1180000.0,
+    load_seconds=14.0,
+    usual_tokens=944.0,
+    accelerators=(
+        Accelerator('large', 72000.0, 1.4, 1.0),
+        Accelerator('middle', 36000.0, 3.1, 3.2),
+        Accelerator('small', 21600.0, 16.0, 8.2),
+        Accelerator('tiny', 14400.0, 15.0, 15.0),
+    ),
+)
+DOMAINS = {
+    'one': {'middle': 2, 'small': 4, 'tiny': 7},
+    'two': {'large': 1, 'middle': 1, 'small': 5, 'tiny': 7},
+    'three': {'middle': 1, 'small': 8, 'tiny': 3},
+}
+
+
+def engine(
+    name: str,
+    accelerator: str = 'small',
+    layers: tuple[int, int] | None = None,
+    domain: str = 'one',
+    **given: object,
+) -> Endpoint:
+    """Make an engine that holds layers or none."""
+    return Endpoint(
+        endpoint_id=name,
+        service='drafting',
+        address=f'10.0.0.1:{len(name)}',
+        failure_domain=domain,
+        accelerator=accelerator,
+        layers=LayerRange(*layers) if layers else None,
+        **given,
+    )
+
+
+def domain_engines(domain: str) -> list[Endpoint]:
+    """Make the empty engines of a domain."""
+    return [
+        engine(f'{domain}-{kind}-{index}', kind, domain=domain)
+        for kind, count in DOMAINS[domain].items()
+        for index in range(count)
+    ]
+
+
+def apply_placings(
+    engines: list[Endpoint],
+    placings: tuple,
+) -> list[Endpoint]:
+    """Give the engines as they are once all placings are carried out."""
+    wanted = {
+        placing.endpoint.endpoint_id: placing.layers for placing in placings
+    }
+    return [
+        msgspec.structs.replace(
+            each,
+            layers=wanted.get(each.endpoint_id, each.layers),
+        )
+        for each in engines
+    ]
--- /dev/null
+++ b/wigeonspoke/core/tests/test_chains.py
@@ -0,0 +1,124 @@
+"""Chains: every layer once and in order, and the choice among them."""
+
+import random
+
+import pytest
+
+from wigeonspoke.core.chains import ChainChooser, SuspectBook, find_chain
+from wigeonspoke.core.fleet import Fleet
+from wigeonspoke.core.placement import plan_domain
+from wigeonspoke.core.tests.fleet_examples import (
+    DOMAINS,
+    PROFILE,
+    apply_placings,
+    domain_engines,
+    engine,
+)
+
+
+def _placed(domain: str) -> list:
+    engines = domain_engines(domain)
+    return apply_placings(engines, plan_domain(engines, PROFILE))
+
+
+def _chooser(domain: str = 'one') -> ChainChooser:
+    fleet = Fleet()
+    for name in DOMAINS:
+        for each in _placed(name):
+            fleet.put(each)
+    return ChainChooser(fleet, SuspectBook(), domain)
+
+
+def _assert_tiles(chain) -> None:
+    covered = 0
+    for hop in chain.hops:
+        assert hop.layers.first == covered
+        assert hop.endpoint.layers.first <= hop.layers.first
+        assert hop.layers.end <= hop.endpoint.layers.end
+        covered = hop.layers.end
+    assert covered == PROFILE.layers
+    assert len(chain.endpoint_ids) == len(chain.hops)
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_chains_run_every_layer_once_whatever_the_ranges(seed):
+    source = random.Random(seed)
+    engines = []
+    for index in range(60):
+        first = source.randrange(78)
+        end = min(80, first + source.randrange(1, 12))
+        domain = source.choice(tuple(DOMAINS))
+        engines.append(engine(f'e{index}', 'tiny', (first, end), domain))
+    chain = find_chain(engines, PROFILE)
+    held = {
+        layer
+        for each in engines
+        for layer in range(each.layers.first, each.layers.end)
+    }
+    assert (chain is not None) == (len(held) == PROFILE.layers)
+    if chain is not None:
+        _assert_tiles(chain)
+
+
+def test_a_chain_stays_in_its_domain_if_it_can():
+    engines = [*_placed('one'), *_placed('two'), *_placed('three')]
+    chain = find_chain(engines, PROFILE)
+    _assert_tiles(chain)
+    assert len(chain.domains) == 1
+
+
+@pytest.mark.parametrize('domain', DOMAINS)
+def test_own_domain_first(domain):
+    chooser = _chooser(domain)
+    chain = chooser.choose('drafting', PROFILE, (), 0)
+    assert chain.domains == {domain}
+
+
+@pytest.mark.parametrize('how', ['suspect', 'doubt', 'leaving', 'avoided'])
+def test_a_broken_chain_is_left_for_another_domain(how):
+    chooser = _chooser('one')
+    chain = chooser.choose('drafting', PROFILE, (), 0)
+    avoided = set()
+    middle = chain.hops[4].endpoint
+    if how == 'suspect':
+        chooser.suspects.suspect(middle, 'silent', 0)
+    elif how == 'doubt':
+        chooser.suspects.doubt(chain.head.endpoint_id, 0)
+    elif how == 'leaving':
+        chooser.fleet.drop(middle.endpoint_id)
+    else:
+        avoided.add(chain.head.endpoint_id)
+    other = chooser.choose('drafting', PROFILE, avoided, 0.1)
+    assert other.domains != chain.domains
+    _assert_tiles(other)
+
+
+def test_a_doubt_passes_and_trust_ends_it():
+    chooser = _chooser('one')
+    head = chooser.choose('drafting', PROFILE, (), 0).head
+    chooser.suspects.doubt(head.endpoint_id, 0)
+    assert chooser.choose('drafting', PROFILE, (), 9.0).head == head
+    chooser.suspects.doubt(head.endpoint_id, 10.0)
+    chooser.suspects.trust(head.endpoint_id)
+    assert chooser.choose('drafting', PROFILE, (), 10.0).head == head
+
+
+def test_work_of_a_lost_domain_is_split_over_the_others():
+    chooser = _chooser('one')
+    lost = chooser.choose('drafting', PROFILE, (), 0)
+    chooser.suspects.suspect(lost.head, 'silent', 0)
+    taken = set()
+    for _ in range(2):
+        chain = chooser.choose('drafting', PROFILE, (), 0)
+        chooser.begin(chain)
+        taken |= chain.domains
+    assert taken == {'two', 'three'}
+
+
+def test_a_suspicion_is_of_one_start_of_an_engine():
+    book = SuspectBook()
+    first = engine('a', born=1)
+    again = engine('a', born=2)
+    assert book.suspect(first, 'silent', 0)
+    assert book.is_suspect(first)
+    assert not book.is_suspect(again)
--- /dev/null
+++ b/wigeonspoke/core/tests/test_ingress_core.py
@@ -0,0 +1,216 @@
+"""Rules, registry, leases, budgets and replicas of the ingress."""
+
+from collections import Counter
+
+import pytest
+
+from wigeonspoke.core.deployment import LayerRange
+from wigeonspoke.core.fleet import Fleet
+from wigeonspoke.core.forwarding import ReplicaChooser, WindowBudget
+from wigeonspoke.core.leases import (
+    LeaseKeeper,
+    LeaseRow,
+    LeaseStep,
+    SeenLease,
+)
+from wigeonspoke.core.routing import (
+    ClientAccount,
+    ClientLimits,
+    RequestKind,
+    RoutingConfiguration,
+    RoutingTable,
+    Rule,
+    Target,
+    choose_target,
+)
+from wigeonspoke.core.tests.fleet_examples import engine
+
+
+def _rule(prefix: str, service: str = 's', kind=RequestKind.SAFE) -> Rule:
+    return Rule(
+        name=prefix,
+        host='h',
+        prefix=prefix,
+        kind=kind,
+        timeout_seconds=1.0,
+        target_seconds=0.1,
+        max_tries=2,
+        urgency=1,
+        is_anonymous=False,
+        is_resumable=False,
+        event_gap_seconds=0.2,
+        targets=(Target(service, 1),),
+    )
+
+
+def _configuration(version: int, *prefixes: str) -> RoutingConfiguration:
+    return RoutingConfiguration(
+        version=version,
+        rules=tuple(map(_rule, prefixes)),
+        services=(),
+        accounts=(ClientAccount('acme', ('k1', 'k2')),),
+        has_accounts=True,
+        limits=ClientLimits(),
+    )
+
+
+@pytest.mark.parametrize(
+    ('path', 'found'),
+    [
+        ('/a/x', '/a/'),
+        ('/a/b/x', '/a/b/'),
+        ('/a/b', '/a/'),
+        ('/ab/x', None),
+        ('/', None),
+    ],
+)
+def test_longest_prefix(path, found):
+    table = RoutingTable()
+    table.adopt(_configuration(1, '/a/', '/a/b/'))
+    rule = table.find_rule('h', path)
+    prefix = rule.prefix if rule else None
+    assert prefix == found
+
+
+@pytest.mark.parametrize(
+    ('versions', 'in_force'),
+    [([1, 3, 2], 3), ([5, 5], 5), ([2, 1, 0], 2)],
+)
+def test_versions_never_go_back(versions, in_force):
+    table = RoutingTable()
+    for version in versions:
+        table.adopt(_configuration(version, f'/v{version}/'))
+    assert table.version == in_force
+    assert table.find_rule('h', f'/v{in_force}/x') is not None
+
+
+def test_a_key_that_was_taken_away_is_not_allowed():
+    table = RoutingTable()
+    table.adopt(_configuration(1, '/a/'))
+    assert table.allows(_rule('/a/'), 'k1')
+    assert not table.allows(_rule('/a/'), 'other')
+    assert not table.allows(_rule('/gone/'), 'k1')
+
+
+@pytest.mark.parametrize(
+    ('point', 'service'),
+    [(0, 'a'), (0.74, 'a'), (0.76, 'b'), (0.999, 'b')],
+)
+def test_weights(point, service):
+    targets = (Target('a', 75), Target('b', 25))
+    assert choose_target(targets, point) == service
+
+
+@pytest.mark.parametrize(
+    ('later', 'layers'),
+    [
+        # A row of an earlier start came late.
+        ({'born': 1, 'layers': (0, 9)}, None),
+        # The same start has loaded its layers.
+        ({'born': 2, 'layers': (0, 9)}, (0, 9)),
+        # A new start holds nothing.
+        ({'born': 3}, None),
+    ],
+)
+def test_registry_keeps_the_newest_start(later, layers):
+    fleet = Fleet()
+    fleet.put(engine('a', born=2))
+    fleet.put(engine('a', **later))
+    held = fleet.endpoints['a'].layers
+    expected = LayerRange(*layers) if layers else None
+    assert held == expected
+
+
+def test_a_report_of_another_start_changes_no_layers():
+    fleet = Fleet()
+    fleet.put(engine('a', born=2))
+    fleet.note_layers('a', 1, LayerRange(0, 5))
+    assert fleet.endpoints['a'].layers is None
+    fleet.note_layers('a', 2, LayerRange(0, 5))
+    assert fleet.endpoints['a'].layers == LayerRange(0, 5)
+
+
+@pytest.mark.parametrize(
+    ('is_own', 'row', 'step'),
+    [
+        (True, None, LeaseStep.TAKE),
+        (False, None, LeaseStep.WAIT),
+        (True, LeaseRow('other', 11.0), LeaseStep.WAIT),
+        (True, LeaseRow('other', 9.9), LeaseStep.TAKE),
+        (False, LeaseRow('other', 9.9), LeaseStep.WAIT),
+        (False, LeaseRow('other', 7.0), LeaseStep.TAKE),
+        (True, LeaseRow('me', 11.0), LeaseStep.RENEW),
+    ],
+)
+def test_who_takes_a_lease(is_own, row, step):
+    keeper = LeaseKeeper('one', 'me', is_own)
+    assert keeper.judge(SeenLease(3, row), 10.0) is step
+
+
+@pytest.mark.parametrize(
+    ('event', 'at', 'may_order'),
+    [
+        ('held', 2.9, True),
+        ('held', 3.1, False),
+        # Without the store nobody else can take the lease.
+        ('store lost', 8.0, True),
+        ('store lost', 21.0, False),
+        ('lost', 0.1, False),
+    ],
+)
+def test_when_a_steward_may_order(event, at, may_order):
+    keeper = LeaseKeeper('one', 'me', is_own_domain=True)
+    keeper.note_held(7, 0)
+    if event == 'store lost':
+        keeper.note_store_lost(1.2)
+    if event == 'lost':
+        keeper.note_lost()
+    assert keeper.may_order(at) == may_order
+
+
+def test_the_fence_is_that_of_the_first_write_of_a_term():
+    keeper = LeaseKeeper('one', 'me', is_own_domain=True)
+    keeper.note_held(7, 0)
+    keeper.note_held(9, 1.0)
+    assert (keeper.fence, keeper.row_version) == (7, 9)
+    keeper.note_lost()
+    keeper.note_held(12, 5.0)
+    assert keeper.fence == 12
+
+
+def test_repeats_stay_within_the_budget_of_any_window():
+    budget = WindowBudget(0.2, 3, 10.0)
+    for index in range(50):
+        budget.note_request(index / 10)
+    assert [budget.withdraw(5.0) for _ in range(15)].count(True) == 13
+    assert not budget.withdraw(9.0)
+    assert [budget.withdraw(30.0) for _ in range(9)].count(True) == 3
+
+
+def _replicas() -> ReplicaChooser:
+    fleet = Fleet()
+    for domain in ('one', 'two', 'three'):
+        fleet.put(engine(domain, domain=domain, slots=6))
+    return ReplicaChooser(fleet, 'one')
+
+
+def test_a_replica_that_fails_is_left_and_tried_again_later():
+    chooser = _replicas()
+    own = chooser.choose('drafting', (), 0)
+    assert own.failure_domain == 'one'
+    assert chooser.note_failure(own, 'reset', 0)
+    assert chooser.choose('drafting', (), 0.1) != own
+    assert chooser.choose('drafting', (), 0.6) == own
+    chooser.note_success(own, 0.03, 0.6)
+    assert chooser.choose('drafting', (), 0.7) == own
+
+
+def test_calls_spread_when_the_own_replica_is_filling_up():
+    chooser = _replicas()
+    taken = []
+    for _ in range(9):
+        replica = chooser.choose('drafting', (), 0)
+        chooser.begin(replica)
+        taken.append(replica.failure_domain)
+    assert Counter(taken)['one'] < 6
+    assert set(taken) == {'one', 'two', 'three'}
--- a/wigeonspoke/demo/world.py
+++ b/wigeonspoke/demo/world.py
@@ -18,7 +18,7 @@
 from wigeonspoke.load import Balancer
 from wigeonspoke.load.balancer import Target
 from wigeonspoke.node import Node, NodeSettings
-from wigeonspoke.platform import HostEntry, HttpPlatform
+from wigeonspoke.store import HostEntry, HttpPlatform
 from wigeonspoke.standins import (
     Ledger,
     StandInEngine,
--- /dev/null
+++ b/wigeonspoke/ingress/call_run.py
@@ -0,0 +1,239 @@
+"""The run of a call: a request whose answer comes whole."""
+
+import http
+import time
+
+import h11
+
+from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.ingress.answers import EndpointAnswer, OwnAnswer
+from wigeonspoke.ingress.endpoint_try import (
+    EndpointTry,
+    TryError,
+    TryTimeout,
+)
+from wigeonspoke.ingress.protocols import AnswerMarks, Hand
+from wigeonspoke.ingress.request_run import (
+    CONNECT_SECONDS,
+    REFUSED_RETRY_SECONDS,
+    RequestContext,
+    RequestRun,
+)
+from wigeonspoke.ingress.state import IngressState
+
+# A first try of a call that may be repeated gets this multiple of the time
+# in which users expect the answer, the next one all that is left.
+FIRST_TRY_FACTOR = 2.0
+MAX_TRIES = 4
+MAX_BODY_BYTES = 16777216
+
+
+class CallRun(RequestRun):
+    """Runs a call at one replica, or at several if that is allowed."""
+
+    __slots__ = ('avoided', 'last_error', 'spare')
+
+    def __init__(self, state: IngressState, context: RequestContext) -> None:
+        super().__init__(state, context)
+        self.avoided: set[str] = set()
+        self.last_error: StepError | None = None
+        # An error of the application, kept in case no other try does better.
+        self.spare: EndpointAnswer | None = None
+
+    def serve(self) -> EndpointAnswer | OwnAnswer:
+        """Run the call and give its final answer."""
+        while self._may_go_on():
+            now = time.monotonic()
+            replica = self.state.replicas.choose(
+                self.service,
+                self.avoided,
+                now,
+            )
+            if replica is None or not self.may_try(now):
+                break
+            answer = self._try_at(replica)
+            if answer is not None:
+                return answer
+        return self.spare or self._own_answer()
+
+    def _may_go_on(self) -> bool:
+        context = self.context
+        if context.watch.has_left or time.monotonic() >= context.until:
+            return False
+        if not context.tries:
+            return True
+        if not self.is_allowed() or context.tries >= MAX_TRIES:
+            return False
+        if not context.runs:
+            return True
+        return context.rule.may_repeat and context.runs < context.rule.max_tries
+
+    def _try_at(self, replica: Endpoint) -> EndpointAnswer | None:
+        """Try a replica; give the answer if it is the final one."""
+        self.avoided.add(replica.endpoint_id)
+        began_at = time.monotonic()
+        attempt = self.begin_try(replica.address)
+        self.state.replicas.begin(replica)
+        try:
+            answer, marks = self._exchange(attempt, replica)
+        except TryError as error:
+            self._note_error(replica, error.error)
+            return None
+        except TryTimeout:
+            attempt.abort()
+            reason = Reason.TIMEOUT
+            self._note_error(
+                replica,
+                StepError(
+                    self._outcome(attempt), reason, 'call', replica.address
+                ),
+            )
+            return None
+        finally:
+            self.end_try(attempt)
+            self.state.replicas.end(replica)
+        return self._judge(replica, answer, marks, began_at)
+
+    def _exchange(
+        self,
+        attempt: EndpointTry,
+        replica: Endpoint,
+    ) -> tuple[EndpointAnswer, AnswerMarks]:
+        context = self.context
+        now = time.monotonic()
+        until = self._try_until(now)
+        attempt.connect(min(CONNECT_SECONDS, until - now))
+        request = context.request
+        hand = Hand(
+            endpoint=replica,
+            left_seconds=context.until - time.monotonic(),
+            account=context.account,
+        )
+        attempt.send(
+            request.method,
+            request.target,
+            self.state.wire.encode_headers(request, hand),
+            request.body,
+        )
+        head = attempt.read_head(until)
+        headers = decode_headers(head)
+        marks = self.state.wire.read_marks(head.status_code, headers)
+        self._check(marks, replica)
+        body = read_body(attempt, until)
+        return EndpointAnswer(head.status_code, headers, body), marks
+
+    def _try_until(self, now: float) -> float:
+        context = self.context
+        rule = context.rule
+        can_repeat = rule.may_repeat and context.runs + 1 < rule.max_tries
+        if not can_repeat:
+            return context.until
+        return min(
+            context.until,
+            now + FIRST_TRY_FACTOR * rule.target_seconds,
+        )
+
+    def _check(self, marks: AnswerMarks, replica: Endpoint) -> None:
+        """Refuse an answer that belongs to another request."""
+        if marks.request_id != self.context.request.request_id:
+            raise TryError(_wrong_answer(replica.address))
+
+    def _judge(
+        self,
+        replica: Endpoint,
+        answer: EndpointAnswer,
+        marks: AnswerMarks,
+        began_at: float,
+    ) -> EndpointAnswer | None:
+        now = time.monotonic()
+        if marks.not_run:
+            self._note_error(
+                replica,
+                StepError(
+                    Outcome.NOT_RUN,
+                    Reason.REFUSED,
+                    'call',
+                    replica.address,
+                ),
+            )
+            return None
+        if is_garbled(answer, marks):
+            self._note_error(replica, _wrong_answer(replica.address))
+            return None
+        self.context.runs += 1
+        if answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.state.replicas.note_error_answer(replica)
+            self.note(
+                'error-answer', peer=replica.address, status=answer.status
+            )
+            self.spare = answer
+            return None if self._may_go_on() else answer
+        self.state.replicas.note_success(replica, now - began_at, now)
+        return answer
+
+    def _note_error(self, replica: Endpoint, error: StepError) -> None:
+        now = time.monotonic()
+        self.last_error = error
+        if error.outcome is not Outcome.NOT_RUN:
+            self.context.runs += 1
+        has_left = self.context.watch.has_left
+        if not has_left:
+            self.state.replicas.note_failure(replica, error.reason, now)
+        self.state.count('try-failed', error.reason)
+        self.note(
+            'try-failed',
+            peer=replica.address,
+            endpoint=replica.endpoint_id,
+            step=error.step,
+            outcome=error.outcome,
+            reason=error.reason,
+            client_left=has_left,
+        )
+
+    def _outcome(self, attempt: EndpointTry) -> Outcome:
+        return Outcome.UNKNOWN if attempt.may_have_run else Outcome.NOT_RUN
+
+    def _own_answer(self) -> OwnAnswer:
+        if self.context.runs:
+            if time.monotonic() >= self.context.until:
+                return OwnAnswer(http.HTTPStatus.GATEWAY_TIMEOUT, 'timeout')
+            return OwnAnswer(http.HTTPStatus.BAD_GATEWAY, 'outcome-unknown')
+        reason = self.last_error.reason if self.last_error else 'no-endpoint'
+        return OwnAnswer(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            str(reason),
+            REFUSED_RETRY_SECONDS,
+        )
+
+
+def decode_headers(head: h11.Response) -> tuple[tuple[str, str], ...]:
+    """Give the headers of an answer as text, in the case they came."""
+    return tuple(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in head.headers.raw_items()
+    )
+
+
+def read_body(attempt: EndpointTry, until: float) -> bytes:
+    """Read the whole body of an answer."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        part = attempt.read_part(until)
+        if part is None:
+            return b''.join(parts)
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise TryError(_wrong_answer(attempt.peer))
+        parts.append(part)
+
+
+def is_garbled(answer: EndpointAnswer, marks: AnswerMarks) -> bool:
+    """Tell whether an answer cannot be the endpoint's own."""
+    is_success = answer.status < http.HTTPStatus.MULTIPLE_CHOICES
+    return marks.is_encoded or (is_success and not marks.is_signed)
+
+
+def _wrong_answer(peer: str) -> StepError:
+    return StepError(Outcome.UNKNOWN, Reason.CONTRACT, 'answer', peer)
--- /dev/null
+++ b/wigeonspoke/ingress/feeds.py
@@ -0,0 +1,196 @@
+"""Following the store: the configuration and the registry of endpoints."""
+
+import time
+from typing import Protocol
+
+import eventlet
+from returns.result import Success
+
+from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.store import (
+    FeedStore,
+    RowPage,
+    StoreError,
+    StoreProblem,
+    TableRow,
+)
+
+WAIT_SECONDS = 4.0
+# Entries that ran out while the store was away are back this long after it,
+# or gone for good.
+RETURN_SECONDS = 2.5
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 0.8
+PAUSE_GROWTH = 2
+
+
+class Feed(Protocol):
+    """Takes in the rows of a table."""
+
+    table: str
+
+    def take_all(self, rows: tuple[TableRow, ...]) -> None:
+        """Take in a whole table."""
+
+    def take_change(self, row: TableRow) -> None:
+        """Take in one row that changed."""
+
+
+class ConfigurationFeed:
+    """Adopts each newer version of the configuration."""
+
+    __slots__ = ('key', 'state', 'table')
+
+    def __init__(self, state: IngressState, table: str, key: str) -> None:
+        self.state = state
+        self.table = table
+        self.key = key
+
+    def take_all(self, rows: tuple[TableRow, ...]) -> None:
+        """Take in a whole table."""
+        for row in rows:
+            self.take_change(row)
+
+    def take_change(self, row: TableRow) -> None:
+        """Adopt a version if it is newer than the one in force."""
+        if row.key != self.key or row.is_removed:
+            return
+        decoded = self.state.wire.decode_configuration(bytes(row.content))
+        if not isinstance(decoded, Success):
+            self.state.log.write(
+                'configuration-unreadable',
+                row_version=row.version,
+                problem=decoded.failure(),
+            )
+            return
+        configuration = decoded.unwrap()
+        if self.state.table.adopt(configuration):
+            self.state.count('configuration-adopted')
+            self.state.log.write(
+                'configuration-adopted',
+                version=configuration.version,
+                rules=len(configuration.rules),
+                accounts=len(configuration.accounts),
+            )
+
+
+class RegistryFeed:
+    """Keeps the fleet as the registry lists it."""
+
+    __slots__ = ('state', 'table')
+
+    def __init__(self, state: IngressState, table: str) -> None:
+        self.state = state
+        self.table = table
+
+    def take_all(self, rows: tuple[TableRow, ...]) -> None:
+        """Take in the whole list; what it leaves out is gone."""
+        for row in rows:
+            self.take_change(row)
+        listed = [entry.key for entry in rows if not entry.is_removed]
+        for endpoint_id in self.state.fleet.keep_only(listed):
+            self.state.log.write('endpoint-gone', endpoint=endpoint_id)
+
+    def take_change(self, row: TableRow) -> None:
+        """Take in an entry; one that cannot be read names no endpoint."""
+        if row.is_removed:
+            self._drop(row.key, 'removed')
+            return
+        decoded = self.state.wire.decode_endpoint(row.key, bytes(row.content))
+        if not isinstance(decoded, Success):
+            self._drop(row.key, decoded.failure())
+            return
+        endpoint = decoded.unwrap()
+        if self.state.fleet.put(endpoint):
+            self.state.log.write(
+                'endpoint',
+                endpoint=endpoint.endpoint_id,
+                address=endpoint.address,
+                leaving=endpoint.is_leaving,
+                layers=endpoint.layers.describe() if endpoint.layers else '',
+                row_version=row.version,
+            )
+
+    def _drop(self, endpoint_id: str, reason: str) -> None:
+        if self.state.fleet.drop(endpoint_id) is not None:
+            self.state.log.write(
+                'endpoint-gone',
+                endpoint=endpoint_id,
+                reason=reason,
+            )
+
+
+class Follower:
+    """Keeps a feed up to date: reads the table, then waits for changes."""
+
+    __slots__ = ('feed', 'is_reachable', 'lost_at', 'state', 'store', 'version')
+
+    def __init__(
+        self,
+        state: IngressState,
+        store: FeedStore,
+        feed: Feed,
+    ) -> None:
+        self.state = state
+        self.store = store
+        self.feed = feed
+        self.version: int | None = None
+        self.is_reachable = True
+        self.lost_at = 0
+
+    def run(self) -> None:
+        """Follow the table for ever."""
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            if self._follow_once():
+                pause = FIRST_PAUSE_SECONDS
+                continue
+            eventlet.sleep(pause * (1 + self.state.random.random()))
+            pause = min(MAX_PAUSE_SECONDS, pause * PAUSE_GROWTH)
+
+    def _follow_once(self) -> bool:
+        if self.version is None:
+            page = self.store.read_table(self.feed.table)
+        else:
+            page = self.store.follow(
+                self.feed.table,
+                self.version,
+                WAIT_SECONDS,
+            )
+        if not isinstance(page, Success):
+            self._note_error(page.failure())
+            return False
+        self._take(page.unwrap())
+        return True
+
+    def _take(self, page: RowPage) -> None:
+        if not self.is_reachable:
+            self.is_reachable = True
+            self._note_return()
+        if self.version is None:
+            self.feed.take_all(page.rows)
+        else:
+            for row in page.rows:
+                self.feed.take_change(row)
+        self.version = page.version
+
+    def _note_error(self, error: StoreError) -> None:
+        if error.problem is StoreProblem.EXPIRED:
+            self.version = None
+        if self.is_reachable:
+            self.is_reachable = False
+            self.lost_at = time.monotonic()
+            self.state.log.write(
+                'store-lost',
+                table=self.feed.table,
+                problem=error.problem,
+                step=error.step,
+                version=self.version,
+            )
+
+    def _note_return(self) -> None:
+        self.state.log.write(
+            'store-back',
+            table=self.feed.table,
+            away_seconds=round(time.monotonic() - self.lost_at, 3),
+        )
--- /dev/null
+++ b/wigeonspoke/ingress/metrics_page.py
@@ -0,0 +1,31 @@
+"""Metrics of an ingress node in the Prometheus text format."""
+
+from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.observe.metrics import MetricText
+
+PREFIX = 'wigeonspoke_ingress'
+
+
+def render_counters(state: IngressState) -> MetricText:
+    """Give the counters and gauges of a node as they are now."""
+    # Imported when somebody asks: the library is a third of a start.
+    from aioprometheus import Counter, Gauge, Registry, render
+
+    registry = Registry()
+    events = Counter(
+        f'{PREFIX}_events_total',
+        'what happened, by kind and reason',
+        registry=registry,
+    )
+    for (name, reason), count in state.counters.items():
+        events.set({'kind': name, 'reason': reason}, count)
+    gauges = {
+        'configuration_version': state.table.version,
+        'endpoints': len(state.fleet.endpoints),
+        'suspects': len(state.suspects.suspicions),
+    }
+    for name, reading in gauges.items():
+        gauge = Gauge(f'{PREFIX}_{name}', name, registry=registry)
+        gauge.set({}, reading)
+    body, headers = render(registry, ('text/plain',))
+    return MetricText(body, headers['Content-Type'])
--- /dev/null
+++ b/wigeonspoke/ingress/node.py
@@ -0,0 +1,195 @@
+"""The ingress node: its listeners, its loops and its planned stop."""
+
+import http
+import time
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+
+from wigeonspoke.ingress.front_app import FrontApp
+from wigeonspoke.ingress.metrics_page import render_counters
+from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.protocols import EngineControl, WireFormat
+from wigeonspoke.ingress.feeds import (
+    ConfigurationFeed,
+    Follower,
+    RegistryFeed,
+)
+from wigeonspoke.ingress.settings import IngressSettings
+from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.steward_loop import StewardLoop
+from wigeonspoke.observe import DecisionLog
+from wigeonspoke.store import FeedStore
+from wigeonspoke.transport import HttpListener, ListenerLimits
+
+FRONT_CONNECTIONS = 1500
+READY_CONNECTIONS = 32
+# The balancer takes a node out after two looks a second apart.
+LOOK_AWAY_SECONDS = 2.6
+# What is left of the time for a stop when the last requests are cut.
+EXIT_SECONDS = 0.5
+DRAIN_STEP_SECONDS = 0.05
+LIMITS_SECONDS = 0.5
+
+
+class Tables:
+    """The names of the store's tables that a node reads."""
+
+    __slots__ = ('configuration', 'configuration_key', 'registry')
+
+    def __init__(
+        self,
+        configuration: str,
+        configuration_key: str,
+        registry: str,
+    ) -> None:
+        self.configuration = configuration
+        self.configuration_key = configuration_key
+        self.registry = registry
+
+
+class IngressNode:
+    """Takes clients' requests on an entry host."""
+
+    __slots__ = (
+        'front',
+        'is_stopping',
+        'loops',
+        'metrics',
+        'prober',
+        'ready',
+        'state',
+        'steward',
+    )
+
+    def __init__(
+        self,
+        settings: IngressSettings,
+        wire: WireFormat,
+        store: FeedStore,
+        control: EngineControl,
+        tables: Tables,
+        log: DecisionLog,
+    ) -> None:
+        self.state = IngressState(settings, wire, log)
+        self.prober = Prober(self.state, control)
+        self.steward = StewardLoop(self.state, store, control)
+        self.is_stopping = False
+        self.front: HttpListener | None = None
+        self.ready: HttpListener | None = None
+        self.metrics: HttpListener | None = None
+        self.loops: tuple[Callable[[], None], ...] = (
+            Follower(
+                self.state,
+                store,
+                ConfigurationFeed(
+                    self.state,
+                    tables.configuration,
+                    tables.configuration_key,
+                ),
+            ).run,
+            Follower(
+                self.state,
+                store,
+                RegistryFeed(self.state, tables.registry),
+            ).run,
+            self.prober.run,
+            self.steward.run_leases,
+            self.steward.run_orders,
+            self._follow_limits,
+        )
+
+    def start(self) -> None:
+        """Open the listeners and start the loops."""
+        settings = self.state.settings
+        self.front = _listen(
+            FrontApp(self.state, self.prober.check_chain),
+            settings.front,
+            ListenerLimits(connections=FRONT_CONNECTIONS),
+        )
+        self.ready = _listen(
+            self._tell_ready,
+            settings.ready,
+            ListenerLimits(connections=READY_CONNECTIONS),
+        )
+        self.metrics = _listen(
+            self._tell_metrics,
+            f'{settings.host}:{settings.metrics_port}',
+            ListenerLimits(connections=READY_CONNECTIONS),
+        )
+        for loop in self.loops:
+            eventlet.spawn(loop)
+        self.state.log.write(
+            'start',
+            front=settings.front,
+            failure_domain=settings.failure_domain,
+            store=settings.store,
+        )
+
+    def stop(self) -> None:
+        """Stop as planned: answer all that was taken, then return."""
+        began_at = time.monotonic()
+        self.is_stopping = True
+        self.state.log.write('stop', active=self.front.active)
+        self.front.is_stopping = True
+        eventlet.sleep(LOOK_AWAY_SECONDS)
+        self.front.close()
+        end_at = began_at + self.state.settings.stop_seconds - EXIT_SECONDS
+        while time.monotonic() < end_at:
+            self.front.close_idle()
+            if not self.front.open:
+                break
+            eventlet.sleep(DRAIN_STEP_SECONDS)
+        self.state.log.write('stopped', active=self.front.active)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the node can serve requests."""
+        state = self.state
+        return (
+            not self.is_stopping
+            and state.table.configuration is not None
+            and bool(state.fleet.endpoints)
+        )
+
+    def _follow_limits(self) -> None:
+        """Apply the configuration's limits to the listener."""
+        while True:
+            limits = self.state.table.limits
+            self.front.limits = ListenerLimits(
+                connections=FRONT_CONNECTIONS,
+                header_bytes=limits.header_bytes,
+                idle_seconds=limits.idle_seconds,
+                read_seconds=limits.idle_seconds,
+            )
+            eventlet.sleep(LIMITS_SECONDS)
+
+    def _tell_ready(
+        self,
+        _environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> list[bytes]:
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        if self.is_ready:
+            status = http.HTTPStatus.OK
+        start_response(f'{status.value} {status.phrase}', [])
+        return [b'']
+
+    def _tell_metrics(
+        self,
+        _environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> list[bytes]:
+        page = render_counters(self.state)
+        start_response('200 OK', [('Content-Type', page.content_type)])
+        return [page.body]
+
+
+def _listen(
+    application: Callable[..., Any],
+    address: str,
+    limits: ListenerLimits,
+) -> HttpListener:
+    host, _, port = address.rpartition(':')
+    return HttpListener(application, host, int(port), limits)
--- /dev/null
+++ b/wigeonspoke/ingress/prober.py
@@ -0,0 +1,95 @@
+"""Asking engines that are under doubt whether they are there."""
+
+import time
+
+import eventlet
+from returns.result import Success
+
+from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.ingress.protocols import EngineControl, EngineState
+from wigeonspoke.ingress.state import IngressState
+
+ASK_SECONDS = 0.25
+ASKS = 2
+ASK_AGAIN_SECONDS = 0.3
+ROUND_SECONDS = 0.25
+
+
+class Prober:
+    """Asks the engines of a chain one by one, and suspects again later."""
+
+    __slots__ = ('asked_at', 'control', 'state')
+
+    def __init__(self, state: IngressState, control: EngineControl) -> None:
+        self.state = state
+        self.control = control
+        self.asked_at: dict[str, float] = {}
+
+    def check_chain(self, chain: Chain, reason: str) -> None:
+        """Ask every engine of a chain, unless that was just done."""
+        now = time.monotonic()
+        for hop in chain.hops:
+            endpoint = hop.endpoint
+            last = self.asked_at.get(endpoint.endpoint_id, 0)
+            if now - last >= ASK_AGAIN_SECONDS:
+                self.asked_at[endpoint.endpoint_id] = now
+                eventlet.spawn(self._check, endpoint, reason)
+
+    def run(self) -> None:
+        """Ask suspects again, for ever."""
+        while True:
+            eventlet.sleep(ROUND_SECONDS)
+            for suspicion in self.state.suspects.due(time.monotonic()):
+                eventlet.spawn(self._check, suspicion.endpoint, 'suspect')
+            self._forget()
+
+    def _check(self, endpoint: Endpoint, reason: str) -> None:
+        """Ask an engine twice before it is taken for lost."""
+        problem = ''
+        for _ in range(ASKS):
+            asked = self.control.ask_state(endpoint.address, ASK_SECONDS)
+            if isinstance(asked, Success):
+                problem = self._take(endpoint, asked.unwrap())
+            else:
+                problem = asked.failure()
+            if not problem:
+                return
+        self._suspect(endpoint, f'{reason}: {problem}')
+
+    def _take(self, endpoint: Endpoint, found: EngineState) -> str:
+        """Take in an engine's state; give what is wrong with it, if so."""
+        if found.born != endpoint.born and endpoint.born:
+            return 'another start'
+        self.state.fleet.note_layers(
+            endpoint.endpoint_id,
+            endpoint.born,
+            found.layers,
+        )
+        if self.state.suspects.clear(endpoint.endpoint_id):
+            self.state.log.write('trusted', endpoint=endpoint.endpoint_id)
+        return ''
+
+    def _suspect(self, endpoint: Endpoint, reason: str) -> None:
+        now = time.monotonic()
+        if endpoint.endpoint_id not in self.state.fleet.endpoints:
+            return
+        if self.state.suspects.suspect(endpoint, reason, now):
+            self.state.count('suspected')
+            self.state.log.write(
+                'suspected',
+                endpoint=endpoint.endpoint_id,
+                address=endpoint.address,
+                layers=endpoint.layers.describe() if endpoint.layers else '',
+                reason=reason,
+            )
+
+    def _forget(self) -> None:
+        """Forget suspicions of endpoints that are no longer listed."""
+        listed = self.state.fleet.endpoints
+        for endpoint_id, suspicion in list(
+            self.state.suspects.suspicions.items(),
+        ):
+            known = listed.get(endpoint_id)
+            if known is None or known.born != suspicion.endpoint.born:
+                self.state.suspects.clear(endpoint_id)
--- /dev/null
+++ b/wigeonspoke/ingress/stream_run.py
@@ -0,0 +1,431 @@
+"""The run of a stream: events passed on as they come, over one or more chains.
+
+A stream that falls silent or breaks goes on at another chain after the last
+event that the client got, within the same answer.
+"""
+
+import http
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import eventlet
+
+from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.fleet import EngineProfile
+from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.ingress.answers import (
+    AnswerCutOff,
+    EndpointAnswer,
+    OwnAnswer,
+    passed_headers,
+    status_line,
+)
+from wigeonspoke.ingress.call_run import decode_headers, read_body
+from wigeonspoke.ingress.endpoint_try import (
+    EndpointTry,
+    TryError,
+    TryTimeout,
+)
+from wigeonspoke.ingress.event_splitter import EventSplitter, StreamEvent
+from wigeonspoke.ingress.protocols import Hand
+from wigeonspoke.ingress.request_run import (
+    CONNECT_SECONDS,
+    REFUSED_RETRY_SECONDS,
+    RequestContext,
+    RequestRun,
+)
+from wigeonspoke.ingress.state import IngressState
+
+# A chain that says nothing for this share of the time that users accept is
+# given up for another, if there is one.
+FIRST_EVENT_SHARE = 0.5
+GAP_SHARE = 0.6
+LOOK_AGAIN_SECONDS = 0.2
+# How long a request waits for a chain to become whole.
+CHAIN_WAIT_SHARE = 0.5
+CHAIN_WAIT_STEP = 0.05
+MAX_TRIES = 5
+CUT_OFF_SECONDS = 0.05
+
+
+class StreamRun(RequestRun):
+    """Runs a stream, and goes on elsewhere where it breaks."""
+
+    __slots__ = (
+        'avoided',
+        'check_chain',
+        'final',
+        'last_error',
+        'last_number',
+        'start_response',
+        'started',
+    )
+
+    def __init__(
+        self,
+        state: IngressState,
+        context: RequestContext,
+        check_chain: Callable[[Chain, str], None],
+    ) -> None:
+        super().__init__(state, context)
+        self.check_chain = check_chain
+        self.avoided: set[str] = set()
+        self.last_error: StepError | None = None
+        self.last_number: int | None = None
+        self.started = False
+        self.final: EndpointAnswer | None = None
+        self.start_response: Callable[..., Any] | None = None
+        if context.request.last_event.isdecimal():
+            self.last_number = int(context.request.last_event)
+
+    def serve(self, start_response: Callable[..., Any]) -> Iterator[bytes]:
+        """Run the stream; give the parts of its answer."""
+        self.start_response = start_response
+        while self._may_go_on():
+            chain = self._choose()
+            if chain is None or not self.may_try(time.monotonic()):
+                break
+            is_whole = yield from self._try_at(chain)
+            if is_whole:
+                return
+        yield from self._end_without()
+
+    @property
+    def profile(self) -> EngineProfile | None:
+        """Give the profile of the engines of the service."""
+        service = self.state.table.services.get(self.service)
+        return None if service is None else service.engine
+
+    def _may_go_on(self) -> bool:
+        context = self.context
+        if context.watch.has_left or time.monotonic() >= context.until:
+            return False
+        if not context.tries:
+            return True
+        if context.tries >= MAX_TRIES or not self.is_allowed():
+            return False
+        if not context.runs:
+            return True
+        return self._may_repeat()
+
+    def _may_repeat(self) -> bool:
+        rule = self.context.rule
+        if not rule.may_repeat or self.context.runs >= rule.max_tries:
+            return False
+        return not self.started or self.last_number is not None
+
+    def _choose(self) -> Chain | None:
+        """Choose a chain, waiting a little for one to become whole."""
+        rule = self.context.rule
+        patience = CHAIN_WAIT_SHARE * rule.target_seconds
+        give_up_at = min(self.context.until, time.monotonic() + patience)
+        while True:
+            now = time.monotonic()
+            profile = self.profile
+            chain = None
+            if profile is not None:
+                chain = self.state.chains.choose(
+                    self.service,
+                    profile,
+                    self.avoided,
+                    now,
+                )
+            if chain is not None or now >= give_up_at:
+                return chain
+            if self.context.watch.has_left:
+                return None
+            eventlet.sleep(CHAIN_WAIT_STEP)
+
+    def _try_at(self, chain: Chain) -> Iterator[bytes]:
+        """Try a chain; the generator's value tells whether it was whole."""
+        self.avoided.add(chain.head.endpoint_id)
+        attempt = self.begin_try(chain.head.address)
+        self.state.chains.begin(chain)
+        try:
+            return (yield from self._exchange(attempt, chain))
+        except TryError as error:
+            self._note_error(chain, error.error)
+            return False
+        except TryTimeout:
+            attempt.abort()
+            self._note_error(chain, self._silence(attempt, chain))
+            return False
+        finally:
+            self.end_try(attempt)
+            self.state.chains.end(chain)
+
+    def _exchange(
+        self,
+        attempt: EndpointTry,
+        chain: Chain,
+    ) -> Iterator[bytes]:
+        self._send(attempt, chain)
+        first_by = self._first_event_by()
+        head = self._read_patiently(attempt.read_head, first_by, chain)
+        headers = decode_headers(head)
+        marks = self.state.wire.read_marks(head.status_code, headers)
+        if marks.not_run:
+            self._note_refusal(chain, head.status_code, marks.fault_address)
+            return False
+        if marks.request_id != self.context.request.request_id:
+            raise TryError(self._wrong_answer(chain))
+        is_stream = marks.is_event_stream and marks.is_signed
+        if head.status_code != http.HTTPStatus.OK or not is_stream:
+            body = read_body(attempt, self.context.until)
+            return (
+                yield from self._take_plain(
+                    chain,
+                    EndpointAnswer(head.status_code, headers, body),
+                    marks.is_signed and not marks.is_encoded,
+                )
+            )
+        if marks.is_encoded:
+            raise TryError(self._wrong_answer(chain))
+        yield from self._relay(attempt, chain, headers, first_by)
+        return True
+
+    def _send(self, attempt: EndpointTry, chain: Chain) -> None:
+        context = self.context
+        now = time.monotonic()
+        attempt.connect(min(CONNECT_SECONDS, context.until - now))
+        request = context.request
+        resumed = '' if self.last_number is None else str(self.last_number)
+        hand = Hand(
+            endpoint=chain.head,
+            left_seconds=context.until - time.monotonic(),
+            account=context.account,
+            chain=chain,
+            last_event=resumed,
+        )
+        attempt.send(
+            request.method,
+            request.target,
+            self.state.wire.encode_headers(request, hand),
+            request.body,
+        )
+
+    def _relay(
+        self,
+        attempt: EndpointTry,
+        chain: Chain,
+        headers: tuple[tuple[str, str], ...],
+        first_by: float,
+    ) -> Iterator[bytes]:
+        splitter = EventSplitter()
+        next_by = first_by
+        while True:
+            part = self._read_patiently(attempt.read_part, next_by, chain)
+            if part is None:
+                break
+            events = self._new_events(splitter.feed(part), chain)
+            if events:
+                next_by = time.monotonic() + self._gap_seconds()
+                self._start(headers)
+                yield b''.join(events)
+                self.state.suspects.trust(chain.head.endpoint_id)
+        self._start(headers)
+        if splitter.rest:
+            yield splitter.rest
+
+    def _new_events(
+        self,
+        events: list[StreamEvent],
+        chain: Chain,
+    ) -> list[bytes]:
+        """Leave out what the client has, and refuse what leaves a gap."""
+        fresh: list[bytes] = []
+        for event in events:
+            if self._is_old(event):
+                continue
+            if self._leaves_gap(event):
+                raise TryError(self._wrong_answer(chain))
+            if event.number is not None:
+                self.last_number = event.number
+            fresh.append(event.raw)
+        return fresh
+
+    def _is_old(self, event: StreamEvent) -> bool:
+        if event.number is None or self.last_number is None:
+            return False
+        return event.number <= self.last_number
+
+    def _leaves_gap(self, event: StreamEvent) -> bool:
+        if event.number is None or self.last_number is None:
+            return False
+        return event.number > self.last_number + 1
+
+    def _read_patiently(
+        self,
+        read: Callable[[float], Any],
+        until: float,
+        chain: Chain,
+    ) -> Any:
+        """Read on until another chain can take over, or the time is up."""
+        is_noted = False
+        while True:
+            try:
+                return read(min(until, self.context.until))
+            except TryTimeout:
+                until = time.monotonic() + LOOK_AGAIN_SECONDS
+                if not is_noted:
+                    self._note_silence(chain)
+                if self._must_leave(chain):
+                    raise
+            is_noted = True
+
+    def _must_leave(self, chain: Chain) -> bool:
+        """Tell whether a silent chain is to be left, or time is up."""
+        now = time.monotonic()
+        return now >= self.context.until or self._can_move(chain, now)
+
+    def _can_move(self, chain: Chain, now: float) -> bool:
+        context = self.context
+        rule = context.rule
+        if not rule.may_repeat or context.runs + 1 >= rule.max_tries:
+            return False
+        if self.started and self.last_number is None:
+            return False
+        if not self.is_allowed():
+            return False
+        other = self.state.chains.choose(
+            self.service,
+            self.profile,
+            self.avoided,
+            now,
+        )
+        return other is not None and not self.state.suspects.is_doubted(
+            other.head.endpoint_id,
+            now,
+        )
+
+    def _note_silence(self, chain: Chain) -> None:
+        self.state.suspects.doubt(chain.head.endpoint_id, time.monotonic())
+        self.note('silent', peer=chain.head.address, last=self.last_number)
+        self.check_chain(chain, 'silent')
+
+    def _first_event_by(self) -> float:
+        patience = FIRST_EVENT_SHARE * self.context.rule.target_seconds
+        return time.monotonic() + patience
+
+    def _gap_seconds(self) -> float:
+        return GAP_SHARE * self.context.rule.event_gap_seconds
+
+    def _start(self, headers: tuple[tuple[str, str], ...]) -> None:
+        if not self.started:
+            self.started = True
+            self.start_response(
+                status_line(http.HTTPStatus.OK), passed_headers(headers)
+            )
+
+    def _take_plain(
+        self,
+        chain: Chain,
+        answer: EndpointAnswer,
+        is_own: bool,
+    ) -> Iterator[bytes]:
+        """Take an answer that is no stream: an error of the engine."""
+        self.context.runs += 1
+        self.note('error-answer', peer=chain.head.address, status=answer.status)
+        if not is_own or self._may_repeat():
+            self.final = answer if is_own else self.final
+            return False
+        if self.started:
+            return False
+        yield from self._give(answer)
+        return True
+
+    def _give(self, answer: EndpointAnswer | OwnAnswer) -> Iterator[bytes]:
+        headers = passed_headers(answer.headers)
+        headers.append(('Content-Length', str(len(answer.body))))
+        if isinstance(answer, OwnAnswer):
+            headers.append(('Request-Id', self.context.request.request_id))
+        self.start_response(status_line(answer.status), headers)
+        yield answer.body
+
+    def _end_without(self) -> Iterator[bytes]:
+        """End a request that no chain has served whole."""
+        self.note(
+            'stream-ended',
+            reason=str(self.last_error.reason) if self.last_error else '',
+            started=self.started,
+            runs=self.context.runs,
+            client_left=self.context.watch.has_left,
+            last=self.last_number,
+        )
+        if self.started:
+            self.state.count('stream-cut', self._reason)
+            raise AnswerCutOff(self._reason)
+        answer = self.final or self._own_answer()
+        self.state.count('own-answer', self._reason)
+        yield from self._give(answer)
+
+    @property
+    def _reason(self) -> str:
+        return str(self.last_error.reason) if self.last_error else 'no-chain'
+
+    def _own_answer(self) -> OwnAnswer:
+        if not self.context.runs:
+            return OwnAnswer(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                self._reason,
+                REFUSED_RETRY_SECONDS,
+            )
+        if time.monotonic() >= self.context.until - CUT_OFF_SECONDS:
+            return OwnAnswer(http.HTTPStatus.GATEWAY_TIMEOUT, 'timeout')
+        return OwnAnswer(http.HTTPStatus.BAD_GATEWAY, self._reason)
+
+    def _note_refusal(self, chain: Chain, status: int, fault: str) -> None:
+        self.last_error = StepError(
+            Outcome.NOT_RUN,
+            Reason.REFUSED,
+            'stream',
+            chain.head.address,
+        )
+        self.state.count('chain-refused', str(status))
+        self.note(
+            'chain-refused',
+            peer=chain.head.address,
+            status=status,
+            fault=fault,
+        )
+        self.state.suspects.doubt(chain.head.endpoint_id, time.monotonic())
+        self.check_chain(chain, 'refused')
+
+    def _note_error(self, chain: Chain, error: StepError) -> None:
+        self.last_error = error
+        if error.outcome is not Outcome.NOT_RUN:
+            self.context.runs += 1
+        has_left = self.context.watch.has_left
+        self.state.count('try-failed', str(error.reason))
+        self.note(
+            'try-failed',
+            peer=chain.head.address,
+            endpoint=chain.head.endpoint_id,
+            step=error.step,
+            outcome=error.outcome,
+            reason=error.reason,
+            client_left=has_left,
+            last=self.last_number,
+        )
+        if not has_left and error.reason is not Reason.TIMEOUT:
+            now = time.monotonic()
+            self.state.suspects.doubt(chain.head.endpoint_id, now)
+            self.check_chain(chain, str(error.reason))
+
+    def _silence(self, attempt: EndpointTry, chain: Chain) -> StepError:
+        outcome = Outcome.UNKNOWN if attempt.may_have_run else Outcome.NOT_RUN
+        return StepError(
+            outcome,
+            Reason.TIMEOUT,
+            'stream',
+            chain.head.address,
+        )
+
+    def _wrong_answer(self, chain: Chain) -> StepError:
+        return StepError(
+            Outcome.UNKNOWN,
+            Reason.CONTRACT,
+            'answer',
+            chain.head.address,
+        )
--- a/wigeonspoke/node/claim_writer.py
+++ b/wigeonspoke/node/claim_writer.py
@@ -12,7 +12,7 @@
     KeptReply,
 )
 from wigeonspoke.core.events import ClaimAnswered
-from wigeonspoke.platform import (
+from wigeonspoke.store import (
     StoreError,
     StoreProblem,
     Table,
--- a/wigeonspoke/node/daemon.py
+++ b/wigeonspoke/node/daemon.py
@@ -23,7 +23,7 @@
 from wigeonspoke.node.settings import NodeSettings
 from wigeonspoke.node.tokenizer import ByteTokenizer
 from wigeonspoke.observe import HybridClock, Timeline
-from wigeonspoke.platform import HttpPlatform
+from wigeonspoke.store import HttpPlatform
 from wigeonspoke.transport import HttpClient, HttpListener
 from wigeonspoke.transport.http_app import key_digest
 
--- a/wigeonspoke/node/gossip.py
+++ b/wigeonspoke/node/gossip.py
@@ -24,7 +24,7 @@
 from wigeonspoke.node.config_sync import ConfigSync
 from wigeonspoke.node.runtime import Runtime
 from wigeonspoke.observe import HybridTime
-from wigeonspoke.platform import HostEntry, HostList
+from wigeonspoke.store import HostEntry, HostList
 from wigeonspoke.transport import HttpClient, HttpError
 
 HOSTS_SECONDS = 1.0
--- a/wigeonspoke/node/mark_sync.py
+++ b/wigeonspoke/node/mark_sync.py
@@ -11,7 +11,7 @@
 from wigeonspoke.core.events import MarksHeard
 from wigeonspoke.core.membership import EndpointMark, MarkState
 from wigeonspoke.node.runtime import Runtime
-from wigeonspoke.platform import Table, TableRow
+from wigeonspoke.store import Table, TableRow
 
 MARKS_TABLE = 'marks'
 POLL_SECONDS = 0.5
--- /dev/null
+++ b/wigeonspoke/platform/program.py
@@ -0,0 +1,82 @@
+"""Putting a node together from the platform's settings."""
+
+import os
+import signal
+import sys
+
+import eventlet
+from eventlet.event import Event
+from returns.result import Success
+
+from wigeonspoke.ingress import IngressNode, IngressSettings, Tables
+from wigeonspoke.observe import DecisionLog, send_decisions_to_stdout
+from wigeonspoke.platform.engine_control import PlatformEngines
+from wigeonspoke.platform.records import CONFIGURATION_KEY
+from wigeonspoke.platform.settings import (
+    PATH_VARIABLE,
+    read_settings,
+    settings_path,
+)
+from wigeonspoke.platform.store_client import PlatformStore
+from wigeonspoke.platform.wire_format import PlatformFormat
+from wigeonspoke.transport import HttpClient
+
+WRONG_SETTINGS = 2
+TABLES = Tables('op', CONFIGURATION_KEY, 'servers')
+
+
+class Signals:
+    """The signals that the platform sends to a process."""
+
+    __slots__ = ('stop',)
+
+    def __init__(self) -> None:
+        self.stop: Event = Event()
+        signal.signal(signal.SIGTERM, self._take_stop)
+        signal.signal(signal.SIGINT, self._take_stop)
+        signal.signal(signal.SIGHUP, self._take_reload)
+
+    def _take_stop(self, *_: object) -> None:
+        if not self.stop.ready():
+            eventlet.spawn_after(0, self._send_stop)
+
+    def _send_stop(self) -> None:
+        if not self.stop.ready():
+            self.stop.send()
+
+    def _take_reload(self, *_: object) -> None:
+        """Nothing yet: the file is read again by its time of change."""
+
+
+def run_program() -> int:
+    """Run a node until it is told to stop; give the exit status."""
+    path = settings_path()
+    if path is None:
+        sys.stderr.write(f'{PATH_VARIABLE} names no settings file\n')
+        return WRONG_SETTINGS
+    settings = read_settings(path)
+    if not isinstance(settings, Success):
+        for fault in settings.failure():
+            sys.stderr.write(f'{path}: {fault}\n')
+        return WRONG_SETTINGS
+    send_decisions_to_stdout()
+    signals = Signals()
+    node = build_node(settings.unwrap())
+    node.start()
+    signals.stop.wait()
+    node.stop()
+    sys.stdout.flush()
+    os._exit(0)
+
+
+def build_node(settings: IngressSettings) -> IngressNode:
+    """Put a node together for the platform."""
+    client = HttpClient()
+    return IngressNode(
+        settings,
+        PlatformFormat(),
+        PlatformStore(settings.store, client),
+        PlatformEngines(client),
+        TABLES,
+        DecisionLog(settings.name),
+    )
--- /dev/null
+++ b/wigeonspoke/platform/records.py
@@ -0,0 +1,276 @@
+"""What operators and endpoints write into the store, decoded once."""
+
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from wigeonspoke.core.deployment import LayerRange
+from wigeonspoke.core.fleet import Accelerator, Endpoint, EngineProfile
+from wigeonspoke.core.routing import (
+    ClientAccount,
+    ClientLimits,
+    RequestKind,
+    RoutingConfiguration,
+    Rule,
+    ServiceProfile,
+    Target,
+)
+
+from wigeonspoke.ingress.protocols import EngineState
+
+MILLISECONDS = 1000
+CONFIGURATION_KEY = 'config'
+
+_KINDS = {
+    'safe': RequestKind.SAFE,
+    'unsafe': RequestKind.UNSAFE,
+    'streaming': RequestKind.STREAM,
+}
+
+
+class _WireTarget(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _WireRoute(msgspec.Struct, rename='kebab'):
+    host: str
+    path_prefix: str
+    name: str = ''
+    kind: str = 'unsafe'
+    service: str = ''
+    backends: tuple[_WireTarget, ...] = ()
+    timeout_ms: float = 30000
+    target_latency_ms: float = 500
+    max_attempts: int = 1
+    priority: int = 5
+    anonymous: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 200
+
+
+class _WireKind(msgspec.Struct, rename='kebab'):
+    name: str
+    mb: float
+    pace: float = 1
+    read_x: float = 1
+
+
+class _WireModel(msgspec.Struct, rename='kebab'):
+    name: str
+    load_s: float = 0
+
+
+class _WireUsual(msgspec.Struct):
+    prompt: float = 500
+    answer: float = 200
+
+
+class _WireEngine(msgspec.Struct, rename='kebab'):
+    layers: int = 0
+    layer_mb: float = 0
+    kv_token_bytes: float = 1
+    models: tuple[_WireModel, ...] = ()
+    kinds: tuple[_WireKind, ...] = ()
+    usual: _WireUsual = msgspec.field(default_factory=_WireUsual)
+
+
+class _WireService(msgspec.Struct, rename='kebab'):
+    name: str
+    health_path: str = '/healthz'
+    max_connections: int = 100
+    engine: _WireEngine | None = None
+
+
+class _WireTenant(msgspec.Struct, rename='kebab'):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _WireLimits(msgspec.Struct, rename='kebab'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: tuple[_WireRoute, ...] = ()
+    services: tuple[_WireService, ...] = ()
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: tuple[_WireTenant, ...] | None = None
+
+
+class _WireLayers(msgspec.Struct, rename={'first': 'from', 'end': 'to'}):
+    first: int
+    end: int
+
+
+class _WireHeld(msgspec.Struct):
+    name: str = ''
+    layers: _WireLayers | None = None
+
+
+class _WireServer(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    born: int = 0
+    slots: int = 1
+    kind: str = ''
+    models: tuple[_WireHeld, ...] = ()
+    layers: _WireLayers | None = None
+
+
+class _WireReport(msgspec.Struct):
+    born: int = 0
+    # In a report this counts orders; in the registry it counts heartbeats.
+    sequence: int = 0
+    busy: bool = False
+    pace: float = 1
+    models: tuple[_WireHeld, ...] = ()
+    layers: _WireLayers | None = None
+
+
+def decode_configuration(
+    body: bytes,
+) -> Result[RoutingConfiguration, str]:
+    """Decode a version of the configuration."""
+    try:
+        wire = msgspec.json.decode(body, type=_WireConfiguration)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(str(error))
+    return Success(
+        RoutingConfiguration(
+            version=wire.version,
+            rules=tuple(map(_rule, wire.routes)),
+            services=tuple(map(_service, wire.services)),
+            accounts=tuple(map(_account, wire.tenants or ())),
+            has_accounts=bool(wire.tenants),
+            limits=_limits(wire.limits),
+        ),
+    )
+
+
+def decode_endpoint(endpoint_id: str, body: bytes) -> Result[Endpoint, str]:
+    """Decode an entry of the registry.
+
+    Entries of other writers may hold anything; an entry that cannot be
+    read, or whose state is not known, names no endpoint.
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_WireServer)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(str(error))
+    if wire.state not in {'ready', 'draining'}:
+        return Failure(f'state {wire.state!r}')
+    if not _is_address(wire.address):
+        return Failure(f'address {wire.address!r}')
+    return Success(
+        Endpoint(
+            endpoint_id=endpoint_id,
+            service=wire.service,
+            address=wire.address,
+            failure_domain=wire.zone,
+            born=wire.born,
+            is_leaving=wire.state == 'draining',
+            slots=wire.slots,
+            accelerator=wire.kind,
+            layers=_layers(wire),
+        ),
+    )
+
+
+def decode_report(body: bytes) -> Result[EngineState, str]:
+    """Decode the report of an engine."""
+    try:
+        wire = msgspec.json.decode(body, type=_WireReport)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(str(error))
+    return Success(
+        EngineState(
+            born=wire.born,
+            orders=wire.sequence,
+            layers=_layers(wire),
+            is_busy=wire.busy,
+            pace=wire.pace,
+        ),
+    )
+
+
+def _rule(wire: _WireRoute) -> Rule:
+    targets = tuple(
+        Target(target.service, target.weight) for target in wire.backends
+    )
+    return Rule(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.path_prefix,
+        kind=_KINDS.get(wire.kind, RequestKind.UNSAFE),
+        timeout_seconds=wire.timeout_ms / MILLISECONDS,
+        target_seconds=wire.target_latency_ms / MILLISECONDS,
+        max_tries=wire.max_attempts,
+        urgency=wire.priority,
+        is_anonymous=wire.anonymous,
+        is_resumable=wire.resumable,
+        event_gap_seconds=wire.gap_aim_ms / MILLISECONDS,
+        targets=targets or (Target(wire.service, 1),),
+    )
+
+
+def _service(wire: _WireService) -> ServiceProfile:
+    return ServiceProfile(
+        name=wire.name,
+        health_path=wire.health_path,
+        max_connections=wire.max_connections,
+        engine=_engine(wire.engine) if wire.engine else None,
+    )
+
+
+def _engine(wire: _WireEngine) -> EngineProfile | None:
+    if not wire.layers:
+        return None
+    model = wire.models[0] if wire.models else _WireModel('')
+    return EngineProfile(
+        model=model.name,
+        layers=wire.layers,
+        layer_mb=wire.layer_mb,
+        state_bytes=wire.kv_token_bytes,
+        load_seconds=model.load_s,
+        usual_tokens=wire.usual.prompt + wire.usual.answer,
+        accelerators=tuple(
+            Accelerator(kind.name, kind.mb, kind.pace, kind.read_x)
+            for kind in wire.kinds
+        ),
+    )
+
+
+def _account(wire: _WireTenant) -> ClientAccount:
+    return ClientAccount(wire.name, wire.api_keys, wire.priority)
+
+
+def _limits(wire: _WireLimits) -> ClientLimits:
+    return ClientLimits(
+        header_bytes=wire.max_header_bytes,
+        body_bytes=wire.max_body_bytes,
+        header_seconds=wire.header_timeout_ms / MILLISECONDS,
+        idle_seconds=wire.idle_timeout_ms / MILLISECONDS,
+    )
+
+
+def _layers(wire: Any) -> LayerRange | None:
+    held = wire.layers
+    if held is None:
+        held = next((model.layers for model in wire.models), None)
+    if held is None or held.end <= held.first:
+        return None
+    return LayerRange(held.first, held.end)
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    return bool(host) and port.isdecimal()
--- /dev/null
+++ b/wigeonspoke/platform/wire_format.py
@@ -0,0 +1,51 @@
+"""The platform's wire format, as the ingress node asks for it."""
+
+from returns.result import Result
+
+from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.core.routing import RoutingConfiguration
+from wigeonspoke.ingress.protocols import (
+    AnswerMarks,
+    ClientRequest,
+    Hand,
+    HeaderList,
+)
+from wigeonspoke.platform import headers, records
+
+
+class PlatformFormat:
+    """Satisfies :class:`WireFormat`."""
+
+    __slots__ = ()
+
+    def decode_request(
+        self,
+        method: str,
+        target: str,
+        given: HeaderList,
+    ) -> ClientRequest:
+        """Decode a client's request without its body."""
+        return headers.decode_request(method, target, given)
+
+    def encode_headers(self, request: ClientRequest, hand: Hand) -> HeaderList:
+        """Give the headers that an endpoint gets with a request."""
+        return headers.encode_headers(request, hand)
+
+    def read_marks(self, status: int, given: HeaderList) -> AnswerMarks:
+        """Read the marks of an endpoint's answer."""
+        return headers.read_marks(status, given)
+
+    def decode_configuration(
+        self,
+        body: bytes,
+    ) -> Result[RoutingConfiguration, str]:
+        """Decode a version of the configuration."""
+        return records.decode_configuration(body)
+
+    def decode_endpoint(
+        self,
+        endpoint_id: str,
+        body: bytes,
+    ) -> Result[Endpoint, str]:
+        """Decode an entry of the registry."""
+        return records.decode_endpoint(endpoint_id, body)
--- a/wigeonspoke/standins/platform.py
+++ b/wigeonspoke/standins/platform.py
@@ -11,7 +11,7 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
-from wigeonspoke.platform.protocols import HostEntry, TableRow
+from wigeonspoke.store.protocols import HostEntry, TableRow
 from wigeonspoke.transport import (
     ApiError,
     HttpApp,
--- /dev/null
+++ b/wigeonspoke/store/__init__.py
@@ -0,0 +1,29 @@
+"""The platform's services: Protocols and their HTTP clients."""
+
+from wigeonspoke.store.http_platform import HttpPlatform
+from wigeonspoke.store.protocols import (
+    FeedStore,
+    HostEntry,
+    HostList,
+    ObjectStore,
+    RowPage,
+    RowWrite,
+    StoreError,
+    StoreProblem,
+    Table,
+    TableRow,
+)
+
+__all__ = (
+    'FeedStore',
+    'HostEntry',
+    'HostList',
+    'HttpPlatform',
+    'ObjectStore',
+    'RowPage',
+    'RowWrite',
+    'StoreError',
+    'StoreProblem',
+    'Table',
+    'TableRow',
+)
--- a/wigeonspoke/platform/http_platform.py
+++ b/wigeonspoke/store/http_platform.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from wigeonspoke.core.outcomes import Outcome
-from wigeonspoke.platform.protocols import (
+from wigeonspoke.store.protocols import (
     HostEntry,
     StoreError,
     StoreProblem,
--- a/wigeonspoke/platform/protocols.py
+++ b/wigeonspoke/store/protocols.py
@@ -16,21 +16,27 @@
     """Why an operation has no result.
 
     ``UNAVAILABLE``: it had no effect.  ``UNCERTAIN``: it may have had one.
-    ``CONFLICT``: the row was not at the version expected.
+    ``CONFLICT``: the row was not at the version expected.  ``EXPIRED``: the
+    history asked for is no longer kept.
     """
 
     UNAVAILABLE = 'unavailable'
     UNCERTAIN = 'uncertain'
     CONFLICT = 'conflict'
     MISSING = 'missing'
+    EXPIRED = 'expired'
 
 
 class TableRow(msgspec.Struct, frozen=True):
-    """A row; ``version`` is 1 at first and rises with each write."""
+    """A row; its version rises with each write.
+
+    ``is_removed`` marks the row of a feed that is no longer there.
+    """
 
     key: str
     version: int
     content: msgspec.Raw
+    is_removed: bool = False
 
 
 class StoreError(msgspec.Struct, frozen=True):
@@ -55,6 +61,47 @@
     leaving: bool = False
 
 
+class RowPage(msgspec.Struct, frozen=True):
+    """Rows as of one version of the store, or changed since another.
+
+    ``store_seconds`` is the store's steady clock.
+    """
+
+    rows: tuple[TableRow, ...]
+    version: int
+    store_seconds: float
+
+
+class RowWrite(msgspec.Struct, frozen=True):
+    """A row to write if its version is still ``expected``, 0 for no row."""
+
+    key: str
+    content: bytes
+    expected: int
+
+
+class FeedStore(Protocol):
+    """A store whose tables can be read whole and then followed."""
+
+    def read_table(self, table: str) -> Result[RowPage, StoreError]:
+        """Read all rows of a table as of one moment."""
+
+    def follow(
+        self,
+        table: str,
+        after: int,
+        wait_seconds: float,
+    ) -> Result[RowPage, StoreError]:
+        """Wait for rows that changed after a version."""
+
+    def write_rows(
+        self,
+        table: str,
+        writes: tuple[RowWrite, ...],
+    ) -> Result[int, StoreError]:
+        """Write all rows or none; give the version of the write."""
+
+
 class Table(Protocol):
     """The transactional table service."""
 
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -14,9 +14,12 @@
     read_lines,
 )
 from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
+from wigeonspoke.transport.request_body import read_request_body
+from wigeonspoke.transport.request_head import HeadError
 
 __all__ = (
     'ApiError',
+    'HeadError',
     'HttpApp',
     'HttpClient',
     'HttpError',
@@ -27,4 +30,5 @@
     'authorise',
     'read_json',
     'read_lines',
+    'read_request_body',
 )
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import http
+import socket
 from collections.abc import Callable, Iterator
 from functools import partial
 from typing import TypeVar
@@ -17,6 +18,16 @@
 
 from wigeonspoke.core.outcomes import Outcome, Reason
 
+# A peer that is cut off says nothing: probes of the kernel end a connection
+# after about three seconds of silence.
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+)
 POOLED_HOSTS = 4096
 CONNECTIONS_PER_HOST = 64
 CONNECT_SECONDS = 1.0
@@ -65,6 +76,7 @@
             num_pools=POOLED_HOSTS,
             maxsize=CONNECTIONS_PER_HOST,
             retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
 
     def get(
@@ -180,7 +192,7 @@
         headers: dict[str, str],
         fresh: bool,
     ) -> HttpReply:
-        pool = urllib3.PoolManager(retries=False) if fresh else self.pool
+        pool = _fresh_pool() if fresh else self.pool
         try:
             response = pool.request(
                 method,
@@ -200,6 +212,10 @@
         )
 
 
+def _fresh_pool() -> urllib3.PoolManager:
+    return urllib3.PoolManager(retries=False, socket_options=SOCKET_OPTIONS)
+
+
 def read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Read a reply line by line as it comes; each line must be ended."""
     rest = b''
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -1,6 +1,7 @@
 """A listener that serves a WSGI application within limits."""
 
 import errno
+import http
 import socket
 from collections.abc import Callable, Iterable
 
@@ -8,24 +9,22 @@
 import msgspec
 from eventlet.greenio import shutdown_safe
 from eventlet.wsgi import (
+    STATE_IDLE,
     HeaderLineTooLong,
     HeadersTooLarge,
     HttpProtocol,
     Server,
 )
 from eventlet.wsgi import server as serve_wsgi
-from werkzeug.wsgi import ClosingIterator
+
+from wigeonspoke.transport.request_head import (
+    HeadError,
+    RequestHead,
+    read_request_head,
+)
 
 WsgiApplication = Callable[..., Iterable[bytes]]
 
-HEADERS_TOO_LARGE = (
-    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
-    b'Connection: close\r\n'
-    b'Content-Type: application/json\r\n'
-    b'Content-Length: 101\r\n\r\n'
-    b'{"error": {"message": "the request headers are too large", '
-    b'"type": "bad_request", "code": "headers"}}'
-)
 CLOSED_ERRORS = frozenset((errno.EBADF, errno.EINVAL))
 
 
@@ -37,20 +36,68 @@
     """
 
     connections: int = 1024
+    header_bytes: int = 65536
     idle_seconds: float = 60.0
     read_seconds: float = 10.0
 
 
 class _Protocol(HttpProtocol):
-    """Answers oversized headers with a typed error body."""
+    """Reads heads strictly and answers wrong ones with a typed body."""
 
     def parse_request(self) -> bool:
         try:
-            return super().parse_request()
-        except (HeaderLineTooLong, HeadersTooLarge):
-            self.wfile.write(HEADERS_TOO_LARGE)
-            self.close_connection = 1
+            self._take(self._read_head())
+        except HeadError as error:
+            self.wfile.write(_error_reply(error))
+            self.close_connection = True
             return False
+        return True
+
+    def get_environ(self) -> dict:
+        """Add a way for the application to end the connection."""
+        environ = super().get_environ()
+        environ['wigeonspoke.end_connection'] = self._end_connection
+        return environ
+
+    def _read_head(self) -> RequestHead:
+        try:
+            return read_request_head(
+                self.raw_requestline,
+                self.rfile,
+                self.server.header_bytes,
+            )
+        except (HeaderLineTooLong, HeadersTooLarge) as error:
+            raise HeadError(
+                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                'size of headers',
+            ) from error
+
+    def _take(self, head: RequestHead) -> None:
+        self.requestline = f'{head.method} {head.target}'
+        self.command = head.method
+        self.path = head.target
+        self.request_version = head.version
+        self.headers = head.headers
+        is_stopping = self.server.is_stopping()
+        self.close_connection = head.wants_close or is_stopping
+
+    def _end_connection(self) -> None:
+        self.close_connection = True
+
+
+def _error_reply(error: HeadError) -> bytes:
+    """Give a reply to a request that nobody can read further."""
+    status: http.HTTPStatus = error.status
+    body = (
+        f'{{"error": {{"message": "{error.problem}", '
+        '"type": "bad_request", "code": "headers"}}'
+    ).encode()
+    return (
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        'Connection: close\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
 
 
 class HttpListener:
@@ -59,7 +106,9 @@
     ``address`` is the one in use, as ``host:port``.  ``active`` counts the
     requests whose replies are not yet written whole.
     :meth:`close` stops accepting and leaves open connections alone;
-    :meth:`abort` also resets them, as a crash would.
+    :meth:`close_idle` ends those on which no request is waiting;
+    :meth:`abort` resets all, as a crash would.  While ``is_stopping`` each
+    answer ends its connection.
     """
 
     __slots__ = (
@@ -67,6 +116,7 @@
         'address',
         'application',
         'greenlet',
+        'is_stopping',
         'limits',
         'open',
         'sock',
@@ -81,11 +131,12 @@
     ) -> None:
         self.application = application
         self.active = 0
+        self.is_stopping = False
         self.limits = limits or ListenerLimits()
         self.sock = eventlet.listen((host, port), backlog=self.backlog)
         bound_host, bound_port = self.sock.getsockname()[:2]
         self.address = f'{bound_host}:{bound_port}'
-        self.open: set[socket.socket] = set()
+        self.open: dict[socket.socket, list] = {}
         self.greenlet = eventlet.spawn(self._serve)
 
     @property
@@ -101,6 +152,12 @@
         shutdown_safe(self.sock)
         self.sock.close()
 
+    def close_idle(self) -> None:
+        """End the connections on which no request has begun."""
+        for connection, state in tuple(self.open.items()):
+            if state[2] == STATE_IDLE:
+                shutdown_safe(connection)
+
     def abort(self) -> None:
         """Stop accepting and reset all open connections."""
         self.close()
@@ -129,15 +186,11 @@
         environ: dict,
         start_response: Callable,
     ) -> Iterable[bytes]:
+        environ['eventlet.posthooks'].append((self._note_end, (), {}))
         self.active += 1
-        try:
-            parts = self.application(environ, start_response)
-        except BaseException:
-            self._note_end()
-            raise
-        return ClosingIterator(parts, [self._note_end])
+        return self.application(environ, start_response)
 
-    def _note_end(self) -> None:
+    def _note_end(self, _environ: dict) -> None:
         self.active -= 1
 
     def _serve_connection(
@@ -147,8 +200,15 @@
     ) -> HttpProtocol:
         connection = state[1]
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.open.add(connection)
+        self.open[connection] = state
+        server.keepalive = self.limits.idle_seconds
+        server.socket_timeout = self.limits.read_seconds
+        server.header_bytes = self.limits.header_bytes
+        server.is_stopping = self._tells_stopping
         try:
             return _Protocol(state, server)
         finally:
-            self.open.discard(connection)
+            self.open.pop(connection, None)
+
+    def _tells_stopping(self) -> bool:
+        return self.is_stopping
