Repair a domain so that every engine keeps room for requests

Seen in the logs besides: calls that test time-outs ejected sound replicas; a stream that waited its turn left a chain that worked; a foreign node took a cut-off domain's stewardship and planned it anew from half a list. Ruled out: the choice of chain (all three were full), prefill queues (first events came within 60 ms before the first loss). Change: missing layers are passed on from neighbour to neighbour with a bound on room, empty engines first; a copy that is whole is evened out, load first and let go afterwards; a steward waits while several engines are new on its list; silence is judged by the chain's other streams; a call given up at its time-out counts little against its replica; only the engine at fault is asked.

--- a/wigeonspoke/core/forwarding/replicas.py
+++ b/wigeonspoke/core/forwarding/replicas.py
@@ -73,6 +73,14 @@
         """Take in an answer that tells of an error of the application."""
         self._blend(replica, 1)
 
+    def note_slow(self, replica: Endpoint) -> None:
+        """Take in a call that was given up before its answer came.
+
+        A long call on a sound replica ends so as well: only many of them
+        tell against it.
+        """
+        self._blend(replica, 1)
+
     def note_failure(self, replica: Endpoint, reason: str, now: float) -> bool:
         """Take in a call without an answer; tell whether it ejected."""
         self._blend(replica, 1)
--- a/wigeonspoke/core/leases/lease.py
+++ b/wigeonspoke/core/leases/lease.py
@@ -13,7 +13,7 @@
 RENEW_SECONDS = 1.2
 # A domain without a steward of its own is taken by another domain's node
 # after this long.
-FOREIGN_SECONDS = 2.0
+FOREIGN_SECONDS = 6.0
 # Without the store nobody can take the lease over, and engines refuse what
 # is stale: the steward goes on for this long.
 STORE_OUTAGE_SECONDS = 20.0
--- a/wigeonspoke/core/placement/orders.py
+++ b/wigeonspoke/core/placement/orders.py
@@ -5,14 +5,19 @@
 import msgspec
 
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
+from wigeonspoke.core.placement.balance import balance_domain
 from wigeonspoke.core.placement.plan import Placing
 from wigeonspoke.core.placement.repair import repair_domain
 
 # Engines register over some seconds at the start of a deployment.  A first
 # placement made before the list is settled leaves engines out.
 SETTLE_SECONDS = 1.2
+# So many engines new at once come back to the list, or are new to a steward.
+RETURNING_ENGINES = 3
 # How long an order without an answer counts as one that may be carried out.
 UNANSWERED_SECONDS = 1.0
+# Moves that only even out memory are made one after the other.
+BALANCE_SECONDS = 0.3
 LOAD_SLACK = 3.0
 LOAD_SLACK_SECONDS = 1.0
 
@@ -30,13 +35,22 @@
 class Steward:
     """Decides which orders one failure domain's engines need."""
 
-    __slots__ = ('changed_at', 'known_ids', 'pending', 'profile')
+    __slots__ = (
+        'balanced_at',
+        'grown_at',
+        'is_returning',
+        'known_ids',
+        'pending',
+        'profile',
+    )
 
     def __init__(self, profile: EngineProfile) -> None:
         self.profile = profile
         self.pending: dict[str, PendingOrder] = {}
         self.known_ids: frozenset[str] = frozenset()
-        self.changed_at = 0
+        self.grown_at = 0
+        self.is_returning = False
+        self.balanced_at = 0
 
     def decide(
         self,
@@ -47,15 +61,16 @@
         listed = list(engines)
         self._note_list(listed, now)
         self._forget(listed, now)
-        is_fresh = all(engine.layers is None for engine in listed)
-        if is_fresh and now < self.changed_at + SETTLE_SECONDS:
+        if self._is_unsettled(listed, now):
             return ()
         expected = [self._expected(engine) for engine in listed]
-        return tuple(
-            placing
-            for placing in repair_domain(expected, self.profile)
-            if placing.endpoint.endpoint_id not in self.pending
-        )
+        repairs = repair_domain(expected, self.profile)
+        if repairs:
+            return self._still_needed(repairs)
+        if self.pending or now < self.balanced_at + BALANCE_SECONDS:
+            return ()
+        self.balanced_at = now
+        return balance_domain(listed, self.profile)
 
     def note_sent(self, placing: Placing, now: float) -> None:
         """Take in that an order is being sent."""
@@ -86,11 +101,34 @@
             missing -= max(0, shared)
         return self.profile.load_seconds * missing / self.profile.layers
 
+    def _is_unsettled(self, listed: list[Endpoint], now: float) -> bool:
+        """Tell whether engines may only be missing from the list as yet.
+
+        That is so at the start of a deployment, for a steward that has just
+        begun, and while entries that had run out come back.
+        """
+        if now >= self.grown_at + SETTLE_SECONDS:
+            return False
+        is_fresh = all(engine.layers is None for engine in listed)
+        return is_fresh or self.is_returning
+
+    def _still_needed(
+        self,
+        placings: tuple[Placing, ...],
+    ) -> tuple[Placing, ...]:
+        return tuple(
+            placing
+            for placing in placings
+            if placing.endpoint.endpoint_id not in self.pending
+        )
+
     def _note_list(self, listed: list[Endpoint], now: float) -> None:
         ids = frozenset(engine.endpoint_id for engine in listed)
-        if ids != self.known_ids:
-            self.known_ids = ids
-            self.changed_at = now
+        grown = ids - self.known_ids
+        if grown:
+            self.grown_at = now
+            self.is_returning = len(grown) >= RETURNING_ENGINES
+        self.known_ids = ids
 
     def _forget(self, listed: list[Endpoint], now: float) -> None:
         by_id = {engine.endpoint_id: engine for engine in listed}
--- a/wigeonspoke/core/placement/plan.py
+++ b/wigeonspoke/core/placement/plan.py
@@ -93,3 +93,32 @@
         ]
         counts[rooms.index(max(rooms))] += 1
     return counts
+
+
+def layers_for_room(
+    engine: Endpoint,
+    tokens: float,
+    profile: EngineProfile,
+) -> int:
+    """Give how many layers an engine can hold beside so many tokens."""
+    most = profile.most_layers(engine.accelerator)
+    while most and free_tokens(engine, most, profile) < tokens:
+        most -= 1
+    return most
+
+
+def even_room(
+    engines: Sequence[Endpoint],
+    profile: EngineProfile,
+) -> float:
+    """Give the least room for tokens in an even plan, 0 without one."""
+    rooms = [
+        free_tokens(engine, count, profile)
+        for engine, count in zip(
+            engines,
+            _shares(engines, profile),
+            strict=False,
+        )
+        if count
+    ]
+    return min(rooms, default=0)
--- a/wigeonspoke/core/placement/repair.py
+++ b/wigeonspoke/core/placement/repair.py
@@ -1,12 +1,13 @@
 """Closing gaps in a domain's copy of the model.
 
-The fault it answers: engines leave one by one, each with its range.  The
-neighbours of a gap and engines that hold nothing take the missing layers,
-each about the same number at once, since loading takes time for each layer.
-Only where they have no room is the domain planned anew.
+The fault it answers: engines leave one by one, each with its range.  An
+engine that takes much more than its share has no memory left for requests
+and starves the whole chain, so the missing layers are passed on from
+neighbour to neighbour until every engine keeps near the room for tokens
+that an even plan would leave it.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -14,23 +15,25 @@
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 from wigeonspoke.core.placement.plan import (
     Placing,
-    free_tokens,
+    even_room,
+    layers_for_room,
     plan_domain,
 )
 
-# An engine that takes more layers must keep room for this many requests of
-# the usual size.
-KEPT_REQUESTS = 12
+# Shares of the room of an even plan that a repair may leave, tried in turn:
+# less room moves fewer layers.
+ROOM_SHARES = (0.75, 0.5, 0.3)
 
 
-class _Taker(msgspec.Struct):
-    """An engine that can take layers of a gap, at its left or right end."""
+class _Wave(msgspec.Struct, frozen=True):
+    """The placings that one way of closing a gap needs."""
 
-    endpoint: Endpoint
-    held: LayerRange | None
-    side: str
-    most: int
-    taken: int = 0
+    placings: tuple[Placing, ...]
+
+    def cost(self) -> tuple[int, int]:
+        """Give the longest load in layers, then the number of orders."""
+        loads = [_loaded(placing) for placing in self.placings]
+        return (max(loads, default=0), len(loads))
 
 
 def repair_domain(
@@ -46,9 +49,9 @@
     if not gaps:
         return ()
     if len(gaps) == 1 and gaps[0] != LayerRange(0, profile.layers):
-        placings = _close_gap(gaps[0], engines, profile)
-        if placings:
-            return placings
+        wave = _best_wave(gaps[0], engines, profile)
+        if wave is not None:
+            return wave.placings
     return _replan(gaps[0], engines, profile)
 
 
@@ -71,80 +74,107 @@
     return tuple(gaps)
 
 
-def _close_gap(
-    gap: LayerRange,
-    engines: Sequence[Endpoint],
-    profile: EngineProfile,
-) -> tuple[Placing, ...]:
-    takers = _find_takers(gap, engines, profile)
-    missing = gap.end - gap.first
-    for _ in range(missing):
-        able = [taker for taker in takers if taker.taken < taker.most]
-        if not able:
-            return ()
-        least = min(able, key=lambda taker: taker.taken)
-        least.taken += 1
-    return _placings(gap, takers)
-
-
-def _find_takers(
+def _best_wave(
     gap: LayerRange,
     engines: Sequence[Endpoint],
     profile: EngineProfile,
-) -> list[_Taker]:
-    """Find takers in the order of the layers that they would take."""
-    left: list[_Taker] = []
-    middle: list[_Taker] = []
-    right: list[_Taker] = []
-    for engine in engines:
-        held = engine.layers
-        most = _most_more(engine, profile)
-        if held is None:
-            middle.append(_Taker(engine, held, 'middle', most))
-        elif held.end == gap.first:
-            left.append(_Taker(engine, held, 'left', most))
-        elif held.first == gap.end:
-            right.append(_Taker(engine, held, 'right', most))
-    return [*_roomiest(left), *middle, *_roomiest(right)]
-
-
-def _roomiest(takers: list[_Taker]) -> list[_Taker]:
-    """Keep one neighbour of a side: two would take the same layers."""
-    ordered = sorted(takers, key=lambda taker: taker.most, reverse=True)
-    return ordered[:1]
-
-
-def _most_more(engine: Endpoint, profile: EngineProfile) -> int:
-    """Give how many layers more an engine can take and still be of use."""
-    held = engine.layers.end - engine.layers.first if engine.layers else 0
-    kept = KEPT_REQUESTS * profile.usual_tokens
-    most = profile.most_layers(engine.accelerator)
-    while most > held and free_tokens(engine, most, profile) < kept:
-        most -= 1
-    return max(0, most - held)
-
-
-def _placings(
-    gap: LayerRange,
-    takers: list[_Taker],
-) -> tuple[Placing, ...]:
-    placings: list[Placing] = []
-    at = gap.first
-    for taker in takers:
-        end = at + taker.taken
-        if taker.taken:
-            placings.append(Placing(taker.endpoint, _extended(taker, at, end)))
-        at = end
-    return tuple(placings)
-
-
-def _extended(taker: _Taker, first: int, end: int) -> LayerRange:
-    if taker.held is None:
-        return LayerRange(first, end)
-    return LayerRange(
-        min(first, taker.held.first),
-        max(end, taker.held.end),
-    )
+) -> _Wave | None:
+    """Find the way of closing a gap that loads fastest."""
+    room = even_room(engines, profile)
+    for share in ROOM_SHARES:
+        closing = _Closing(gap, engines, profile, share * room)
+        waves = [
+            wave
+            for split in closing.splits
+            if (wave := closing.close_at(split)) is not None
+        ]
+        if waves:
+            return min(waves, key=_Wave.cost)
+    return None
+
+
+class _Closing:
+    """Ways of closing one gap so that a room for tokens is left."""
+
+    __slots__ = ('engines', 'filled', 'first', 'gap', 'profile', 'room')
+
+    def __init__(
+        self,
+        gap: LayerRange,
+        engines: Sequence[Endpoint],
+        profile: EngineProfile,
+        room: float,
+    ) -> None:
+        self.gap = gap
+        self.profile = profile
+        self.room = room
+        self.engines = [each for each in engines if each.layers is not None]
+        self.first = gap.first
+        self.filled = self._fill(
+            each for each in engines if each.layers is None
+        )
+
+    @property
+    def splits(self) -> range:
+        """Give where the two sides may meet, behind what is filled."""
+        if self.filled:
+            return range(self.first, self.first + 1)
+        return range(self.gap.first, self.gap.end + 1)
+
+    def close_at(self, split: int) -> _Wave | None:
+        """Let the engines before the gap take it up to a split."""
+        before = [
+            each for each in self.engines if each.layers.end <= self.gap.first
+        ]
+        after = [
+            each for each in self.engines if each.layers.first >= self.gap.end
+        ]
+        left_edge = split
+        if self.filled:
+            left_edge = self.gap.first
+        left = self._push(before, left_edge)
+        mirrored = [_mirror_engine(each, self.profile) for each in after]
+        right = self._push(mirrored, self.profile.layers - split)
+        if left is None or right is None:
+            return None
+        back = [_mirror_back(each, after, self.profile) for each in right]
+        return _Wave((*self.filled, *left, *back))
+
+    def _fill(self, empty: Iterable[Endpoint]) -> list[Placing]:
+        """Give engines without layers the start of the gap."""
+        filled: list[Placing] = []
+        for engine in sorted(empty, key=self._most, reverse=True):
+            end = min(self.gap.end, self.first + self._most(engine))
+            if end > self.first:
+                layers = LayerRange(self.first, end)
+                filled.append(Placing(engine, layers))
+                self.first = end
+        return filled
+
+    def _push(
+        self,
+        engines: Sequence[Endpoint],
+        edge: int,
+    ) -> list[Placing] | None:
+        """Move the ends of engines so that they reach an edge.
+
+        Each lets go of what no longer fits at its start, and the engine
+        before it then takes that.
+        """
+        placings: list[Placing] = []
+        for engine in sorted(engines, key=_end, reverse=True):
+            held = engine.layers
+            if held.end >= edge:
+                return placings
+            first = max(held.first, edge - max(1, self._most(engine)))
+            placings.append(Placing(engine, LayerRange(first, edge)))
+            if first == held.first:
+                return placings
+            edge = first
+        return None if edge > 0 else placings
+
+    def _most(self, engine: Endpoint) -> int:
+        return layers_for_room(engine, self.room, self.profile)
 
 
 def _replan(
@@ -157,3 +187,43 @@
         for placing in plan_domain(engines, profile, gap.first)
         if placing.layers != placing.endpoint.layers
     )
+
+
+def _mirror(layers: LayerRange, profile: EngineProfile) -> LayerRange:
+    """Count layers from the other end of the model."""
+    return LayerRange(
+        profile.layers - layers.end,
+        profile.layers - layers.first,
+    )
+
+
+def _mirror_engine(engine: Endpoint, profile: EngineProfile) -> Endpoint:
+    return msgspec.structs.replace(
+        engine,
+        layers=_mirror(engine.layers, profile),
+    )
+
+
+def _mirror_back(
+    placing: Placing,
+    engines: Sequence[Endpoint],
+    profile: EngineProfile,
+) -> Placing:
+    wanted = placing.endpoint.endpoint_id
+    original = next(each for each in engines if each.endpoint_id == wanted)
+    return Placing(original, _mirror(placing.layers, profile))
+
+
+def _end(engine: Endpoint) -> int:
+    return engine.layers.end
+
+
+def _loaded(placing: Placing) -> int:
+    """Give how many layers a placing loads."""
+    held = placing.endpoint.layers
+    layers = placing.layers
+    count = layers.end - layers.first
+    if held is None:
+        return count
+    shared = min(held.end, layers.end) - max(held.first, layers.first)
+    return count - max(0, shared)
--- a/wigeonspoke/ingress/call_run.py
+++ b/wigeonspoke/ingress/call_run.py
@@ -178,7 +178,9 @@
         if error.outcome is not Outcome.NOT_RUN:
             self.context.runs += 1
         has_left = self.context.watch.has_left
-        if not has_left:
+        if error.reason is Reason.TIMEOUT and not has_left:
+            self.state.replicas.note_slow(replica)
+        elif not has_left:
             self.state.replicas.note_failure(replica, error.reason, now)
         self.state.count('try-failed', error.reason)
         self.note(
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -12,7 +12,7 @@
 
 ASK_SECONDS = 0.25
 ASKS = 2
-ASK_AGAIN_SECONDS = 0.3
+ASK_AGAIN_SECONDS = 0.5
 ROUND_SECONDS = 0.25
 
 
@@ -26,11 +26,21 @@
         self.control = control
         self.asked_at: dict[str, float] = {}
 
-    def check_chain(self, chain: Chain, reason: str) -> None:
-        """Ask every engine of a chain, unless that was just done."""
+    def check_chain(
+        self,
+        chain: Chain,
+        reason: str,
+        fault_address: str = '',
+    ) -> None:
+        """Ask every engine of a chain, unless that was just done.
+
+        If the engine at fault is known, it alone is asked.
+        """
         now = time.monotonic()
         for hop in chain.hops:
             endpoint = hop.endpoint
+            if fault_address not in {'', endpoint.address}:
+                continue
             last = self.asked_at.get(endpoint.endpoint_id, 0)
             if now - last >= ASK_AGAIN_SECONDS:
                 self.asked_at[endpoint.endpoint_id] = now
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 
-from wigeonspoke.core.chains import ChainChooser, SuspectBook
+from wigeonspoke.core.chains import ChainActivity, ChainChooser, SuspectBook
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.forwarding import ReplicaChooser, WindowBudget
 from wigeonspoke.core.routing import RoutingTable
@@ -11,14 +11,16 @@
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.observe import DecisionLog
 
-# Nodes that may be there at once, as long as nobody has counted them.
-ASSUMED_NODES = 10
+# Shares into which the extra retries are split: twice the nodes that may be
+# there at once, since a node that starts anew has forgotten what it spent.
+EXTRA_SHARES = 20
 
 
 class IngressState:
     """The beliefs and the books of one node."""
 
     __slots__ = (
+        'activity',
         'budgets',
         'chains',
         'counters',
@@ -44,6 +46,7 @@
         self.table = RoutingTable()
         self.fleet = Fleet()
         self.suspects = SuspectBook()
+        self.activity = ChainActivity()
         domain = settings.failure_domain
         self.chains = ChainChooser(self.fleet, self.suspects, domain)
         self.replicas = ReplicaChooser(self.fleet, domain)
@@ -57,7 +60,7 @@
         if known is None:
             known = WindowBudget(
                 self.settings.retry_ratio,
-                self.settings.retry_extra / ASSUMED_NODES,
+                self.settings.retry_extra / EXTRA_SHARES,
                 self.settings.retry_window_seconds,
             )
             self.budgets[service] = known
--- a/wigeonspoke/ingress/stream_run.py
+++ b/wigeonspoke/ingress/stream_run.py
@@ -41,7 +41,10 @@
 # given up for another, if there is one.
 FIRST_EVENT_SHARE = 0.5
 GAP_SHARE = 0.6
-LOOK_AGAIN_SECONDS = 0.2
+LOOK_AGAIN_SECONDS = 0.05
+# On a chain whose other streams go on, a stream waits for its turn this many
+# times the pause that users accept.
+TURN_FACTOR = 4
 # How long a request waits for a chain to become whole.
 CHAIN_WAIT_SHARE = 0.5
 CHAIN_WAIT_STEP = 0.05
@@ -60,6 +63,7 @@
         'last_number',
         'start_response',
         'started',
+        'waits_since',
     )
 
     def __init__(
@@ -74,6 +78,7 @@
         self.last_error: StepError | None = None
         self.last_number: int | None = None
         self.started = False
+        self.waits_since = context.arrived_at
         self.final: EndpointAnswer | None = None
         self.start_response: Callable[..., Any] | None = None
         if context.request.last_event.isdecimal():
@@ -161,6 +166,7 @@
         chain: Chain,
     ) -> Iterator[bytes]:
         self._send(attempt, chain)
+        self.waits_since = time.monotonic()
         first_by = self._first_event_by()
         head = self._read_patiently(attempt.read_head, first_by, chain)
         headers = decode_headers(head)
@@ -220,14 +226,20 @@
                 break
             events = self._new_events(splitter.feed(part), chain)
             if events:
-                next_by = time.monotonic() + self._gap_seconds()
+                self.waits_since = time.monotonic()
+                next_by = self.waits_since + self._gap_seconds()
                 self._start(headers)
                 yield b''.join(events)
-                self.state.suspects.trust(chain.head.endpoint_id)
+                self._note_event(chain)
         self._start(headers)
         if splitter.rest:
             yield splitter.rest
 
+    def _note_event(self, chain: Chain) -> None:
+        head_id = chain.head.endpoint_id
+        self.state.activity.note_event(head_id, time.monotonic())
+        self.state.suspects.trust(head_id)
+
     def _new_events(
         self,
         events: list[StreamEvent],
@@ -262,22 +274,35 @@
         chain: Chain,
     ) -> Any:
         """Read on until another chain can take over, or the time is up."""
-        is_noted = False
         while True:
             try:
                 return read(min(until, self.context.until))
             except TryTimeout:
-                until = time.monotonic() + LOOK_AGAIN_SECONDS
-                if not is_noted:
-                    self._note_silence(chain)
-                if self._must_leave(chain):
+                now = time.monotonic()
+                until = now + LOOK_AGAIN_SECONDS
+                if self._must_leave(chain, now):
                     raise
-            is_noted = True
 
-    def _must_leave(self, chain: Chain) -> bool:
-        """Tell whether a silent chain is to be left, or time is up."""
-        now = time.monotonic()
-        return now >= self.context.until or self._can_move(chain, now)
+    def _must_leave(self, chain: Chain, now: float) -> bool:
+        if now >= self.context.until:
+            return True
+        if self._is_alive(chain, now):
+            return False
+        self._note_silence(chain, now)
+        return self._can_move(chain, now)
+
+    def _is_alive(self, chain: Chain, now: float) -> bool:
+        """Tell whether this stream only waits its turn, for a while."""
+        if self.state.activity.is_silent(chain.head.endpoint_id, now):
+            return False
+        return now < self.waits_since + self._patience()
+
+    def _patience(self) -> float:
+        """Give how long a stream may wait on a chain that works."""
+        rule = self.context.rule
+        if self.started:
+            return TURN_FACTOR * rule.event_gap_seconds
+        return rule.target_seconds
 
     def _can_move(self, chain: Chain, now: float) -> bool:
         context = self.context
@@ -299,9 +324,16 @@
             now,
         )
 
-    def _note_silence(self, chain: Chain) -> None:
-        self.state.suspects.doubt(chain.head.endpoint_id, time.monotonic())
-        self.note('silent', peer=chain.head.address, last=self.last_number)
+    def _note_silence(self, chain: Chain, now: float) -> None:
+        head = chain.head
+        if not self.state.suspects.doubt(head.endpoint_id, now):
+            return
+        self.note(
+            'silent',
+            peer=head.address,
+            last=self.last_number,
+            waited=round(now - self.waits_since, 3),
+        )
         self.check_chain(chain, 'silent')
 
     def _first_event_by(self) -> float:
@@ -390,7 +422,7 @@
             fault=fault,
         )
         self.state.suspects.doubt(chain.head.endpoint_id, time.monotonic())
-        self.check_chain(chain, 'refused')
+        self.check_chain(chain, 'refused', fault)
 
     def _note_error(self, chain: Chain, error: StepError) -> None:
         self.last_error = error
