Prove the path on stand-ins of the platform, and believe refusals without id

A stand-in that answers 421 without the request's id, as one at a reused address may, made the node answer 502 for a call that had not run. Ruled out: an answer that belongs to another request; the try has its own connection and this answer came first on it.

--- a/wigeonspoke/ingress/call_run.py
+++ b/wigeonspoke/ingress/call_run.py
@@ -135,7 +135,13 @@
         )
 
     def _check(self, marks: AnswerMarks, replica: Endpoint) -> None:
-        """Refuse an answer that belongs to another request."""
+        """Refuse an answer that belongs to another request.
+
+        A refusal without an id came first on the try's own connection, and
+        is believed.
+        """
+        if marks.not_run and not marks.request_id:
+            return
         if marks.request_id != self.context.request.request_id:
             raise TryError(_wrong_answer(replica.address))
 
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -54,6 +54,7 @@
 
     __slots__ = (
         'front',
+        'greenlets',
         'is_stopping',
         'loops',
         'metrics',
@@ -76,6 +77,7 @@
         self.prober = Prober(self.state, control)
         self.steward = StewardLoop(self.state, store, control)
         self.is_stopping = False
+        self.greenlets: list[eventlet.greenthread.GreenThread] = []
         self.front: HttpListener | None = None
         self.ready: HttpListener | None = None
         self.metrics: HttpListener | None = None
@@ -118,8 +120,7 @@
             f'{settings.host}:{settings.metrics_port}',
             ListenerLimits(connections=READY_CONNECTIONS),
         )
-        for loop in self.loops:
-            eventlet.spawn(loop)
+        self.greenlets = [eventlet.spawn(loop) for loop in self.loops]
         self.state.log.write(
             'start',
             front=settings.front,
--- /dev/null
+++ b/wigeonspoke/platform/standins/raw_server.py
@@ -0,0 +1,137 @@
+"""A listener that hands over each request with its raw connection.
+
+The stand-ins misbehave on the level of bytes, which no library's server
+lets them do.
+"""
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+import eventlet
+import h11
+import msgspec
+from eventlet.greenio import shutdown_safe
+
+READ_BYTES = 65536
+LINGER_RESET = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+
+
+class RawRequest(msgspec.Struct):
+    """A request as it came, with its body whole."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Wire:
+    """The raw connection on which a request came."""
+
+    __slots__ = ('sock',)
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+
+    def write(self, payload: bytes) -> None:
+        """Write bytes as they are."""
+        self.sock.sendall(payload)
+
+    def answer(
+        self,
+        status: int,
+        headers: dict[str, str],
+        body: bytes = b'',
+    ) -> None:
+        """Write a whole answer."""
+        lines = [f'HTTP/1.1 {status} Status']
+        lines.extend(f'{name}: {text}' for name, text in headers.items())
+        lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join(lines)
+        self.write(f'{head}\r\n\r\n'.encode() + body)
+
+    def write_chunk(self, payload: bytes) -> None:
+        """Write one chunk of a chunked body."""
+        self.write(b'%x\r\n%s\r\n' % (len(payload), payload))
+
+    def has_left(self) -> bool:
+        """Tell whether the other side has closed the connection."""
+        try:
+            return self.sock.fd.recv(1, socket.MSG_PEEK) == b''
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def reset(self) -> None:
+        """End the connection with a reset."""
+        self.sock.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            LINGER_RESET,
+        )
+        self.sock.close()
+
+
+class RawServer:
+    """Serves one request at a time on each connection."""
+
+    __slots__ = ('address', 'greenlet', 'handle', 'open', 'sock')
+
+    def __init__(self, handle: Callable[[RawRequest, Wire], None]) -> None:
+        self.handle = handle
+        self.sock = eventlet.listen(('127.0.0.1', 0))
+        host, port = self.sock.getsockname()[:2]
+        self.address = f'{host}:{port}'
+        self.open: set[socket.socket] = set()
+        self.greenlet = eventlet.spawn(self._accept)
+
+    def close(self) -> None:
+        """Stop, and end all connections."""
+        self.greenlet.kill()
+        self.sock.close()
+        for connection in tuple(self.open):
+            shutdown_safe(connection)
+
+    def _accept(self) -> None:
+        while True:
+            connection, _ = self.sock.accept()
+            self.open.add(connection)
+            eventlet.spawn(self._serve, connection)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with suppress(OSError, h11.RemoteProtocolError):
+            while True:
+                request = _read(connection)
+                if request is None:
+                    break
+                self.handle(request, Wire(connection))
+        self.open.discard(connection)
+        with suppress(OSError):
+            connection.close()
+
+
+def _read(connection: socket.socket) -> RawRequest | None:
+    parser = h11.Connection(h11.SERVER)
+    request: RawRequest | None = None
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(connection.recv(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            request = RawRequest(
+                method=event.method.decode(),
+                target=event.target.decode('latin-1'),
+                headers={
+                    name.decode(): text.decode('latin-1')
+                    for name, text in event.headers
+                },
+                body=b'',
+            )
+        elif isinstance(event, h11.Data):
+            request.body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return request
+        else:
+            return None
