Keep entries after an outage, relieve slow engines without a gap

Cause: after a zone cut the nodes of that zone read a list from which their own engines had run out, dropped all of them and planned the domain anew; an engine at 3.9 times its pace was planned out by letting its neighbours go, which left the domain without a chain until the cut had ended; one dead engine made 28 streams late, since each waited 120 ms before it moved. Change: what is missing from the list is kept for 2.5 s after the store came back; slow engines are relieved by extension only; a chain is silent after three of its usual gaps, twice that with fewer than three streams.

--- a/wigeonspoke/core/placement/__init__.py
+++ b/wigeonspoke/core/placement/__init__.py
@@ -8,7 +8,11 @@
     free_tokens,
     plan_domain,
 )
-from wigeonspoke.core.placement.repair import find_gaps, repair_domain
+from wigeonspoke.core.placement.repair import (
+    find_gaps,
+    repair_domain,
+    replace_slow,
+)
 
 __all__ = (
     'PendingOrder',
@@ -20,4 +24,5 @@
     'free_tokens',
     'plan_domain',
     'repair_domain',
+    'replace_slow',
 )
--- a/wigeonspoke/core/placement/orders.py
+++ b/wigeonspoke/core/placement/orders.py
@@ -1,13 +1,13 @@
 """Orders that engines were given and have not yet carried out."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 from wigeonspoke.core.placement.balance import balance_domain
 from wigeonspoke.core.placement.plan import Placing, loaded_layers
-from wigeonspoke.core.placement.repair import repair_domain
+from wigeonspoke.core.placement.repair import repair_domain, replace_slow
 
 # Engines register over some seconds at the start of a deployment.  A first
 # placement made before the list is settled leaves engines out.
@@ -57,9 +57,13 @@
     def decide(
         self,
         engines: Iterable[Endpoint],
+        slow_ids: Collection[str],
         now: float,
     ) -> tuple[Placing, ...]:
-        """Give the orders that are needed and not yet on their way."""
+        """Give the orders that are needed and not yet on their way.
+
+        ``slow_ids`` names the engines whose work others had better do.
+        """
         listed = list(engines)
         self._note_list(listed, now)
         self._forget(listed, now)
@@ -67,6 +71,11 @@
             return ()
         expected = [self._expected(engine) for engine in listed]
         repairs = repair_domain(expected, self.profile)
+        if not repairs and slow_ids:
+            fast = [
+                each for each in expected if each.endpoint_id not in slow_ids
+            ]
+            repairs = replace_slow(fast, self.profile)
         if repairs:
             return self._still_needed(repairs)
         if self.pending or now < self.balanced_at + BALANCE_SECONDS:
--- a/wigeonspoke/core/placement/repair.py
+++ b/wigeonspoke/core/placement/repair.py
@@ -44,7 +44,7 @@
 )
 # Layers that are let go wait for the streams that pass through them, and
 # what is loaded in their place waits with them.
-LET_GO_SECONDS = 1.5
+LET_GO_SECONDS = 2.0
 
 
 class _Wave(msgspec.Struct, frozen=True):
@@ -86,6 +86,19 @@
     )
 
 
+def replace_slow(
+    fast: Sequence[Endpoint],
+    profile: EngineProfile,
+) -> tuple[Placing, ...]:
+    """Let other engines load what the slow ones hold, if they have room.
+
+    The chain works, if slowly: nobody lets go of layers for it, and nothing
+    is done where that would be needed.
+    """
+    placings = repair_domain(fast, profile)
+    return () if any(map(lets_go, placings)) else placings
+
+
 def find_gaps(
     engines: Sequence[Endpoint],
     layers: int,
@@ -131,10 +144,11 @@
     longest = max(map(loaded_layers, placings), default=0)
     crowd = max(1, len(placings) / profile.loads_at_once)
     seconds = profile.load_seconds * longest / profile.layers * crowd
-    return seconds + LET_GO_SECONDS * any(map(_lets_go, placings))
+    return seconds + LET_GO_SECONDS * any(map(lets_go, placings))
 
 
-def _lets_go(placing: Placing) -> bool:
+def lets_go(placing: Placing) -> bool:
+    """Tell whether an engine gives up layers that it holds."""
     held = placing.endpoint.layers
     if held is None:
         return False
--- a/wigeonspoke/core/tests/test_chains.py
+++ b/wigeonspoke/core/tests/test_chains.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from wigeonspoke.core.chains import ChainChooser, SuspectBook, find_chain
+from wigeonspoke.core.chains import (
+    ChainActivity,
+    ChainChooser,
+    SuspectBook,
+    find_chain,
+)
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.placement import plan_domain
 from wigeonspoke.core.tests.fleet_examples import (
@@ -140,3 +145,27 @@
     assert last.domains == chain.domains
     chooser.suspects.note_pace(slow, 1.1, 1)
     assert chooser.choose('drafting', PROFILE, (), 1) == chain
+
+
+@pytest.mark.parametrize(
+    ('gap', 'streams', 'after', 'is_silent'),
+    [
+        (0.02, 5, 0.05, False),
+        (0.02, 5, 0.1, True),
+        # One stream alone may be late by itself.
+        (0.02, 1, 0.1, False),
+        (0.02, 1, 0.2, True),
+        # On a slow chain such gaps are usual.
+        (0.1, 5, 0.2, False),
+        (0.1, 5, 0.4, True),
+    ],
+)
+def test_silence_is_judged_by_the_usual_rhythm(gap, streams, after, is_silent):
+    activity = ChainActivity()
+    for index in range(200):
+        activity.note_event('h', gap, index * gap)
+    assert activity.is_silent('h', streams, 199 * gap + after) == is_silent
+
+
+def test_a_chain_that_never_gave_an_event_is_silent():
+    assert ChainActivity().is_silent('h', 5, 0)
--- a/wigeonspoke/core/tests/test_placement.py
+++ b/wigeonspoke/core/tests/test_placement.py
@@ -13,6 +13,7 @@
     plan_domain,
     repair_domain,
 )
+from wigeonspoke.core.placement.repair import lets_go
 from wigeonspoke.core.tests.fleet_examples import (
     DOMAINS,
     PROFILE,
@@ -98,10 +99,10 @@
 def test_nothing_is_ordered_before_the_list_is_settled():
     steward = Steward(PROFILE)
     engines = domain_engines('two')
-    assert not steward.decide(engines[:4], 0)
-    assert not steward.decide(engines, 1.0)
-    assert not steward.decide(engines, 2.1)
-    assert len(steward.decide(engines, 2.3)) == len(engines)
+    assert not steward.decide(engines[:4], (), 0)
+    assert not steward.decide(engines, (), 1.0)
+    assert not steward.decide(engines, (), 2.1)
+    assert len(steward.decide(engines, (), 2.3)) == len(engines)
 
 
 @pytest.mark.parametrize(
@@ -119,26 +120,26 @@
 def test_orders_on_their_way_are_not_given_twice(accepted, at, orders):
     steward = Steward(PROFILE)
     engines = domain_engines('two')
-    steward.decide(engines, 0)
-    placings = steward.decide(engines, 2.0)
+    steward.decide(engines, (), 0)
+    placings = steward.decide(engines, (), 2.0)
     for placing in placings:
         steward.note_sent(placing, 2.0)
         if accepted:
             steward.note_accepted(placing, 2.0)
-    assert len(steward.decide(engines, at)) == orders
+    assert len(steward.decide(engines, (), at)) == orders
 
 
 def test_an_order_ends_when_the_engine_holds_the_layers():
     steward = Steward(PROFILE)
     engines = domain_engines('two')
-    steward.decide(engines, 0)
-    placings = steward.decide(engines, 2.0)
+    steward.decide(engines, (), 0)
+    placings = steward.decide(engines, (), 2.0)
     for placing in placings:
         steward.note_sent(placing, 2.0)
     placed = apply_placings(engines, placings)
-    assert not steward.decide(placed, 2.1)
+    assert not steward.decide(placed, (), 2.1)
     assert not steward.pending
-    repairs = steward.decide(placed[:-1], 2.2)
+    repairs = steward.decide(placed[:-1], (), 2.2)
     repaired = apply_placings(placed[:-1], repairs)
     assert repairs
     assert not find_gaps(repaired, PROFILE.layers)
@@ -192,7 +193,38 @@
     engines = domain_engines('two')
     placed = apply_placings(engines, plan_domain(engines, PROFILE))
     steward = Steward(PROFILE)
-    assert not steward.decide(placed[:5], 0)
-    assert not steward.decide(placed, 0.5)
-    assert not steward.decide(placed, 3.0)
-    assert steward.decide(placed[:-1], 3.1)
+    assert not steward.decide(placed[:5], (), 0)
+    assert not steward.decide(placed, (), 0.5)
+    assert not steward.decide(placed, (), 3.0)
+    assert steward.decide(placed[:-1], (), 3.1)
+
+
+def test_the_work_of_a_slow_engine_is_taken_over_without_a_gap():
+    engines = [
+        engine('a', 'large', (0, 30)),
+        engine('b', 'small', (30, 36)),
+        engine('c', 'small', (36, 42)),
+        engine('d', 'large', (42, 66)),
+        engine('e', 'middle', (66, 80)),
+    ]
+    steward = Steward(PROFILE)
+    steward.decide(engines, (), 0)
+    placings = steward.decide(engines, {'c'}, 5.0)
+    assert placings
+    for placing in placings:
+        held = placing.endpoint.layers
+        assert placing.layers.first <= held.first
+        assert placing.layers.end >= held.end
+    fast = [each for each in engines if each.endpoint_id != 'c']
+    assert not find_gaps(apply_placings(fast, placings), PROFILE.layers)
+
+
+def test_a_slow_engine_stays_where_others_would_have_to_let_go():
+    engines = domain_engines('one')[:9]
+    engines = apply_placings(engines, plan_domain(engines, PROFILE))
+    steward = Steward(PROFILE)
+    steward.decide(engines, (), 0)
+    slow = {engines[3].endpoint_id}
+    assert not any(
+        lets_go(placing) for placing in steward.decide(engines, slow, 5.0)
+    )
--- a/wigeonspoke/ingress/feeds.py
+++ b/wigeonspoke/ingress/feeds.py
@@ -31,6 +31,9 @@
 
     table: str
 
+    def note_return(self) -> None:
+        """Take in that the store has answered again."""
+
     def take_all(self, rows: tuple[TableRow, ...]) -> None:
         """Take in a whole table."""
 
@@ -48,6 +51,9 @@
         self.table = table
         self.key = key
 
+    def note_return(self) -> None:
+        """A version stays in force whatever becomes of the store."""
+
     def take_all(self, rows: tuple[TableRow, ...]) -> None:
         """Take in a whole table."""
         for row in rows:
@@ -77,32 +83,45 @@
 
 
 class RegistryFeed:
-    """Keeps the fleet as the registry lists it."""
+    """Keeps the fleet as the registry lists it.
 
-    __slots__ = ('state', 'table')
+    Entries run out while the store is away, and come back shortly after it
+    if their endpoint lives: for that long what is missing is kept.
+    """
+
+    __slots__ = ('kept_until', 'missing', 'state', 'table')
 
     def __init__(self, state: IngressState, table: str) -> None:
         self.state = state
         self.table = table
+        self.missing: set[str] = set()
+        self.kept_until = 0
+
+    def note_return(self) -> None:
+        """Take in that the store has answered again."""
+        self.kept_until = time.monotonic() + RETURN_SECONDS
+        eventlet.spawn_after(RETURN_SECONDS, self._drop_missing)
 
     def take_all(self, rows: tuple[TableRow, ...]) -> None:
         """Take in the whole list; what it leaves out is gone."""
         for row in rows:
             self.take_change(row)
-        listed = [entry.key for entry in rows if not entry.is_removed]
-        for endpoint_id in self.state.fleet.keep_only(listed):
-            self.state.log.write('endpoint-gone', endpoint=endpoint_id)
+        listed = {entry.key for entry in rows if not entry.is_removed}
+        for endpoint_id in list(self.state.fleet.endpoints):
+            if endpoint_id not in listed:
+                self._miss(endpoint_id)
 
     def take_change(self, row: TableRow) -> None:
         """Take in an entry; one that cannot be read names no endpoint."""
         if row.is_removed:
-            self._drop(row.key, 'removed')
+            self._miss(row.key)
             return
         decoded = self.state.wire.decode_endpoint(row.key, bytes(row.content))
         if not isinstance(decoded, Success):
             self._drop(row.key, decoded.failure())
             return
         endpoint = decoded.unwrap()
+        self.missing.discard(endpoint.endpoint_id)
         if self.state.fleet.put(endpoint):
             self.state.log.write(
                 'endpoint',
@@ -113,6 +132,19 @@
                 row_version=row.version,
             )
 
+    def _miss(self, endpoint_id: str) -> None:
+        if time.monotonic() < self.kept_until:
+            self.missing.add(endpoint_id)
+            return
+        self._drop(endpoint_id, 'removed')
+
+    def _drop_missing(self) -> None:
+        if time.monotonic() < self.kept_until:
+            return
+        for endpoint_id in self.missing:
+            self._drop(endpoint_id, 'not back after the store')
+        self.missing.clear()
+
     def _drop(self, endpoint_id: str, reason: str) -> None:
         if self.state.fleet.drop(endpoint_id) is not None:
             self.state.log.write(
@@ -170,6 +202,7 @@
         if not self.is_reachable:
             self.is_reachable = True
             self._note_return()
+            self.feed.note_return()
         if self.version is None:
             self.feed.take_all(page.rows)
         else:
--- a/wigeonspoke/ingress/steward_loop.py
+++ b/wigeonspoke/ingress/steward_loop.py
@@ -14,7 +14,7 @@
     LeaseStep,
     SeenLease,
 )
-from wigeonspoke.core.placement import Placing, Steward, even_room
+from wigeonspoke.core.placement import Placing, Steward
 from wigeonspoke.core.routing import ServiceProfile
 from wigeonspoke.ingress.protocols import (
     EngineControl,
@@ -183,7 +183,8 @@
             steward = self._steward(keeper, service.name, service.engine)
             engines = self._engines(service, keeper.domain)
             now = time.monotonic()
-            for placing in steward.decide(engines, now):
+            slow = self.state.suspects.slow
+            for placing in steward.decide(engines, slow, now):
                 steward.note_sent(placing, now)
                 eventlet.spawn(self._order, keeper, steward, placing)
 
@@ -217,17 +218,7 @@
         ]
         if len(listed) - len(trusted) > CUT_OFF_SHARE * len(listed):
             return listed
-        return self._fast(trusted, service.engine)
-
-    def _fast(
-        self,
-        engines: list[Endpoint],
-        profile: EngineProfile,
-    ) -> list[Endpoint]:
-        """Leave out slow engines, if the others can hold the model."""
-        suspects = self.state.suspects
-        fast = [engine for engine in engines if not suspects.is_slow(engine)]
-        return fast if even_room(fast, profile) > 0 else engines
+        return trusted
 
     def _order(
         self,
@@ -276,6 +267,8 @@
         reply: OrderReply,
     ) -> None:
         if reply.is_fenced_off:
+            # Somebody else has the lease: no order of this term goes out
+            # any more, whatever this node's own clock says.
             self._log('fenced-off', keeper)
             keeper.note_lost()
         if not reply.is_accepted:
--- a/wigeonspoke/ingress/stream_run.py
+++ b/wigeonspoke/ingress/stream_run.py
@@ -40,8 +40,7 @@
 # A chain that says nothing for this share of the time that users accept is
 # given up for another, if there is one.
 FIRST_EVENT_SHARE = 0.5
-GAP_SHARE = 0.6
-LOOK_AGAIN_SECONDS = 0.05
+LOOK_AGAIN_SECONDS = 0.03
 # On a chain whose other streams go on, a stream waits for its turn this many
 # times the pause that users accept.
 TURN_FACTOR = 4
@@ -66,6 +65,7 @@
         'avoided',
         'check_chain',
         'final',
+        'has_event',
         'last_error',
         'last_number',
         'start_response',
@@ -85,6 +85,7 @@
         self.last_error: StepError | None = None
         self.last_number: int | None = None
         self.started = False
+        self.has_event = False
         self.waits_since = context.arrived_at
         self.final: EndpointAnswer | None = None
         self.start_response: Callable[..., Any] | None = None
@@ -178,6 +179,7 @@
     ) -> Iterator[bytes]:
         self._send(attempt, chain)
         self.waits_since = time.monotonic()
+        self.has_event = False
         first_by = self._first_event_by()
         head = self._read_patiently(attempt.read_head, first_by, chain)
         headers = decode_headers(head)
@@ -237,20 +239,29 @@
                 break
             events = self._new_events(splitter.feed(part), chain)
             if events:
-                self.waits_since = time.monotonic()
-                next_by = self.waits_since + self._gap_seconds()
+                self._note_event(chain)
                 self._start(headers)
                 yield b''.join(events)
-                self._note_event(chain)
+                next_by = self.waits_since + self._silent_seconds(chain)
         self._start(headers)
         if splitter.rest:
             yield splitter.rest
 
     def _note_event(self, chain: Chain) -> None:
         head_id = chain.head.endpoint_id
-        self.state.activity.note_event(head_id, time.monotonic())
+        now = time.monotonic()
+        gap = now - self.waits_since if self.has_event else 0
+        if gap:
+            self.state.activity.note_event(head_id, gap, now)
+        self.has_event = True
+        self.waits_since = now
         self.state.suspects.trust(head_id)
 
+    def _silent_seconds(self, chain: Chain) -> float:
+        head_id = chain.head.endpoint_id
+        streams = self.state.chains.in_flight[head_id]
+        return self.state.activity.silent_seconds(head_id, streams)
+
     def _new_events(
         self,
         events: list[StreamEvent],
@@ -304,7 +315,9 @@
 
     def _is_alive(self, chain: Chain, now: float) -> bool:
         """Tell whether this stream only waits its turn, for a while."""
-        if self.state.activity.is_silent(chain.head.endpoint_id, now):
+        head_id = chain.head.endpoint_id
+        streams = self.state.chains.in_flight[head_id]
+        if self.state.activity.is_silent(head_id, streams, now):
             return False
         return now < self.waits_since + self._patience()
 
@@ -351,9 +364,6 @@
         patience = FIRST_EVENT_SHARE * self.context.rule.target_seconds
         return time.monotonic() + patience
 
-    def _gap_seconds(self) -> float:
-        return GAP_SHARE * self.context.rule.event_gap_seconds
-
     def _start(self, headers: tuple[tuple[str, str], ...]) -> None:
         if not self.started:
             self.started = True
--- a/wigeonspoke/platform/tests/test_store.py
+++ b/wigeonspoke/platform/tests/test_store.py
@@ -32,6 +32,21 @@
     world.wait(lambda: world.node.state.table.version == 7)
 
 
+def test_entries_that_ran_out_in_an_outage_may_come_back(world):
+    fleet = world.node.state.fleet
+    world.store.fault = StoreFault.UNAVAILABLE
+    eventlet.sleep(0.3)
+    world.store.remove('servers', 'r-one')
+    world.store.remove('servers', 'r-two')
+    world.store.drop_history()
+    world.store.fault = StoreFault.NONE
+    eventlet.sleep(1.5)
+    assert {'r-one', 'r-two'} <= set(fleet.endpoints)
+    world.store.put('servers', 'r-one', world.replicas[0].entry())
+    world.wait(lambda: 'r-two' not in fleet.endpoints)
+    assert 'r-one' in fleet.endpoints
+
+
 def test_an_older_version_read_later_changes_nothing(world):
     world.store.put('op', 'config', configuration(version=7))
     world.wait(lambda: world.node.state.table.version == 7)
