Pass tables on between nodes; take out engines that refuse unseen

Cause: a node that the store turns away knew nothing new, and one restarted inside a cut had no configuration at all. Ruled out: memory (the refusing engines had it free), stewardship (its lease was held all the time). Change: a node without the store asks peers, known from seeds and from the store, for the tables they have read; only newer versions count, and entries that a peer misses are kept as after an outage. An engine that refuses with memory free is asked for its health and taken out while that is not good. The settings file is read again on SIGHUP and when it changes; faults change nothing and are named.

--- a/wigeonspoke/core/chains/suspects.py
+++ b/wigeonspoke/core/chains/suspects.py
@@ -19,13 +19,17 @@
 
 
 class Suspicion(msgspec.Struct):
-    """Why an engine gets no work, and when to ask it again."""
+    """Why an engine gets no work, and when to ask it again.
+
+    One that ``refuses`` answers, but takes nothing new; it leaves, most
+    likely, before the registry could tell.
+    """
 
     endpoint: Endpoint
     reason: str
     since: float
     ask_at: float
-    misses: int = 0
+    refuses: bool = False
 
 
 class SuspectBook:
@@ -43,11 +47,17 @@
         self.doubts: dict[str, float] = {}
         self.changes = 0
 
-    def suspect(self, endpoint: Endpoint, reason: str, now: float) -> bool:
+    def suspect(
+        self,
+        endpoint: Endpoint,
+        reason: str,
+        now: float,
+        *,
+        refuses: bool = False,
+    ) -> bool:
         """Suspect an engine; tell whether that is new."""
         known = self.suspicions.get(endpoint.endpoint_id)
         if known is not None and known.endpoint.born == endpoint.born:
-            known.misses += 1
             known.ask_at = now + SUSPECT_SECONDS
             return False
         self.suspicions[endpoint.endpoint_id] = Suspicion(
@@ -55,6 +65,7 @@
             reason,
             now,
             now + SUSPECT_SECONDS,
+            refuses,
         )
         self.changes += 1
         return True
--- a/wigeonspoke/core/leases/lease.py
+++ b/wigeonspoke/core/leases/lease.py
@@ -22,11 +22,13 @@
 class LeaseRow(msgspec.Struct, frozen=True):
     """A lease as it lies in the store.
 
-    ``until`` is in seconds of the store's steady clock.
+    ``until`` is in seconds of the store's steady clock.  ``address`` is
+    where the holder listens for its peers.
     """
 
     holder: str
     until: float
+    address: str = ''
 
 
 class SeenLease(msgspec.Struct, frozen=True):
--- a/wigeonspoke/ingress/feeds.py
+++ b/wigeonspoke/ingress/feeds.py
@@ -4,8 +4,10 @@
 from typing import Protocol
 
 import eventlet
+import msgspec
 from returns.result import Success
 
+from wigeonspoke.ingress.relay import PeerTables, TableCopy
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.store import (
     FeedStore,
@@ -98,7 +100,7 @@
         self.kept_until = 0
 
     def note_return(self) -> None:
-        """Take in that the store has answered again."""
+        """Take in that the list comes from a store that was away."""
         self.kept_until = time.monotonic() + RETURN_SECONDS
         eventlet.spawn_after(RETURN_SECONDS, self._drop_missing)
 
@@ -155,21 +157,36 @@
 
 
 class Follower:
-    """Keeps a feed up to date: reads the table, then waits for changes."""
+    """Keeps a feed up to date: reads the table, then waits for changes.
+
+    While the store gives no answer, peers are asked for what they have.
+    """
 
-    __slots__ = ('feed', 'is_reachable', 'lost_at', 'state', 'store', 'version')
+    __slots__ = (
+        'copy',
+        'feed',
+        'is_reachable',
+        'lost_at',
+        'must_read',
+        'peers',
+        'state',
+        'store',
+    )
 
     def __init__(
         self,
         state: IngressState,
         store: FeedStore,
         feed: Feed,
+        peers: PeerTables,
     ) -> None:
         self.state = state
         self.store = store
         self.feed = feed
-        self.version: int | None = None
+        self.peers = peers
+        self.copy = TableCopy()
         self.is_reachable = True
+        self.must_read = True
         self.lost_at = 0
 
     def run(self) -> None:
@@ -180,16 +197,18 @@
                 pause = FIRST_PAUSE_SECONDS
                 eventlet.sleep(GATHER_SECONDS)
                 continue
+            if not self.is_reachable:
+                self._ask_peer()
             eventlet.sleep(pause * (1 + self.state.random.random()))
             pause = min(MAX_PAUSE_SECONDS, pause * PAUSE_GROWTH)
 
     def _follow_once(self) -> bool:
-        if self.version is None:
+        if self.must_read:
             page = self.store.read_table(self.feed.table)
         else:
             page = self.store.follow(
                 self.feed.table,
-                self.version,
+                self.copy.version,
                 WAIT_SECONDS,
             )
         if not isinstance(page, Success):
@@ -203,16 +222,50 @@
             self.is_reachable = True
             self._note_return()
             self.feed.note_return()
-        if self.version is None:
-            self.feed.take_all(page.rows)
-        else:
-            for row in page.rows:
-                self.feed.take_change(row)
-        self.version = page.version
+        if self.must_read:
+            # A read may lie behind what was known before the history went.
+            if page.version >= self._known:
+                self._replace(page.rows, page.version)
+            return
+        self.copy.change(page.rows, page.version)
+        for row in page.rows:
+            self.feed.take_change(row)
+
+    def _replace(self, rows: tuple[TableRow, ...], version: int) -> None:
+        self.must_read = False
+        self.copy.replace(rows, version)
+        self.feed.take_all(rows)
+
+    @property
+    def _known(self) -> int:
+        """Give the newest version that was ever known, -1 for none."""
+        return -1 if self.copy.version is None else self.copy.version
+
+    def _ask_peer(self) -> None:
+        """Take a peer's table, if it is newer than what is known."""
+        known = self._known
+        relayed = self.peers.ask(self.feed.table, known)
+        if relayed is None or relayed.version <= known:
+            return
+        self.state.log.write(
+            'told-by-peer',
+            table=self.feed.table,
+            version=relayed.version,
+            known=known,
+            age_seconds=round(relayed.age, 3),
+        )
+        rows = tuple(
+            TableRow(row.key, row.version, msgspec.Raw(row.content))
+            for row in relayed.rows
+        )
+        # The peer may have read the list while entries were still missing.
+        self.feed.note_return()
+        self._replace(rows, relayed.version)
 
     def _note_error(self, error: StoreError) -> None:
         if error.problem is StoreProblem.EXPIRED:
-            self.version = None
+            self.must_read = True
+            return
         if self.is_reachable:
             self.is_reachable = False
             self.lost_at = time.monotonic()
@@ -221,7 +274,7 @@
                 table=self.feed.table,
                 problem=error.problem,
                 step=error.step,
-                version=self.version,
+                version=self.copy.version,
             )
 
     def _note_return(self) -> None:
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -13,15 +13,17 @@
 from wigeonspoke.ingress.protocols import EngineControl, WireFormat
 from wigeonspoke.ingress.feeds import (
     ConfigurationFeed,
+    Feed,
     Follower,
     RegistryFeed,
 )
+from wigeonspoke.ingress.relay import PeerTables, RelayApp
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.steward_loop import StewardLoop
 from wigeonspoke.observe import DecisionLog
 from wigeonspoke.store import FeedStore
-from wigeonspoke.transport import HttpListener, ListenerLimits
+from wigeonspoke.transport import HttpClient, HttpListener, ListenerLimits
 
 FRONT_CONNECTIONS = 1500
 READY_CONNECTIONS = 32
@@ -53,11 +55,13 @@
     """Takes clients' requests on an entry host."""
 
     __slots__ = (
+        'copies',
         'front',
         'greenlets',
         'is_stopping',
         'loops',
         'metrics',
+        'peers',
         'prober',
         'ready',
         'state',
@@ -70,6 +74,7 @@
         wire: WireFormat,
         store: FeedStore,
         control: EngineControl,
+        client: HttpClient,
         tables: Tables,
         log: DecisionLog,
     ) -> None:
@@ -80,22 +85,25 @@
         self.greenlets: list[eventlet.greenthread.GreenThread] = []
         self.front: HttpListener | None = None
         self.ready: HttpListener | None = None
+        self.peers: HttpListener | None = None
         self.metrics: HttpListener | None = None
-        self.loops: tuple[Callable[[], None], ...] = (
-            Follower(
-                self.state,
-                store,
-                ConfigurationFeed(
-                    self.state,
-                    tables.configuration,
-                    tables.configuration_key,
-                ),
-            ).run,
-            Follower(
+        feeds: tuple[Feed, ...] = (
+            ConfigurationFeed(
                 self.state,
-                store,
-                RegistryFeed(self.state, tables.registry),
-            ).run,
+                tables.configuration,
+                tables.configuration_key,
+            ),
+            RegistryFeed(self.state, tables.registry),
+        )
+        followers = [
+            Follower(self.state, store, feed, PeerTables(self.state, client))
+            for feed in feeds
+        ]
+        self.copies = {
+            follower.feed.table: follower.copy for follower in followers
+        }
+        self.loops: tuple[Callable[[], None], ...] = (
+            *(follower.run for follower in followers),
             self.prober.run,
             self.steward.run_leases,
             self.steward.run_orders,
@@ -115,6 +123,11 @@
             settings.ready,
             ListenerLimits(connections=READY_CONNECTIONS),
         )
+        self.peers = _listen(
+            RelayApp(self.copies),
+            settings.peers,
+            ListenerLimits(connections=READY_CONNECTIONS),
+        )
         self.metrics = _listen(
             self._tell_metrics,
             f'{settings.host}:{settings.metrics_port}',
@@ -144,6 +157,24 @@
             eventlet.sleep(DRAIN_STEP_SECONDS)
         self.state.log.write('stopped', active=self.front.active)
 
+    def apply(self, settings: IngressSettings) -> tuple[str, ...]:
+        """Put changed settings in force; give the names of those changed.
+
+        Addresses and names take effect at the next start.
+        """
+        before = self.state.settings
+        changed = tuple(
+            name
+            for name in IngressSettings.__struct_fields__
+            if getattr(settings, name) != getattr(before, name)
+        )
+        self.state.settings = settings
+        for budget in self.state.budgets.values():
+            budget.ratio = settings.retry_ratio
+            budget.extra = settings.retry_extra
+            budget.window_seconds = settings.retry_window_seconds
+        return changed
+
     @property
     def is_ready(self) -> bool:
         """Tell whether the node can serve requests."""
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -14,6 +14,9 @@
 ASKS = 2
 ASK_AGAIN_SECONDS = 0.5
 ROUND_SECONDS = 0.25
+# With less of its memory free than this, an engine refuses for want of it.
+FULL_SHARE = 0.15
+REFUSED = 'refused'
 
 
 class Prober:
@@ -51,7 +54,8 @@
         while True:
             eventlet.sleep(ROUND_SECONDS)
             for suspicion in self.state.suspects.due(time.monotonic()):
-                eventlet.spawn(self._check, suspicion.endpoint, 'suspect')
+                reason = REFUSED if suspicion.refuses else 'suspect'
+                eventlet.spawn(self._check, suspicion.endpoint, reason)
             self._forget()
 
     def _check(self, endpoint: Endpoint, reason: str) -> None:
@@ -60,17 +64,37 @@
         for _ in range(ASKS):
             asked = self.control.ask_state(endpoint.address, ASK_SECONDS)
             if isinstance(asked, Success):
-                problem = self._take(endpoint, asked.unwrap())
-            else:
-                problem = asked.failure()
-            if not problem:
+                self._judge(endpoint, asked.unwrap(), reason)
                 return
+            problem = asked.failure()
         self._suspect(endpoint, f'{reason}: {problem}')
 
-    def _take(self, endpoint: Endpoint, found: EngineState) -> str:
-        """Take in an engine's state; give what is wrong with it, if so."""
+    def _judge(
+        self,
+        endpoint: Endpoint,
+        found: EngineState,
+        reason: str,
+    ) -> None:
+        """Take in an engine's state, and whether it takes new work."""
         if found.born != endpoint.born and endpoint.born:
-            return 'another start'
+            self._suspect(endpoint, f'{reason}: another start')
+        elif reason == REFUSED and self._refuses(endpoint, found):
+            self._suspect(endpoint, 'takes no new work', refuses=True)
+        else:
+            self._take(endpoint, found)
+
+    def _refuses(self, endpoint: Endpoint, found: EngineState) -> bool:
+        """Tell whether an engine refuses though it has memory free."""
+        service = self.state.table.services.get(endpoint.service)
+        if service is None or found.free_share < FULL_SHARE:
+            return False
+        return not self.control.ask_health(
+            endpoint.address,
+            service.health_path,
+            ASK_SECONDS,
+        )
+
+    def _take(self, endpoint: Endpoint, found: EngineState) -> None:
         self.state.fleet.note_layers(
             endpoint.endpoint_id,
             endpoint.born,
@@ -86,13 +110,24 @@
             )
         if self.state.suspects.clear(endpoint.endpoint_id):
             self.state.log.write('trusted', endpoint=endpoint.endpoint_id)
-        return ''
 
-    def _suspect(self, endpoint: Endpoint, reason: str) -> None:
+    def _suspect(
+        self,
+        endpoint: Endpoint,
+        reason: str,
+        *,
+        refuses: bool = False,
+    ) -> None:
         now = time.monotonic()
         if endpoint.endpoint_id not in self.state.fleet.endpoints:
             return
-        if self.state.suspects.suspect(endpoint, reason, now):
+        is_new = self.state.suspects.suspect(
+            endpoint,
+            reason,
+            now,
+            refuses=refuses,
+        )
+        if is_new:
             self.state.count('suspected')
             self.state.log.write(
                 'suspected',
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -64,7 +64,8 @@
     """What an engine says of itself when it is asked.
 
     ``orders`` counts the orders that it accepted since its start; an order
-    may be bound to that number.
+    may be bound to that number.  ``free_share`` is the part of its memory
+    for requests that is free.
     """
 
     born: int
@@ -72,6 +73,7 @@
     layers: LayerRange | None
     is_busy: bool
     pace: float
+    free_share: float
 
 
 class OrderReply(msgspec.Struct, frozen=True):
@@ -122,6 +124,9 @@
     ) -> Result[EngineState, str]:
         """Ask an engine for its state; a failure says why there is none."""
 
+    def ask_health(self, address: str, path: str, timeout: float) -> bool:
+        """Ask an engine whether it takes new work."""
+
     def order(
         self,
         placing: Placing,
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -27,6 +27,7 @@
         'fleet',
         'log',
         'nodes',
+        'peers',
         'random',
         'replicas',
         'settings',
@@ -47,6 +48,7 @@
         self.log = log
         self.started_at = time.monotonic()
         self.nodes = ASSUMED_NODES
+        self.peers: set[str] = set(settings.seeds)
         self.table = RoutingTable()
         self.fleet = Fleet()
         self.suspects = SuspectBook()
--- a/wigeonspoke/ingress/steward_loop.py
+++ b/wigeonspoke/ingress/steward_loop.py
@@ -139,10 +139,14 @@
             if key.startswith(NODE_PREFIX) and _is_running(seen, store_now)
         ]
         self.state.nodes = max(1, len(present) + (own not in present))
+        self.state.peers |= {
+            rows[key].row.address for key in present if rows[key].row.address
+        }
         mine = rows.get(own, SeenLease(0))
         if not _is_running(mine, store_now + PRESENCE_SECONDS / 2):
             until = store_now + PRESENCE_SECONDS
-            row = LeaseRow(self.state.settings.name, until)
+            settings = self.state.settings
+            row = LeaseRow(settings.name, until, settings.peers)
             content = msgspec.json.encode(row)
             self.store.write_rows(
                 TABLE, (RowWrite(own, content, mine.version),)
--- a/wigeonspoke/platform/engine_control.py
+++ b/wigeonspoke/platform/engine_control.py
@@ -35,6 +35,11 @@
             return Failure(f'status {reply.status}')
         return decode_report(reply.body)
 
+    def ask_health(self, address: str, path: str, timeout: float) -> bool:
+        """Ask an engine whether it takes new work."""
+        asked = self.client.get(address, path, timeout)
+        return isinstance(asked, Success) and asked.unwrap().is_ok
+
     def order(
         self,
         placing: Placing,
--- a/wigeonspoke/platform/program.py
+++ b/wigeonspoke/platform/program.py
@@ -3,6 +3,8 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from pathlib import Path
 
 import eventlet
 from eventlet.event import Event
@@ -17,6 +19,7 @@
     read_settings,
     settings_path,
 )
+from wigeonspoke.platform.settings_watch import SettingsWatch
 from wigeonspoke.platform.store_client import PlatformStore
 from wigeonspoke.platform.wire_format import PlatformFormat
 from wigeonspoke.transport import HttpClient
@@ -28,10 +31,11 @@
 class Signals:
     """The signals that the platform sends to a process."""
 
-    __slots__ = ('stop',)
+    __slots__ = ('on_reload', 'stop')
 
-    def __init__(self) -> None:
+    def __init__(self, on_reload: Callable[[], None]) -> None:
         self.stop: Event = Event()
+        self.on_reload = on_reload
         signal.signal(signal.SIGTERM, self._take_stop)
         signal.signal(signal.SIGINT, self._take_stop)
         signal.signal(signal.SIGHUP, self._take_reload)
@@ -45,7 +49,7 @@
             self.stop.send()
 
     def _take_reload(self, *_: object) -> None:
-        """Nothing yet: the file is read again by its time of change."""
+        self.on_reload()
 
 
 def run_program() -> int:
@@ -60,12 +64,19 @@
             sys.stderr.write(f'{path}: {fault}\n')
         return WRONG_SETTINGS
     send_decisions_to_stdout()
-    signals = Signals()
-    node = build_node(settings.unwrap())
+    _serve(path, build_node(settings.unwrap()))
+    return 0
+
+
+def _serve(path: Path, node: IngressNode) -> None:
+    watch = SettingsWatch(path, node.state.log, node.apply)
+    signals = Signals(watch.ask)
     node.start()
+    eventlet.spawn(watch.run)
     signals.stop.wait()
     node.stop()
     sys.stdout.flush()
+    # Loops that wait on sockets would hold up the interpreter's own end.
     os._exit(0)
 
 
@@ -77,6 +88,7 @@
         PlatformFormat(),
         PlatformStore(settings.store, client),
         PlatformEngines(client),
+        client,
         TABLES,
         DecisionLog(settings.name),
     )
--- a/wigeonspoke/platform/records.py
+++ b/wigeonspoke/platform/records.py
@@ -133,6 +133,8 @@
     sequence: int = 0
     busy: bool = False
     pace: float = 1
+    kv_used: float = msgspec.field(default=0, name='kv-used')
+    kv_total: float = msgspec.field(default=0, name='kv-total')
     models: tuple[_WireHeld, ...] = ()
     layers: _WireLayers | None = None
 
@@ -199,6 +201,7 @@
             layers=_layers(wire),
             is_busy=wire.busy,
             pace=wire.pace,
+            free_share=1 - wire.kv_used / max(1, wire.kv_total),
         ),
     )
 
--- a/wigeonspoke/platform/settings.py
+++ b/wigeonspoke/platform/settings.py
@@ -16,6 +16,9 @@
 class _Listen(msgspec.Struct):
     front: str
     ready: str
+    # Calls of the control plane: nobody outside calls it, so that it serves
+    # the nodes among themselves.
+    control: str = ''
 
 
 class _Limits(msgspec.Struct, rename='kebab'):
@@ -42,6 +45,7 @@
     listen: _Listen
     platform: _Platform
     internal_ports: tuple[int, int] = (0, 0)
+    seeds: tuple[str, ...] = ()
     zones: dict[str, str] = {}
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -98,7 +102,8 @@
         host=boot.ip,
         front=boot.listen.front,
         ready=boot.listen.ready,
-        peer_port=boot.internal_ports[0],
+        peers=boot.listen.control or f'{boot.ip}:{boot.internal_ports[0]}',
+        seeds=boot.seeds,
         metrics_port=boot.internal_ports[1],
         store=boot.platform.address,
         max_sockets=boot.limits.max_fds,
--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -38,6 +38,7 @@
         'fence',
         'ignores_orders',
         'is_dead',
+        'is_draining',
         'kind',
         'layers',
         'load_seconds',
@@ -72,6 +73,7 @@
         self.events = 20
         self.load_seconds = 0.02
         self.is_dead = False
+        self.is_draining = False
         self.ignores_orders = False
         self.break_after: int | None = None
         self.received: list[ReceivedRequest] = []
@@ -111,6 +113,8 @@
             eventlet.sleep(SILENCE_SECONDS)
         elif request.target == '/v1/report':
             self._report(wire)
+        elif request.target == '/healthz':
+            self._tell_health(wire)
         elif request.target == '/v1/order':
             self._order(request, wire)
         else:
@@ -125,9 +129,17 @@
             'busy': False,
             'born': self.born,
             'pace': 1.0,
+            'kv-used': 0,
+            'kv-total': 100000,
         }
         wire.answer(http.HTTPStatus.OK, {}, msgspec.json.encode(report))
 
+    def _tell_health(self, wire: Wire) -> None:
+        status = http.HTTPStatus.OK
+        if self.is_draining:
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        wire.answer(status, {'Instance-Id': self.endpoint_id})
+
     def _order(self, request: RawRequest, wire: Wire) -> None:
         order = msgspec.json.decode(request.body)
         if self.ignores_orders:
@@ -159,6 +171,9 @@
             wire.answer(
                 http.HTTPStatus.MISDIRECTED_REQUEST, {'At-Server': fault}
             )
+        elif self._draining(hops) is not None:
+            headers = {'Not-Executed': '1', 'At-Server': self._draining(hops)}
+            wire.answer(http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
         elif self._dead(hops) is not None:
             eventlet.sleep(STALL_SECONDS)
             headers = {'Not-Executed': '1', 'At-Server': self._dead(hops)}
@@ -225,6 +240,12 @@
                 return address
         return None
 
+    def _draining(self, hops: dict[str, tuple[int, int]]) -> str | None:
+        for address in hops:
+            if self.others[address].is_draining:
+                return address
+        return None
+
     def _dead(self, hops: dict[str, tuple[int, int]]) -> str | None:
         for address in hops:
             if self.others[address].is_dead:
--- a/wigeonspoke/platform/tests/test_settings.py
+++ b/wigeonspoke/platform/tests/test_settings.py
@@ -1,8 +1,11 @@
 """The platform's settings file: every fault named, unknown fields ignored."""
 
+import msgspec
 import pytest
 
+from wigeonspoke.observe import DecisionLog
 from wigeonspoke.platform.settings import decode_settings
+from wigeonspoke.platform.settings_watch import SettingsWatch
 
 GOOD = """
 node = "edge-1"
@@ -47,3 +50,44 @@
     assert len(found) == len(faults)
     for line, start in zip(found, faults, strict=True):
         assert line.startswith(start)
+
+
+@pytest.mark.parametrize('how', ['changed', 'asked'])
+def test_the_file_is_read_again(tmp_path, how):
+    path = tmp_path / 'boot.toml'
+    path.write_text(GOOD)
+    taken = []
+    lines = []
+    watch = SettingsWatch(
+        path,
+        DecisionLog('n', lines.append),
+        lambda settings: taken.append(settings) or ('retry_extra',),
+    )
+    watch.look()
+    assert not taken
+    if how == 'changed':
+        path.write_text(GOOD.replace('extra = 196', 'extra = 1960'))
+    else:
+        watch.ask()
+    watch.look()
+    assert len(taken) == 1
+    assert '"changed":["retry_extra"]' in lines[0]
+
+
+def test_a_file_with_faults_changes_nothing(tmp_path):
+    path = tmp_path / 'boot.toml'
+    path.write_text(GOOD)
+    lines = []
+    watch = SettingsWatch(path, DecisionLog('n', lines.append), pytest.fail)
+    path.write_text('node = 7')
+    watch.look()
+    assert 'reload-refused' in lines[0]
+    assert 'zone: is missing' in lines[0]
+
+
+def test_changed_settings_reach_the_budgets(world):
+    state = world.node.state
+    budget = state.budget('ledger')
+    settings = msgspec.structs.replace(state.settings, retry_ratio=0.5)
+    assert world.node.apply(settings) == ('retry_ratio',)
+    assert budget.ratio * 2 == 1
--- a/wigeonspoke/platform/tests/test_streams.py
+++ b/wigeonspoke/platform/tests/test_streams.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 
+from wigeonspoke.platform.standins import StoreFault
 from wigeonspoke.platform.tests.world import Client, ask
 
 ALL_EVENTS = list(range(1, 21))
@@ -162,3 +163,21 @@
         engine.ignores_orders = False
     world.place()
     assert _numbers(_draft(world)[2]) == ALL_EVENTS
+
+
+def test_an_engine_that_drains_unseen_is_taken_out(placed):
+    placed.store.fault = StoreFault.UNAVAILABLE
+    inner = _inner(placed, 'one')
+    inner.is_draining = True
+    assert _numbers(_draft(placed, 'id1')[2]) == ALL_EVENTS
+    suspicions = placed.node.state.suspects.suspicions
+    placed.wait(lambda: inner.endpoint_id in suspicions, seconds=3)
+    placed.wait(lambda: len(placed.chains()) == 2)
+    # It still answers, and stays out as long as it is not healthy.
+    eventlet.sleep(2.5)
+    assert inner.endpoint_id in suspicions
+    received = len(inner.others[_head(placed, 'one').address].received)
+    assert _numbers(_draft(placed, 'id2')[2]) == ALL_EVENTS
+    assert len(_head(placed, 'one').received) == received + 1
+    inner.is_draining = False
+    placed.wait(lambda: inner.endpoint_id not in suspicions, seconds=5)
--- a/wigeonspoke/platform/tests/world.py
+++ b/wigeonspoke/platform/tests/world.py
@@ -143,6 +143,7 @@
         self.node.front.abort()
         self.node.ready.abort()
         self.node.metrics.abort()
+        self.node.peers.abort()
         for each in (self.store, *self.replicas, *self.engines):
             each.server.close()
 
@@ -154,7 +155,8 @@
             host='127.0.0.1',
             front='127.0.0.1:0',
             ready='127.0.0.1:0',
-            peer_port=0,
+            peers='127.0.0.1:0',
+            seeds=(),
             metrics_port=0,
             store=self.store.address,
             max_sockets=1024,
