Fuzz the ingress core and record a calm start

Cause: placement, leases, the shared budget and the splicing of streams had tables of examples only; the calm start had no golden session.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format golden bench
+.PHONY: demo test lint format golden bench fuzz
 
 demo: $(STAMP)
 	$(BIN)/wigeonspoke demo
@@ -20,6 +20,12 @@
 
 golden: $(STAMP)
 	$(BIN)/python -m wigeonspoke.core.tests.golden_sessions
+	$(BIN)/python -m wigeonspoke.core.tests.golden_start
+
+# 100,000 steps for each state machine.
+fuzz: $(STAMP)
+	WIGEONSPOKE_FUZZ_EXAMPLES=2000 \
+	    $(BIN)/pytest wigeonspoke/core/tests/test_ingress_fuzz.py
 
 bench: $(STAMP)
 	$(BIN)/wigeonspoke bench wire
