--- a/wigeonspoke/ingress/feeds.py
+++ b/wigeonspoke/ingress/feeds.py
@@ -18,6 +18,7 @@
 )
 
 WAIT_SECONDS = 4.0
+RETURN_WAIT_SECONDS = 0.05
 # Entries that ran out while the store was away are back this long after it,
 # or gone for good.
 RETURN_SECONDS = 2.5
@@ -206,10 +207,14 @@
         if self.must_read:
             page = self.store.read_table(self.feed.table)
         else:
+            # A short wait tells at once that the store is back.
+            wait_seconds = WAIT_SECONDS
+            if not self.is_reachable:
+                wait_seconds = RETURN_WAIT_SECONDS
             page = self.store.follow(
                 self.feed.table,
                 self.copy.version,
-                WAIT_SECONDS,
+                wait_seconds,
             )
         if not isinstance(page, Success):
             self._note_error(page.failure())
--- a/wigeonspoke/platform/standins/store.py
+++ b/wigeonspoke/platform/standins/store.py
@@ -121,13 +121,13 @@
             wire.answer(http.HTTPStatus.GONE, {})
             return
         until = time.monotonic() + int(asked['wait-ms']) / MILLISECONDS
-        while time.monotonic() < until and not wire.has_left():
-            changed = self._changed(asked['table'], after)
-            if changed:
-                self._answer(wire, changed)
+        changed = self._changed(asked['table'], after)
+        while not changed and time.monotonic() < until:
+            if wire.has_left():
                 return
             eventlet.sleep(STEP_SECONDS)
-        self._answer(wire, [])
+            changed = self._changed(asked['table'], after)
+        self._answer(wire, changed)
 
     def _changed(self, table: str, after: int) -> list[StoredRow]:
         changed = [
--- a/wigeonspoke/platform/tests/test_store.py
+++ b/wigeonspoke/platform/tests/test_store.py
@@ -108,3 +108,14 @@
     again = store.write_rows('own', (RowWrite('k', b'w', 0),))
     assert again.failure().problem is StoreProblem.CONFLICT
     assert store.write_rows('own', (RowWrite('k', b'w', version),)).unwrap()
+
+
+def test_an_entry_removed_well_after_an_outage_is_gone_at_once(world):
+    world.store.fault = StoreFault.UNAVAILABLE
+    eventlet.sleep(1.5)
+    world.store.fault = StoreFault.NONE
+    # Nothing changes for a while: the store has been back all the same.
+    eventlet.sleep(4.5)
+    world.store.remove('servers', 'r-one')
+    fleet = world.node.state.fleet
+    world.wait(lambda: 'r-one' not in fleet.endpoints, seconds=1)
