Keep one copy of what calls and streams share

Cause: a reading of the whole change found the same logic twice in the runs of calls and of streams (whether to go on, sending a request, the errors of silence and of a wrong answer, giving a whole answer), the list of headers of one connection twice, a hand-made copy of a record, and code nobody calls. Ruled out: joining the stand-ins of engine and replica, which share little more than their entry, and splitting the stream's reading off, which is more than a tidying; both stay on the list. Change: RequestRun holds may_go_on, may_repeat and send; timed_out, wrong_answer, start_answer and ONE_CONNECTION stand once; Fleet.keep_only, a constant, a field and a parameter that were not used are gone. Behaviour and tests are as before.

--- a/wigeonspoke/core/fleet/registry.py
+++ b/wigeonspoke/core/fleet/registry.py
@@ -1,6 +1,6 @@
 """The endpoints that a node knows of, by service."""
 
-from collections.abc import Iterable
+import msgspec
 
 from wigeonspoke.core.deployment import LayerRange
 from wigeonspoke.core.fleet.records import Endpoint
@@ -41,14 +41,6 @@
             self.changes += 1
         return gone
 
-    def keep_only(self, endpoint_ids: Iterable[str]) -> list[str]:
-        """Forget all other endpoints; give the ids of those that went."""
-        kept = frozenset(endpoint_ids)
-        gone = [name for name in self.endpoints if name not in kept]
-        for name in gone:
-            self.drop(name)
-        return gone
-
     def note_layers(
         self,
         endpoint_id: str,
@@ -59,7 +51,7 @@
         known = self.endpoints.get(endpoint_id)
         if known is None or known.born != born or known.layers == layers:
             return
-        self.put(_with_layers(known, layers))
+        self.put(msgspec.structs.replace(known, layers=layers))
 
     def of_service(self, service: str) -> list[Endpoint]:
         """Give the endpoints of a service that are not leaving."""
@@ -74,18 +66,3 @@
     if endpoint.born != known.born:
         return endpoint.born < known.born
     return endpoint.orders < known.orders
-
-
-def _with_layers(known: Endpoint, layers: LayerRange | None) -> Endpoint:
-    return Endpoint(
-        endpoint_id=known.endpoint_id,
-        service=known.service,
-        address=known.address,
-        failure_domain=known.failure_domain,
-        born=known.born,
-        is_leaving=known.is_leaving,
-        slots=known.slots,
-        accelerator=known.accelerator,
-        layers=layers,
-        orders=known.orders,
-    )
--- a/wigeonspoke/ingress/answers.py
+++ b/wigeonspoke/ingress/answers.py
@@ -1,12 +1,14 @@
 """Answers to clients: those of endpoints, and the node's own."""
 
 import http
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
 from wigeonspoke.ingress.protocols import HeaderList
 
-_ONE_CONNECTION = frozenset(
+ONE_CONNECTION = frozenset(
     (
         'connection',
         'keep-alive',
@@ -70,5 +72,19 @@
     return [
         (name, text)
         for name, text in headers
-        if name.lower() not in _ONE_CONNECTION
+        if name.lower() not in ONE_CONNECTION
     ]
+
+
+def start_answer(
+    answer: EndpointAnswer | OwnAnswer,
+    request_id: str,
+    start_response: Callable[..., Any],
+) -> bytes:
+    """Hand the head of a whole answer to the server; give its body."""
+    headers = passed_headers(answer.headers)
+    headers.append(('Content-Length', str(len(answer.body))))
+    if isinstance(answer, OwnAnswer):
+        headers.append(('Request-Id', request_id))
+    start_response(status_line(answer.status), headers)
+    return answer.body
--- a/wigeonspoke/ingress/call_run.py
+++ b/wigeonspoke/ingress/call_run.py
@@ -13,12 +13,13 @@
     TryError,
     TryTimeout,
 )
-from wigeonspoke.ingress.protocols import AnswerMarks, Hand
+from wigeonspoke.ingress.protocols import AnswerMarks
 from wigeonspoke.ingress.request_run import (
-    CONNECT_SECONDS,
     REFUSED_RETRY_SECONDS,
     RequestContext,
     RequestRun,
+    timed_out,
+    wrong_answer,
 )
 from wigeonspoke.ingress.state import IngressState
 
@@ -43,7 +44,7 @@
 
     def serve(self) -> EndpointAnswer | OwnAnswer:
         """Run the call and give its final answer."""
-        while self._may_go_on():
+        while self.may_go_on(MAX_TRIES):
             now = time.monotonic()
             replica = self.state.replicas.choose(
                 self.service,
@@ -57,18 +58,6 @@
                 return answer
         return self.spare or self._own_answer()
 
-    def _may_go_on(self) -> bool:
-        context = self.context
-        if context.watch.has_left or time.monotonic() >= context.until:
-            return False
-        if not context.tries:
-            return True
-        if not self.is_allowed() or context.tries >= MAX_TRIES:
-            return False
-        if not context.runs:
-            return True
-        return context.rule.may_repeat and context.runs < context.rule.max_tries
-
     def _try_at(self, replica: Endpoint) -> EndpointAnswer | None:
         """Try a replica; give the answer if it is the final one."""
         self.avoided.add(replica.endpoint_id)
@@ -82,13 +71,7 @@
             return None
         except TryTimeout:
             attempt.abort()
-            reason = Reason.TIMEOUT
-            self._note_error(
-                replica,
-                StepError(
-                    self._outcome(attempt), reason, 'call', replica.address
-                ),
-            )
+            self._note_error(replica, timed_out(attempt, 'call'))
             return None
         finally:
             self.end_try(attempt)
@@ -100,22 +83,8 @@
         attempt: EndpointTry,
         replica: Endpoint,
     ) -> tuple[EndpointAnswer, AnswerMarks]:
-        context = self.context
-        now = time.monotonic()
-        until = self._try_until(now)
-        attempt.connect(min(CONNECT_SECONDS, until - now))
-        request = context.request
-        hand = Hand(
-            endpoint=replica,
-            left_seconds=context.until - time.monotonic(),
-            account=context.account,
-        )
-        attempt.send(
-            request.method,
-            request.target,
-            self.state.wire.encode_headers(request, hand),
-            request.body,
-        )
+        until = self._try_until(time.monotonic())
+        self.send(attempt, replica, until)
         head = attempt.read_head(until)
         headers = decode_headers(head)
         marks = self.state.wire.read_marks(head.status_code, headers)
@@ -143,7 +112,7 @@
         if marks.not_run and not marks.request_id:
             return
         if marks.request_id != self.context.request.request_id:
-            raise TryError(_wrong_answer(replica.address))
+            raise TryError(wrong_answer(replica.address))
 
     def _judge(
         self,
@@ -165,7 +134,7 @@
             )
             return None
         if is_garbled(answer, marks):
-            self._note_error(replica, _wrong_answer(replica.address))
+            self._note_error(replica, wrong_answer(replica.address))
             return None
         self.context.runs += 1
         if answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -174,7 +143,7 @@
                 'error-answer', peer=replica.address, status=answer.status
             )
             self.spare = answer
-            return None if self._may_go_on() else answer
+            return None if self.may_go_on(MAX_TRIES) else answer
         self.state.replicas.note_success(replica, now - began_at, now)
         return answer
 
@@ -199,9 +168,6 @@
             client_left=has_left,
         )
 
-    def _outcome(self, attempt: EndpointTry) -> Outcome:
-        return Outcome.UNKNOWN if attempt.may_have_run else Outcome.NOT_RUN
-
     def _own_answer(self) -> OwnAnswer:
         if self.context.runs:
             if time.monotonic() >= self.context.until:
@@ -233,7 +199,7 @@
             return b''.join(parts)
         size += len(part)
         if size > MAX_BODY_BYTES:
-            raise TryError(_wrong_answer(attempt.peer))
+            raise TryError(wrong_answer(attempt.peer))
         parts.append(part)
 
 
@@ -241,7 +207,3 @@
     """Tell whether an answer cannot be the endpoint's own."""
     is_success = answer.status < http.HTTPStatus.MULTIPLE_CHOICES
     return marks.is_encoded or (is_success and not marks.is_signed)
-
-
-def _wrong_answer(peer: str) -> StepError:
-    return StepError(Outcome.UNKNOWN, Reason.CONTRACT, 'answer', peer)
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -9,8 +9,7 @@
 from wigeonspoke.ingress.answers import (
     EndpointAnswer,
     OwnAnswer,
-    passed_headers,
-    status_line,
+    start_answer,
 )
 from wigeonspoke.ingress.call_run import CallRun
 from wigeonspoke.ingress.client_watch import ClientWatch
@@ -143,7 +142,6 @@
         start_response: StartResponse,
     ) -> Iterator[bytes]:
         context.watch = ClientWatch(environ)
-        context.end_connection = environ['wigeonspoke.end_connection']
         try:
             if context.rule.kind is RequestKind.STREAM:
                 run = StreamRun(self.state, context, self.check_chain)
@@ -169,13 +167,9 @@
         answer: EndpointAnswer | OwnAnswer,
         start_response: StartResponse,
     ) -> Iterator[bytes]:
-        headers = passed_headers(answer.headers)
-        headers.append(('Content-Length', str(len(answer.body))))
         if isinstance(answer, OwnAnswer):
-            headers.append(('Request-Id', request.request_id))
             self._note_own(request, answer)
-        start_response(status_line(answer.status), headers)
-        return iter((answer.body,))
+        return iter((start_answer(answer, request.request_id, start_response),))
 
     def _note_own(self, request: ClientRequest, answer: OwnAnswer) -> None:
         self.state.count('own-answer', answer.reason)
--- a/wigeonspoke/ingress/request_run.py
+++ b/wigeonspoke/ingress/request_run.py
@@ -1,13 +1,17 @@
 """What the runs of calls and of streams share."""
 
-from collections.abc import Callable
+import time
 
 import msgspec
 
+from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.core.forwarding import WindowBudget
+from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.client_watch import ClientWatch
 from wigeonspoke.ingress.endpoint_try import EndpointTry
-from wigeonspoke.ingress.protocols import ClientRequest
+from wigeonspoke.ingress.protocols import ClientRequest, Hand
 from wigeonspoke.ingress.state import IngressState
 
 CONNECT_SECONDS = 0.3
@@ -23,7 +27,6 @@
     arrived_at: float
     until: float
     watch: ClientWatch | None = None
-    end_connection: Callable[[], None] | None = None
     tries: int = 0
     runs: int = 0
 
@@ -43,7 +46,7 @@
         self.budget.note_request(context.arrived_at)
 
     @property
-    def budget(self):
+    def budget(self) -> WindowBudget:
         """Give the retry budget of the service."""
         return self.state.budget(self.service)
 
@@ -53,6 +56,48 @@
             return True
         return self.budget.withdraw(now)
 
+    def may_go_on(self, most_tries: int) -> bool:
+        """Tell whether a try, the first or one more, is of use and allowed."""
+        context = self.context
+        if context.watch.has_left or time.monotonic() >= context.until:
+            return False
+        if not context.tries:
+            return True
+        if context.tries >= most_tries or not self.is_allowed():
+            return False
+        return not context.runs or self.may_repeat()
+
+    def may_repeat(self) -> bool:
+        """Tell whether the request may run once more after it may have."""
+        rule = self.context.rule
+        return rule.may_repeat and self.context.runs < rule.max_tries
+
+    def send(
+        self,
+        attempt: EndpointTry,
+        endpoint: Endpoint,
+        until: float,
+        chain: Chain | None = None,
+        last_event: str = '',
+    ) -> None:
+        """Connect to an endpoint and send it the request."""
+        context = self.context
+        request = context.request
+        attempt.connect(min(CONNECT_SECONDS, until - time.monotonic()))
+        hand = Hand(
+            endpoint=endpoint,
+            left_seconds=context.until - time.monotonic(),
+            account=context.account,
+            chain=chain,
+            last_event=last_event,
+        )
+        attempt.send(
+            request.method,
+            request.target,
+            self.state.wire.encode_headers(request, hand),
+            request.body,
+        )
+
     def begin_try(self, address: str) -> EndpointTry:
         """Begin a try that ends when the client leaves."""
         self.context.tries += 1
@@ -80,3 +125,14 @@
             tries=self.context.tries,
             **facts,
         )
+
+
+def timed_out(attempt: EndpointTry, step: str) -> StepError:
+    """Give the error of a try that was given up for want of an answer."""
+    outcome = Outcome.UNKNOWN if attempt.may_have_run else Outcome.NOT_RUN
+    return StepError(outcome, Reason.TIMEOUT, step, attempt.peer)
+
+
+def wrong_answer(peer: str) -> StepError:
+    """Give the error of an answer that cannot be the request's own."""
+    return StepError(Outcome.UNKNOWN, Reason.CONTRACT, 'answer', peer)
--- a/wigeonspoke/ingress/stream_run.py
+++ b/wigeonspoke/ingress/stream_run.py
@@ -20,6 +20,7 @@
     EndpointAnswer,
     OwnAnswer,
     passed_headers,
+    start_answer,
     status_line,
 )
 from wigeonspoke.ingress.call_run import decode_headers, read_body
@@ -29,11 +30,11 @@
     TryTimeout,
 )
 from wigeonspoke.ingress.event_splitter import EventSplitter, StreamEvent
-from wigeonspoke.ingress.protocols import Hand
 from wigeonspoke.ingress.request_run import (
-    CONNECT_SECONDS,
     RequestContext,
     RequestRun,
+    timed_out,
+    wrong_answer,
 )
 from wigeonspoke.ingress.state import IngressState
 
@@ -95,7 +96,7 @@
     def serve(self, start_response: Callable[..., Any]) -> Iterator[bytes]:
         """Run the stream; give the parts of its answer."""
         self.start_response = start_response
-        while self._may_go_on():
+        while self.may_go_on(MAX_TRIES):
             chain = self._choose()
             if chain is None or not self.may_try(time.monotonic()):
                 break
@@ -110,23 +111,10 @@
         service = self.state.table.services.get(self.service)
         return None if service is None else service.engine
 
-    def _may_go_on(self) -> bool:
-        context = self.context
-        if context.watch.has_left or time.monotonic() >= context.until:
-            return False
-        if not context.tries:
-            return True
-        if context.tries >= MAX_TRIES or not self.is_allowed():
-            return False
-        if not context.runs:
-            return True
-        return self._may_repeat()
-
-    def _may_repeat(self) -> bool:
-        rule = self.context.rule
-        if not rule.may_repeat or self.context.runs >= rule.max_tries:
-            return False
-        return not self.started or self.last_number is not None
+    def may_repeat(self) -> bool:
+        """Tell also whether the stream could go on where it was."""
+        can_resume = not self.started or self.last_number is not None
+        return can_resume and super().may_repeat()
 
     def _choose(self) -> Chain | None:
         """Choose a chain, waiting a little for one that has room."""
@@ -166,7 +154,7 @@
             return False
         except TryTimeout:
             attempt.abort()
-            self._note_error(chain, self._silence(attempt, chain))
+            self._note_error(chain, timed_out(attempt, 'stream'))
             return False
         finally:
             self.end_try(attempt)
@@ -177,7 +165,9 @@
         attempt: EndpointTry,
         chain: Chain,
     ) -> Iterator[bytes]:
-        self._send(attempt, chain)
+        resumed = '' if self.last_number is None else str(self.last_number)
+        until = self.context.until
+        self.send(attempt, chain.head, until, chain, resumed)
         self.waits_since = time.monotonic()
         self.has_event = False
         first_by = self._first_event_by()
@@ -188,7 +178,7 @@
             self._note_refusal(chain, head.status_code, marks.fault_address)
             return False
         if marks.request_id != self.context.request.request_id:
-            raise TryError(self._wrong_answer(chain))
+            raise TryError(wrong_answer(chain.head.address))
         is_stream = marks.is_event_stream and marks.is_signed
         if head.status_code != http.HTTPStatus.OK or not is_stream:
             body = read_body(attempt, self.context.until)
@@ -200,30 +190,10 @@
                 )
             )
         if marks.is_encoded:
-            raise TryError(self._wrong_answer(chain))
+            raise TryError(wrong_answer(chain.head.address))
         yield from self._relay(attempt, chain, headers, first_by)
         return True
 
-    def _send(self, attempt: EndpointTry, chain: Chain) -> None:
-        context = self.context
-        now = time.monotonic()
-        attempt.connect(min(CONNECT_SECONDS, context.until - now))
-        request = context.request
-        resumed = '' if self.last_number is None else str(self.last_number)
-        hand = Hand(
-            endpoint=chain.head,
-            left_seconds=context.until - time.monotonic(),
-            account=context.account,
-            chain=chain,
-            last_event=resumed,
-        )
-        attempt.send(
-            request.method,
-            request.target,
-            self.state.wire.encode_headers(request, hand),
-            request.body,
-        )
-
     def _relay(
         self,
         attempt: EndpointTry,
@@ -273,7 +243,7 @@
             if self._is_old(event):
                 continue
             if self._leaves_gap(event):
-                raise TryError(self._wrong_answer(chain))
+                raise TryError(wrong_answer(chain.head.address))
             if event.number is not None:
                 self.last_number = event.number
             fresh.append(event.raw)
@@ -311,7 +281,7 @@
         if self._is_alive(chain, now):
             return False
         self._note_silence(chain, now)
-        return self._can_move(chain, now)
+        return self._can_move(now)
 
     def _is_alive(self, chain: Chain, now: float) -> bool:
         """Tell whether this stream only waits its turn, for a while."""
@@ -328,7 +298,7 @@
             return TURN_FACTOR * rule.event_gap_seconds
         return rule.target_seconds
 
-    def _can_move(self, chain: Chain, now: float) -> bool:
+    def _can_move(self, now: float) -> bool:
         context = self.context
         rule = context.rule
         if not rule.may_repeat or context.runs + 1 >= rule.max_tries:
@@ -380,22 +350,15 @@
         """Take an answer that is no stream: an error of the engine."""
         self.context.runs += 1
         self.note('error-answer', peer=chain.head.address, status=answer.status)
-        if not is_own or self._may_repeat():
+        if not is_own or self.may_repeat():
             self.final = answer if is_own else self.final
             return False
         if self.started:
             return False
-        yield from self._give(answer)
+        request_id = self.context.request.request_id
+        yield start_answer(answer, request_id, self.start_response)
         return True
 
-    def _give(self, answer: EndpointAnswer | OwnAnswer) -> Iterator[bytes]:
-        headers = passed_headers(answer.headers)
-        headers.append(('Content-Length', str(len(answer.body))))
-        if isinstance(answer, OwnAnswer):
-            headers.append(('Request-Id', self.context.request.request_id))
-        self.start_response(status_line(answer.status), headers)
-        yield answer.body
-
     def _end_without(self) -> Iterator[bytes]:
         """End a request that no chain has served whole."""
         self.note(
@@ -411,7 +374,8 @@
             raise AnswerCutOff(self._reason)
         answer = self.final or self._own_answer()
         self.state.count('own-answer', self._reason)
-        yield from self._give(answer)
+        request_id = self.context.request.request_id
+        yield start_answer(answer, request_id, self.start_response)
 
     @property
     def _reason(self) -> str:
@@ -477,20 +441,3 @@
             now = time.monotonic()
             self.state.suspects.doubt(chain.head.endpoint_id, now)
             self.check_chain(chain, str(error.reason))
-
-    def _silence(self, attempt: EndpointTry, chain: Chain) -> StepError:
-        outcome = Outcome.UNKNOWN if attempt.may_have_run else Outcome.NOT_RUN
-        return StepError(
-            outcome,
-            Reason.TIMEOUT,
-            'stream',
-            chain.head.address,
-        )
-
-    def _wrong_answer(self, chain: Chain) -> StepError:
-        return StepError(
-            Outcome.UNKNOWN,
-            Reason.CONTRACT,
-            'answer',
-            chain.head.address,
-        )
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -1,6 +1,7 @@
 """Headers of the platform's requests and answers."""
 
 from wigeonspoke.core.chains import Chain
+from wigeonspoke.ingress.answers import ONE_CONNECTION
 from wigeonspoke.ingress.protocols import (
     AnswerMarks,
     ClientRequest,
@@ -22,22 +23,13 @@
 NOT_RUN = 'Not-Executed'
 SIGNATURE = 'Response-Signature'
 FAULT_ADDRESS = 'At-Server'
-RETRY_AFTER = 'Retry-After'
 
 MISDIRECTED = 421
 
-# Headers of one connection, those that are set anew, and ``Expect``, which
-# the listener has met already.
-_NOT_PASSED_ON = frozenset(
+# Besides headers of one connection: those that are set anew, and ``Expect``,
+# which the listener has met already.
+_NOT_PASSED_ON = ONE_CONNECTION.union(
     (
-        'connection',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'content-length',
         'expect',
         DEADLINE.lower(),
         KEY.lower(),
