Let nodes tell each other what changed, who lives and what is in flight

Change: nodes talk once a round and pair (membership's exchange and peer book). They tell the newest change of each table that they have read, and what is newer at a peer than the store has told is asked of the peer after 0.6 s; whether they are stewards, so that only those watch the store every four seconds; and their streams by chain, which count in choice and room. Leases last 10 s, are renewed before an order if older than 3 s, run by a clock that counts suspended time, and are taken at once from a holder that is not heard of any more. Rows are read only when one seems to have run out. Lease keeping and ordering are two modules. Entries that go missing after any failed call to the store are kept as after an outage.

--- a/wigeonspoke/core/chains/chooser.py
+++ b/wigeonspoke/core/chains/chooser.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wigeonspoke.core.chains.elsewhere import LoadElsewhere
 from wigeonspoke.core.chains.paths import Chain, find_chain
 from wigeonspoke.core.chains.room import ChainRoom
 from wigeonspoke.core.chains.suspects import SuspectBook
@@ -30,6 +31,7 @@
     """Keeps the chains of each service and chooses among them."""
 
     __slots__ = (
+        'elsewhere',
         'failure_domain',
         'fleet',
         'in_flight',
@@ -48,6 +50,7 @@
         self.suspects = suspects
         self.failure_domain = failure_domain
         self.in_flight: Counter[str] = Counter()
+        self.elsewhere = LoadElsewhere()
         self.room = ChainRoom()
         self.kept: dict[str, ChainSet] = {}
 
@@ -91,12 +94,16 @@
     def has_room(self, chain: Chain, now: float) -> bool:
         """Tell whether a chain would likely take one more request."""
         head_id = chain.head.endpoint_id
-        return self.room.has_room(head_id, self.in_flight[head_id], now)
+        return self.room.has_room(head_id, self.streams_at(head_id), now)
+
+    def streams_at(self, head_id: str) -> int:
+        """Count the requests that all nodes have in a chain."""
+        return self.in_flight[head_id] + self.elsewhere.by_head[head_id]
 
     def note_refusal(self, chain: Chain, now: float) -> None:
         """Take in that a chain refused a request for want of memory."""
         head_id = chain.head.endpoint_id
-        others = self.in_flight[head_id] - 1
+        others = self.streams_at(head_id) - 1
         self.room.note_refusal(head_id, others, now)
 
     def begin(self, chain: Chain) -> None:
@@ -131,7 +138,7 @@
         return (
             is_doubted + self._is_slow(chain),
             head.failure_domain != self.failure_domain,
-            self.in_flight[head.endpoint_id],
+            self.streams_at(head.endpoint_id),
         )
 
     def _compute(
--- a/wigeonspoke/core/leases/lease.py
+++ b/wigeonspoke/core/leases/lease.py
@@ -6,11 +6,20 @@
 """
 
 import enum
+from collections.abc import Container
 
 import msgspec
 
-LEASE_SECONDS = 3.0
-RENEW_SECONDS = 1.4
+LEASE_SECONDS = 10.0
+RENEW_SECONDS = 5.0
+# A write that failed is tried again after this long.
+RENEW_AGAIN_SECONDS = 0.5
+# Orders go out only this long after a renewal; with something to order, a
+# lease is renewed first.
+ORDER_SECONDS = 3.0
+# From a node that its peers do not hear, a lease is taken this long after
+# it was written.
+GONE_SECONDS = 1.5
 # A domain without a steward of its own is taken by another domain's node
 # after this long.
 FOREIGN_SECONDS = 6.0
@@ -58,6 +67,7 @@
         'lost_store_at',
         'renewed_at',
         'row_version',
+        'tried_at',
     )
 
     def __init__(self, domain: str, holder: str, is_own_domain: bool) -> None:
@@ -68,6 +78,7 @@
         self.row_version = 0
         self.renewed_at = 0
         self.lost_store_at = 0
+        self.tried_at = 0
 
     @property
     def is_held(self) -> bool:
@@ -78,26 +89,41 @@
         """Tell whether orders may be given at a moment of our clock."""
         if not self.is_held:
             return False
-        bound = LEASE_SECONDS
+        bound = ORDER_SECONDS
         if self.lost_store_at > self.renewed_at:
             bound = STORE_OUTAGE_SECONDS
         return now < self.renewed_at + bound
 
-    def judge(self, seen: SeenLease, store_now: float) -> LeaseStep:
-        """Decide about a lease that was just read."""
+    def judge(
+        self,
+        seen: SeenLease,
+        store_now: float,
+        present: Container[str] | None = None,
+    ) -> LeaseStep:
+        """Decide about a lease as it was read.
+
+        ``present`` names the nodes that are heard of; none at all means that
+        this node cannot tell.
+        """
         row = seen.row
         if row is not None and row.holder == self.holder:
             return LeaseStep.RENEW
         if row is None:
             return self._take_if_own()
+        until = row.until
+        if present is not None and row.holder not in present:
+            until += GONE_SECONDS - LEASE_SECONDS
         patience = 0 if self.is_own_domain else FOREIGN_SECONDS
-        if store_now > row.until + patience:
+        if store_now > until + patience:
             return LeaseStep.TAKE
         return LeaseStep.WAIT
 
     def renewal_due(self, now: float) -> bool:
         """Tell whether a lease that is held is to be renewed."""
-        return self.is_held and now >= self.renewed_at + RENEW_SECONDS
+        return self.is_held and now >= max(
+            self.renewed_at + RENEW_SECONDS,
+            self.tried_at + RENEW_AGAIN_SECONDS,
+        )
 
     def note_held(self, version: int, sent_at: float) -> None:
         """Take in a write of the lease that the store acknowledged.
@@ -112,6 +138,7 @@
     def note_store_lost(self, now: float) -> None:
         """Take in that the store gave no answer."""
         self.lost_store_at = now
+        self.tried_at = now
 
     def note_lost(self) -> None:
         """Take in that somebody else has the lease."""
--- a/wigeonspoke/core/tests/test_chains.py
+++ b/wigeonspoke/core/tests/test_chains.py
@@ -72,6 +72,43 @@
     assert len(chain.domains) == 1
 
 
+def test_without_its_own_chain_a_node_goes_where_all_nodes_have_least():
+    chooser = _chooser('one')
+    heads = {
+        chain.head.failure_domain: chain.head.endpoint_id
+        for chain in chooser.chains('drafting', PROFILE)
+    }
+    avoided = {heads['one']}
+    chooser.in_flight[heads['two']] = 2
+    assert (
+        chooser.choose('drafting', PROFILE, avoided, 0).head.failure_domain
+        == 'three'
+    )
+    chooser.elsewhere.take('peer', {heads['three']: 7})
+    assert (
+        chooser.choose('drafting', PROFILE, avoided, 0).head.failure_domain
+        == 'two'
+    )
+    chooser.elsewhere.keep(())
+    assert (
+        chooser.choose('drafting', PROFILE, avoided, 0).head.failure_domain
+        == 'three'
+    )
+
+
+def test_room_counts_what_all_nodes_have():
+    chooser = _chooser('one')
+    chain = chooser.choose('drafting', PROFILE, (), 0)
+    head_id = chain.head.endpoint_id
+    chooser.in_flight[head_id] = 5
+    chooser.elsewhere.take('peer', {head_id: 20})
+    chooser.note_refusal(chain, 0)
+    assert not chooser.has_room(chain, 0)
+    # The peer's requests have ended: there is room for ours.
+    chooser.elsewhere.take('peer', {head_id: 10})
+    assert chooser.has_room(chain, 0)
+
+
 @pytest.mark.parametrize('domain', DOMAINS)
 def test_own_domain_first(domain):
     chooser = _chooser(domain)
--- a/wigeonspoke/core/tests/test_ingress_core.py
+++ b/wigeonspoke/core/tests/test_ingress_core.py
@@ -9,6 +9,7 @@
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.forwarding import ReplicaChooser, WindowBudget
 from wigeonspoke.core.leases import (
+    LEASE_SECONDS,
     LeaseKeeper,
     LeaseRow,
     LeaseStep,
@@ -148,6 +149,40 @@
     assert keeper.judge(SeenLease(3, row), 10.0) is step
 
 
+@pytest.mark.parametrize(
+    ('is_own', 'written_at', 'present', 'step'),
+    [
+        # Nothing is known of peers as yet.
+        (True, 7.0, None, LeaseStep.WAIT),
+        (True, 7.0, {'other'}, LeaseStep.WAIT),
+        (True, 7.0, {'third'}, LeaseStep.TAKE),
+        # It may have been written after its holder was last heard of.
+        (True, 9.0, {'third'}, LeaseStep.WAIT),
+        (False, 7.0, {'third'}, LeaseStep.WAIT),
+        (False, 2.0, {'third'}, LeaseStep.TAKE),
+        (False, 2.0, {'other'}, LeaseStep.WAIT),
+    ],
+)
+def test_the_lease_of_a_node_that_is_not_heard(
+    is_own,
+    written_at,
+    present,
+    step,
+):
+    keeper = LeaseKeeper('one', 'me', is_own)
+    row = LeaseRow('other', written_at + LEASE_SECONDS)
+    assert keeper.judge(SeenLease(3, row), 10.0, present) is step
+
+
+def test_a_renewal_that_failed_is_not_tried_again_at_once():
+    keeper = LeaseKeeper('one', 'me', is_own_domain=True)
+    keeper.note_held(7, 0)
+    assert keeper.renewal_due(6.0)
+    keeper.note_store_lost(6.0)
+    assert not keeper.renewal_due(6.1)
+    assert keeper.renewal_due(6.6)
+
+
 @pytest.mark.parametrize(
     ('event', 'at', 'may_order'),
     [
--- a/wigeonspoke/ingress/feeds.py
+++ b/wigeonspoke/ingress/feeds.py
@@ -7,7 +7,13 @@
 import msgspec
 from returns.result import Success
 
-from wigeonspoke.ingress.relay import PeerTables, TableCopy
+from wigeonspoke.ingress.relay import (
+    GRACE_SECONDS,
+    RelayedTable,
+    TableCopy,
+    TableNews,
+    ask_table,
+)
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.store import (
     FeedStore,
@@ -16,14 +22,20 @@
     StoreProblem,
     TableRow,
 )
+from wigeonspoke.transport import HttpClient
 
-WAIT_SECONDS = 4.0
+# A wait may be swallowed by a store that breaks down meanwhile.  Stewards
+# look often enough for all; the others hear from them.
+WATCH_SECONDS = 4.0
+WAIT_SECONDS = 20.0
 RETURN_WAIT_SECONDS = 0.05
 # Entries that ran out while the store was away are back this long after it,
 # or gone for good.
 RETURN_SECONDS = 2.5
 # Changes come in bursts, and each call has its price.
 GATHER_SECONDS = 0.2
+MAX_GATHER_SECONDS = 0.6
+NEWS_SECONDS = 0.1
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.8
 PAUSE_GROWTH = 2
@@ -102,8 +114,7 @@
 
     def note_return(self) -> None:
         """Take in that the list comes from a store that was away."""
-        self.kept_until = time.monotonic() + RETURN_SECONDS
-        eventlet.spawn_after(RETURN_SECONDS, self._drop_missing)
+        self._keep_until(time.monotonic() + RETURN_SECONDS)
 
     def take_all(self, rows: tuple[TableRow, ...]) -> None:
         """Take in the whole list; what it leaves out is gone."""
@@ -135,7 +146,15 @@
                 row_version=row.version,
             )
 
+    def _keep_until(self, until: float) -> None:
+        if until > self.kept_until:
+            self.kept_until = until
+            wait_seconds = until - time.monotonic()
+            eventlet.spawn_after(wait_seconds, self._drop_missing)
+
     def _miss(self, endpoint_id: str) -> None:
+        # Whichever call it was that failed: the store may just be back.
+        self._keep_until(self.state.store_failed_at + RETURN_SECONDS)
         if time.monotonic() < self.kept_until:
             self.missing.add(endpoint_id)
             return
@@ -160,16 +179,19 @@
 class Follower:
     """Keeps a feed up to date: reads the table, then waits for changes.
 
-    While the store gives no answer, peers are asked for what they have.
+    What a peer has read and the store has not told this node is asked of
+    the peer, whether the store is known to be away or not.
     """
 
     __slots__ = (
+        'client',
         'copy',
         'feed',
         'is_reachable',
         'lost_at',
         'must_read',
-        'peers',
+        'news',
+        'pages_with_changes',
         'state',
         'store',
     )
@@ -179,16 +201,19 @@
         state: IngressState,
         store: FeedStore,
         feed: Feed,
-        peers: PeerTables,
+        client: HttpClient,
+        news: TableNews,
     ) -> None:
         self.state = state
         self.store = store
         self.feed = feed
-        self.peers = peers
+        self.client = client
+        self.news = news
         self.copy = TableCopy()
         self.is_reachable = True
         self.must_read = True
         self.lost_at = 0
+        self.pages_with_changes = 0
 
     def run(self) -> None:
         """Follow the table for ever."""
@@ -196,25 +221,37 @@
         while True:
             if self._follow_once():
                 pause = FIRST_PAUSE_SECONDS
-                eventlet.sleep(GATHER_SECONDS)
+                eventlet.sleep(self._gather_seconds())
                 continue
-            if not self.is_reachable:
-                self._ask_peer()
             eventlet.sleep(pause * (1 + self.state.random.random()))
             pause = min(MAX_PAUSE_SECONDS, pause * PAUSE_GROWTH)
 
+    def run_relay(self) -> None:
+        """Ask peers for what they have and this node has not, for ever."""
+        while True:
+            eventlet.sleep(NEWS_SECONDS)
+            grace = GRACE_SECONDS if self.is_reachable else 0
+            peer = self.news.ahead(
+                self.feed.table,
+                self.copy.known,
+                time.monotonic() - grace,
+            )
+            if peer:
+                self._ask_peer(peer)
+
+    def _gather_seconds(self) -> float:
+        """Give how long to let changes come together, more in a burst."""
+        seconds = GATHER_SECONDS * (1 + self.pages_with_changes)
+        return min(MAX_GATHER_SECONDS, seconds)
+
     def _follow_once(self) -> bool:
         if self.must_read:
             page = self.store.read_table(self.feed.table)
         else:
-            # A short wait tells at once that the store is back.
-            wait_seconds = WAIT_SECONDS
-            if not self.is_reachable:
-                wait_seconds = RETURN_WAIT_SECONDS
             page = self.store.follow(
                 self.feed.table,
                 self.copy.version,
-                wait_seconds,
+                self._wait_seconds,
             )
         if not isinstance(page, Success):
             self._note_error(page.failure())
@@ -222,6 +259,15 @@
         self._take(page.unwrap())
         return True
 
+    @property
+    def _wait_seconds(self) -> float:
+        if not self.is_reachable:
+            # A short wait tells at once that the store is back.
+            return RETURN_WAIT_SECONDS
+        if self.state.must_watch:
+            return WATCH_SECONDS
+        return WAIT_SECONDS
+
     def _take(self, page: RowPage) -> None:
         if not self.is_reachable:
             self.is_reachable = True
@@ -229,11 +275,12 @@
             self.feed.note_return()
         if self.must_read:
             # A read may lie behind what was known before the history went.
-            if page.version >= self._known:
+            if page.version >= self.copy.known:
                 self._replace(page.rows, page.version)
             return
-        self.copy.change(page.rows, page.version)
-        for row in page.rows:
+        fresh = self.copy.change(page.rows, page.version)
+        self.pages_with_changes = self.pages_with_changes + 1 if fresh else 0
+        for row in fresh:
             self.feed.take_change(row)
 
     def _replace(self, rows: tuple[TableRow, ...], version: int) -> None:
@@ -241,24 +288,23 @@
         self.copy.replace(rows, version)
         self.feed.take_all(rows)
 
-    @property
-    def _known(self) -> int:
-        """Give the newest version that was ever known, -1 for none."""
-        return -1 if self.copy.version is None else self.copy.version
-
-    def _ask_peer(self) -> None:
+    def _ask_peer(self, peer: str) -> None:
         """Take a peer's table, if it is newer than what is known."""
-        known = self._known
-        relayed = self.peers.ask(self.feed.table, known)
-        if relayed is None or relayed.version <= known:
+        known = self.copy.known
+        relayed = ask_table(self.client, peer, self.feed.table, known)
+        if relayed is None or relayed.version <= self.copy.known:
             return
         self.state.log.write(
             'told-by-peer',
+            peer=peer,
             table=self.feed.table,
             version=relayed.version,
             known=known,
             age_seconds=round(relayed.age, 3),
         )
+        self._take_relayed(relayed)
+
+    def _take_relayed(self, relayed: RelayedTable) -> None:
         rows = tuple(
             TableRow(row.key, row.version, msgspec.Raw(row.content))
             for row in relayed.rows
@@ -271,6 +317,7 @@
         if error.problem is StoreProblem.EXPIRED:
             self.must_read = True
             return
+        self.state.note_store_failure(time.monotonic())
         if self.is_reachable:
             self.is_reachable = False
             self.lost_at = time.monotonic()
--- /dev/null
+++ b/wigeonspoke/ingress/lease_loop.py
@@ -0,0 +1,230 @@
+"""Keeping the leases on stewardship, and telling peers of this node."""
+
+import time
+
+import eventlet
+import msgspec
+from returns.result import Success
+
+from wigeonspoke.core.leases import (
+    LEASE_SECONDS,
+    LeaseKeeper,
+    LeaseRow,
+    LeaseStep,
+    SeenLease,
+)
+from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.store import (
+    FeedStore,
+    RowPage,
+    RowWrite,
+    StoreError,
+    StoreProblem,
+)
+
+TABLE = 'stewards'
+NODE_PREFIX = 'node/'
+# A node tells of itself at least twice in this time.
+PRESENCE_SECONDS = 60.0
+ROUND_SECONDS = 0.1
+# Rows are read at least this often, and when one seems to have run out.
+READ_SECONDS = 20.0
+READ_AGAIN_SECONDS = 1.5
+READ_SPREAD = 0.25
+# Peers that live have been heard of this long after a start.
+MEET_SECONDS = 3.0
+
+
+def lease_clock() -> float:
+    """Give seconds of a steady clock that counts while a host is held."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class LeaseLoop:
+    """Takes and keeps leases; satisfies :class:`Leases`.
+
+    What was read last tells when a lease may have run out; only then, and
+    when its holder is not heard of any more, the store is asked again.
+    """
+
+    __slots__ = (
+        'keepers',
+        'next_read_at',
+        'read_at',
+        'seen',
+        'started_at',
+        'state',
+        'store',
+        'store_ahead',
+    )
+
+    def __init__(self, state: IngressState, store: FeedStore) -> None:
+        self.state = state
+        self.store = store
+        settings = state.settings
+        self.keepers = {
+            domain: LeaseKeeper(
+                domain,
+                settings.name,
+                domain == settings.failure_domain,
+            )
+            for domain in settings.failure_domains
+        }
+        self.seen: dict[str, SeenLease] = {}
+        self.started_at = lease_clock()
+        self.read_at = 0
+        self.next_read_at = 0
+        # By how much the store's steady clock is ahead of this node's.
+        self.store_ahead = 0
+
+    def run(self) -> None:
+        """Keep the leases for ever."""
+        while True:
+            now = lease_clock()
+            if self._must_read(now):
+                self._read(now)
+            for keeper in self.keepers.values():
+                if keeper.renewal_due(lease_clock()):
+                    self._write(keeper, keeper.row_version)
+            self.state.is_steward = any(
+                each.is_held for each in self.keepers.values()
+            )
+            eventlet.sleep(ROUND_SECONDS)
+
+    def may_order(self, keeper: LeaseKeeper) -> bool:
+        """Tell whether orders may be given under a lease."""
+        return keeper.may_order(lease_clock())
+
+    def secure(self, keeper: LeaseKeeper) -> bool:
+        """Make sure that orders may be given, by a renewal if need be."""
+        if keeper.is_held and not self.may_order(keeper):
+            self._write(keeper, keeper.row_version)
+        return self.may_order(keeper)
+
+    def note_fenced_off(self, keeper: LeaseKeeper) -> None:
+        """Take in that an engine has obeyed another steward since.
+
+        No order of this term goes out any more, whatever the clock says.
+        """
+        self._log('fenced-off', keeper)
+        keeper.note_lost()
+
+    def _must_read(self, now: float) -> bool:
+        if now >= self.next_read_at:
+            return True
+        if now < self.read_at + READ_AGAIN_SECONDS:
+            return False
+        return any(
+            not keeper.is_held and self._judge(keeper) is not LeaseStep.WAIT
+            for keeper in self.keepers.values()
+        )
+
+    def _judge(self, keeper: LeaseKeeper) -> LeaseStep:
+        now = lease_clock()
+        present = None
+        if now >= self.started_at + MEET_SECONDS:
+            present = self.state.present_nodes
+        return keeper.judge(
+            self.seen.get(keeper.domain, SeenLease(0)),
+            now + self.store_ahead,
+            present,
+        )
+
+    def _read(self, now: float) -> None:
+        self.read_at = now
+        spread = 1 + READ_SPREAD * self.state.random.random()
+        page = self.store.read_table(TABLE)
+        if not isinstance(page, Success):
+            self.next_read_at = now + READ_AGAIN_SECONDS * spread
+            self.state.note_store_failure(time.monotonic())
+            for keeper in self.keepers.values():
+                keeper.note_store_lost(now)
+            return
+        self.next_read_at = now + READ_SECONDS * spread
+        self._take(page.unwrap())
+
+    def _take(self, page: RowPage) -> None:
+        self.seen = _decode_rows(page)
+        self.store_ahead = page.store_seconds - lease_clock()
+        self._note_nodes(page.store_seconds)
+        for keeper in self.keepers.values():
+            if not keeper.is_held and self._judge(keeper) is not LeaseStep.WAIT:
+                seen = self.seen.get(keeper.domain, SeenLease(0))
+                self._write(keeper, seen.version)
+
+    def _note_nodes(self, store_now: float) -> None:
+        """Take in which nodes have told of themselves, and tell of this."""
+        own = f'{NODE_PREFIX}{self.state.settings.name}'
+        present = {
+            key: seen.row
+            for key, seen in self.seen.items()
+            if key.startswith(NODE_PREFIX) and _is_running(seen, store_now)
+        }
+        self.state.registered_nodes = len(present.keys() | {own})
+        self.state.peers = set(self.state.settings.seeds) | {
+            row.address for row in present.values() if row.address
+        }
+        mine = self.seen.get(own, SeenLease(0))
+        if not _is_running(mine, store_now + PRESENCE_SECONDS / 2):
+            until = store_now + PRESENCE_SECONDS
+            settings = self.state.settings
+            row = LeaseRow(settings.name, until, settings.peers)
+            content = msgspec.json.encode(row)
+            self.store.write_rows(
+                TABLE, (RowWrite(own, content, mine.version),)
+            )
+
+    def _write(self, keeper: LeaseKeeper, expected: int) -> None:
+        sent_at = lease_clock()
+        until = sent_at + self.store_ahead + LEASE_SECONDS
+        row = LeaseRow(self.state.settings.name, until)
+        write = RowWrite(keeper.domain, msgspec.json.encode(row), expected)
+        written = self.store.write_rows(TABLE, (write,))
+        if isinstance(written, Success):
+            is_new = not keeper.is_held
+            keeper.note_held(written.unwrap(), sent_at)
+            self.seen[keeper.domain] = SeenLease(written.unwrap(), row)
+            if is_new:
+                self._log('lease-held', keeper)
+            return
+        self._note_write_error(keeper, written.failure(), sent_at)
+
+    def _note_write_error(
+        self,
+        keeper: LeaseKeeper,
+        error: StoreError,
+        sent_at: float,
+    ) -> None:
+        if error.problem is StoreProblem.CONFLICT:
+            if keeper.is_held:
+                self._log('lease-lost', keeper)
+            keeper.note_lost()
+            self.next_read_at = 0
+            return
+        self.state.note_store_failure(time.monotonic())
+        keeper.note_store_lost(sent_at)
+
+    def _log(self, kind: str, keeper: LeaseKeeper) -> None:
+        self.state.count(kind)
+        self.state.log.write(
+            kind,
+            domain=keeper.domain,
+            fence=keeper.fence,
+            row_version=keeper.row_version,
+        )
+
+
+def _is_running(seen: SeenLease, store_now: float) -> bool:
+    return seen.row is not None and seen.row.until > store_now
+
+
+def _decode_rows(page: RowPage) -> dict[str, SeenLease]:
+    seen: dict[str, SeenLease] = {}
+    for row in page.rows:
+        try:
+            lease = msgspec.json.decode(bytes(row.content), type=LeaseRow)
+        except msgspec.MsgspecError:
+            # A row that cannot be read is held by nobody.
+            lease = None
+        seen[row.key] = SeenLease(row.version, lease)
+    return seen
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -3,6 +3,7 @@
 import http
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import eventlet
@@ -17,7 +18,9 @@
     Follower,
     RegistryFeed,
 )
-from wigeonspoke.ingress.relay import PeerTables, RelayApp
+from wigeonspoke.ingress.lease_loop import LeaseLoop
+from wigeonspoke.ingress.peer_talk import PeerTalk
+from wigeonspoke.ingress.relay import RelayApp, TableNews
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.steward_loop import StewardLoop
@@ -27,6 +30,7 @@
 
 FRONT_CONNECTIONS = 1500
 READY_CONNECTIONS = 32
+PEER_CONNECTIONS = 256
 # The balancer takes a node out after two looks a second apart.
 LOOK_AWAY_SECONDS = 2.6
 # What is left of the time for a stop when the last requests are cut.
@@ -59,6 +63,7 @@
         'front',
         'greenlets',
         'is_stopping',
+        'leases',
         'loops',
         'metrics',
         'peers',
@@ -66,6 +71,7 @@
         'ready',
         'state',
         'steward',
+        'talk',
     )
 
     def __init__(
@@ -80,7 +86,8 @@
     ) -> None:
         self.state = IngressState(settings, wire, log)
         self.prober = Prober(self.state, control)
-        self.steward = StewardLoop(self.state, store, control)
+        self.leases = LeaseLoop(self.state, store)
+        self.steward = StewardLoop(self.state, self.leases, control)
         self.is_stopping = False
         self.greenlets: list[eventlet.greenthread.GreenThread] = []
         self.front: HttpListener | None = None
@@ -95,18 +102,24 @@
             ),
             RegistryFeed(self.state, tables.registry),
         )
+        news = TableNews()
         followers = [
-            Follower(self.state, store, feed, PeerTables(self.state, client))
-            for feed in feeds
+            Follower(self.state, store, feed, client, news) for feed in feeds
         ]
         self.copies = {
             follower.feed.table: follower.copy for follower in followers
         }
+        self.talk = PeerTalk(self.state, client, self.copies, news)
         self.loops: tuple[Callable[[], None], ...] = (
             *(follower.run for follower in followers),
+            *(follower.run_relay for follower in followers),
             self.prober.run,
-            self.steward.run_leases,
-            self.steward.run_orders,
+            self.leases.run,
+            *(
+                partial(self.steward.run, keeper)
+                for keeper in self.leases.keepers.values()
+            ),
+            self.talk.run,
             self._follow_limits,
         )
 
@@ -124,10 +137,11 @@
             ListenerLimits(connections=READY_CONNECTIONS),
         )
         self.peers = _listen(
-            RelayApp(self.copies),
+            RelayApp(self.copies, self.talk.answer),
             settings.peers,
-            ListenerLimits(connections=READY_CONNECTIONS),
+            ListenerLimits(connections=PEER_CONNECTIONS),
         )
+        self.talk.listen_at(self.peers.address)
         self.metrics = _listen(
             self._tell_metrics,
             f'{settings.host}:{settings.metrics_port}',
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -1,5 +1,6 @@
 """What an ingress node knows, shared by its parts."""
 
+import math
 import random
 import time
 from collections import Counter
@@ -7,6 +8,7 @@
 from wigeonspoke.core.chains import ChainActivity, ChainChooser, SuspectBook
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.forwarding import ReplicaChooser, WindowBudget
+from wigeonspoke.core.membership import PeerBook
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.ingress.protocols import WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
@@ -25,13 +27,17 @@
         'chains',
         'counters',
         'fleet',
+        'is_steward',
         'log',
-        'nodes',
+        'peer_book',
         'peers',
         'random',
+        'registered_nodes',
         'replicas',
         'settings',
         'started_at',
+        'steward_peers',
+        'store_failed_at',
         'suspects',
         'table',
         'wire',
@@ -47,8 +53,14 @@
         self.wire = wire
         self.log = log
         self.started_at = time.monotonic()
-        self.nodes = ASSUMED_NODES
+        # Nodes that have told the store of themselves.
+        self.registered_nodes = ASSUMED_NODES
+        self.store_failed_at = -math.inf
+        self.peer_book = PeerBook()
         self.peers: set[str] = set(settings.seeds)
+        self.is_steward = False
+        # Starts of peers that hold a lease.
+        self.steward_peers: set[str] = set()
         self.table = RoutingTable()
         self.fleet = Fleet()
         self.suspects = SuspectBook()
@@ -74,6 +86,34 @@
         known.share = 1 / self.nodes
         return known
 
+    def note_store_failure(self, now: float) -> None:
+        """Take in that a call to the store got no answer, or was refused."""
+        self.store_failed_at = now
+
+    @property
+    def nodes(self) -> int:
+        """Count the nodes that there may be, this one among them.
+
+        A peer that is not heard of may only be cut off from this node.
+        """
+        return max(self.registered_nodes, self.peer_book.live_nodes)
+
+    @property
+    def must_watch(self) -> bool:
+        """Tell whether nobody else watches the store closely for this node."""
+        heard = self.steward_peers & self.peer_book.peers.keys()
+        return self.is_steward or not heard
+
+    @property
+    def present_nodes(self) -> set[str]:
+        """Give the names of the peers that were heard of lately."""
+        return {name_of(start) for start in self.peer_book.peers}
+
     def count(self, name: str, reason: str = '') -> None:
         """Count something that happened."""
         self.counters[name, reason] += 1
+
+
+def name_of(start: str) -> str:
+    """Give the name of a node whose start goes by ``NAME#TAG``."""
+    return start.partition('#')[0]
--- a/wigeonspoke/ingress/steward_loop.py
+++ b/wigeonspoke/ingress/steward_loop.py
@@ -1,19 +1,13 @@
-"""Stewardship of failure domains: the lease, and the orders under it."""
+"""Orders to the engines of the failure domains that this node stewards."""
 
 import time
+from typing import Protocol
 
 import eventlet
-import msgspec
 from returns.result import Success
 
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
-from wigeonspoke.core.leases import (
-    LEASE_SECONDS,
-    LeaseKeeper,
-    LeaseRow,
-    LeaseStep,
-    SeenLease,
-)
+from wigeonspoke.core.leases import LeaseKeeper
 from wigeonspoke.core.placement import Placing, Steward
 from wigeonspoke.core.routing import ServiceProfile
 from wigeonspoke.ingress.protocols import (
@@ -22,21 +16,8 @@
     OrderReply,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.store import (
-    FeedStore,
-    RowPage,
-    RowWrite,
-    StoreError,
-    StoreProblem,
-)
 
-TABLE = 'stewards'
-NODE_PREFIX = 'node/'
-# A node tells of itself at least twice in this time.
-PRESENCE_SECONDS = 30.0
 ROUND_SECONDS = 0.1
-READ_SECONDS = 2.0
-FOREIGN_READ_SECONDS = 6.0
 ORDER_SECONDS = 1.0
 ASK_SECONDS = 0.5
 POLL_SECONDS = 0.1
@@ -46,151 +27,64 @@
 CUT_OFF_SHARE = 0.6
 
 
+class Leases(Protocol):
+    """The leases under which orders are given."""
+
+    def may_order(self, keeper: LeaseKeeper) -> bool:
+        """Tell whether orders may be given under a lease."""
+
+    def secure(self, keeper: LeaseKeeper) -> bool:
+        """Make sure that orders may be given, by a renewal if need be."""
+
+    def note_fenced_off(self, keeper: LeaseKeeper) -> None:
+        """Take in that an engine has obeyed another steward since."""
+
+
 class StewardLoop:
-    """Takes and keeps leases, and gives the orders that they allow."""
+    """Gives the orders that the leases held allow."""
 
-    __slots__ = (
-        'control',
-        'keepers',
-        'read_at',
-        'state',
-        'stewards',
-        'store',
-        'store_ahead',
-    )
+    __slots__ = ('control', 'leases', 'state', 'stewards')
 
     def __init__(
         self,
         state: IngressState,
-        store: FeedStore,
+        leases: Leases,
         control: EngineControl,
     ) -> None:
         self.state = state
-        self.store = store
+        self.leases = leases
         self.control = control
-        settings = state.settings
-        self.keepers = {
-            domain: LeaseKeeper(
-                domain,
-                settings.name,
-                domain == settings.failure_domain,
-            )
-            for domain in settings.failure_domains
-        }
         self.stewards: dict[tuple[str, str], Steward] = {}
-        self.read_at = 0
-        # By how much the store's steady clock is ahead of this node's.
-        self.store_ahead = 0
-
-    def run_leases(self) -> None:
-        """Keep the leases for ever."""
-        while True:
-            now = time.monotonic()
-            if now >= self.read_at:
-                self.read_at = now + self._read_pause()
-                self._read_leases()
-            for keeper in self.keepers.values():
-                if keeper.renewal_due(time.monotonic()):
-                    self._write_lease(keeper, keeper.row_version)
-            eventlet.sleep(ROUND_SECONDS)
 
-    def run_orders(self) -> None:
-        """Give orders for ever."""
+    def run(self, keeper: LeaseKeeper) -> None:
+        """Give the orders of one domain, for ever."""
         while True:
             eventlet.sleep(ROUND_SECONDS)
-            for keeper in self.keepers.values():
-                if keeper.may_order(time.monotonic()):
-                    self._steer(keeper)
-
-    def _read_pause(self) -> float:
-        """Give how long other leases need no look."""
-        own = self.keepers[self.state.settings.failure_domain]
-        pause = FOREIGN_READ_SECONDS if own.is_held else READ_SECONDS
-        return pause * (1 + self.state.random.random() / 4)
-
-    def _read_leases(self) -> None:
-        sent_at = time.monotonic()
-        page = self.store.read_table(TABLE)
-        if not isinstance(page, Success):
-            for keeper in self.keepers.values():
-                keeper.note_store_lost(sent_at)
-            return
-        rows = _decode_rows(page.unwrap())
-        self._count_nodes(rows, page.unwrap().store_seconds)
-        store_now = page.unwrap().store_seconds
-        self.store_ahead = store_now - time.monotonic()
-        for keeper in self.keepers.values():
-            if keeper.is_held:
-                continue
-            seen = rows.get(keeper.domain, SeenLease(0))
-            if keeper.judge(seen, store_now) is not LeaseStep.WAIT:
-                self._write_lease(keeper, seen.version)
-
-    def _count_nodes(
-        self,
-        rows: dict[str, SeenLease],
-        store_now: float,
-    ) -> None:
-        """Count the nodes that have told of themselves lately."""
-        own = f'{NODE_PREFIX}{self.state.settings.name}'
-        present = [
-            key
-            for key, seen in rows.items()
-            if key.startswith(NODE_PREFIX) and _is_running(seen, store_now)
-        ]
-        self.state.nodes = max(1, len(present) + (own not in present))
-        self.state.peers |= {
-            rows[key].row.address for key in present if rows[key].row.address
-        }
-        mine = rows.get(own, SeenLease(0))
-        if not _is_running(mine, store_now + PRESENCE_SECONDS / 2):
-            until = store_now + PRESENCE_SECONDS
-            settings = self.state.settings
-            row = LeaseRow(settings.name, until, settings.peers)
-            content = msgspec.json.encode(row)
-            self.store.write_rows(
-                TABLE, (RowWrite(own, content, mine.version),)
-            )
-
-    def _write_lease(self, keeper: LeaseKeeper, expected: int) -> None:
-        sent_at = time.monotonic()
-        until = sent_at + self.store_ahead + LEASE_SECONDS
-        row = LeaseRow(self.state.settings.name, until)
-        write = RowWrite(keeper.domain, msgspec.json.encode(row), expected)
-        written = self.store.write_rows(TABLE, (write,))
-        if isinstance(written, Success):
-            is_new = not keeper.is_held
-            keeper.note_held(written.unwrap(), sent_at)
-            if is_new:
-                self._log('lease-held', keeper)
-            return
-        self._note_write_error(keeper, written.failure(), sent_at)
-
-    def _note_write_error(
-        self,
-        keeper: LeaseKeeper,
-        error: StoreError,
-        sent_at: float,
-    ) -> None:
-        if error.problem is StoreProblem.CONFLICT:
             if keeper.is_held:
-                self._log('lease-lost', keeper)
-            keeper.note_lost()
-            self.read_at = 0
-            return
-        keeper.note_store_lost(sent_at)
+                self._steer(keeper)
 
     def _steer(self, keeper: LeaseKeeper) -> None:
         for service in self.state.table.services.values():
             if service.engine is None:
                 continue
             steward = self._steward(keeper, service.name, service.engine)
-            engines = self._engines(service, keeper.domain)
-            now = time.monotonic()
-            slow = self.state.suspects.slow
-            for placing in steward.decide(engines, slow, now):
-                steward.note_sent(placing, now)
-                eventlet.spawn(self._order, keeper, steward, placing)
+            placings = steward.decide(
+                self._engines(service, keeper.domain),
+                self.state.suspects.slow,
+                time.monotonic(),
+            )
+            if placings and self.leases.secure(keeper):
+                self._send(keeper, steward, placings)
+
+    def _send(
+        self,
+        keeper: LeaseKeeper,
+        steward: Steward,
+        placings: tuple[Placing, ...],
+    ) -> None:
+        for placing in placings:
+            steward.note_sent(placing, time.monotonic())
+            eventlet.spawn(self._order, keeper, steward, placing)
 
     def _steward(
         self,
@@ -241,7 +135,7 @@
             # earlier steward, so it is asked again rather than believed.
             steward.note_busy(placing, time.monotonic())
             return
-        if not keeper.may_order(time.monotonic()):
+        if not self.leases.may_order(keeper):
             steward.note_refused(placing)
             return
         sent = self.control.order(
@@ -271,10 +165,7 @@
         reply: OrderReply,
     ) -> None:
         if reply.is_fenced_off:
-            # Somebody else has the lease: no order of this term goes out
-            # any more, whatever this node's own clock says.
-            self._log('fenced-off', keeper)
-            keeper.note_lost()
+            self.leases.note_fenced_off(keeper)
         if not reply.is_accepted:
             # Not given again before the order has run out of time.
             self._log_order('order-refused', placing, '')
@@ -303,15 +194,6 @@
             estimate = steward.load_seconds(placing)
             eventlet.sleep(max(POLL_SECONDS, POLL_SHARE * estimate))
 
-    def _log(self, kind: str, keeper: LeaseKeeper) -> None:
-        self.state.count(kind)
-        self.state.log.write(
-            kind,
-            domain=keeper.domain,
-            fence=keeper.fence,
-            row_version=keeper.row_version,
-        )
-
     def _log_order(self, kind: str, placing: Placing, problem: str) -> None:
         held = placing.endpoint.layers
         self.state.log.write(
@@ -322,19 +204,3 @@
             layers=placing.layers.describe(),
             problem=problem,
         )
-
-
-def _is_running(seen: SeenLease, store_now: float) -> bool:
-    return seen.row is not None and seen.row.until > store_now
-
-
-def _decode_rows(page: RowPage) -> dict[str, SeenLease]:
-    seen: dict[str, SeenLease] = {}
-    for row in page.rows:
-        try:
-            lease = msgspec.json.decode(bytes(row.content), type=LeaseRow)
-        except msgspec.MsgspecError:
-            # A row that cannot be read is held by nobody.
-            lease = None
-        seen[row.key] = SeenLease(row.version, lease)
-    return seen
--- a/wigeonspoke/platform/tests/test_relay.py
+++ b/wigeonspoke/platform/tests/test_relay.py
@@ -9,12 +9,13 @@
 from wigeonspoke.platform.tests.world import configuration
 
 
-def _start(world, store):
+def _start(world, store, **given):
     settings = msgspec.structs.replace(
         world.node.state.settings,
         name='node-2',
         store=store.address,
         seeds=(world.node.peers.address,),
+        **given,
     )
     node = build_node(settings)
     node.start()
@@ -110,3 +111,68 @@
         world.store.put('servers', replica.endpoint_id, entry)
     eventlet.sleep(3.0)
     assert {'r-one', 'r-two'} <= set(refused.state.fleet.endpoints)
+
+
+def test_a_wait_that_the_store_swallowed_does_not_hide_a_change(world):
+    store = StoreStandin()
+    store.put('op', 'config', configuration())
+    node = _start(world, store)
+    state = node.state
+    world.wait(lambda: state.table.version == 1 and not state.must_watch)
+    # The wait that is open now says nothing for a long time.
+    store.fault = StoreFault.SILENT
+    changed = configuration(version=8)
+    changed['tenants'][1]['api-keys'] = []
+    world.store.put('op', 'config', changed)
+    world.wait(lambda: state.table.version == 8, seconds=2)
+    assert state.table.find_account('key-of-bond') is None
+    _stop(node)
+    store.server.close()
+
+
+def test_who_watches_the_store_for_the_others(world, second):
+    states = (world.node.state, second.state)
+    world.wait(lambda: any(state.is_steward for state in states))
+    world.wait(lambda: sum(state.must_watch for state in states) == 1)
+    steward = next(state for state in states if state.is_steward)
+    assert steward.must_watch
+
+
+@pytest.mark.parametrize(
+    ('domain', 'seconds'),
+    [('one', 6.0), ('two', 14.0)],
+)
+def test_a_steward_that_is_gone_is_followed_by_a_peer(world, domain, seconds):
+    world.wait(lambda: world.node.state.is_steward)
+    node = _start(world, world.store, failure_domain=domain)
+    world.wait(lambda: node.state.present_nodes == {'node-1'})
+    eventlet.sleep(1.0)
+    held = _keepers(node)['one']
+    assert not held.is_held
+    _stop(world.node)
+    world.wait(lambda: held.is_held, seconds=seconds)
+    _stop(node)
+
+
+def test_a_steward_that_lives_stays_one(world, second):
+    world.wait(lambda: world.node.state.is_steward)
+    fence = _keepers(world.node)['one'].fence
+    eventlet.sleep(6.0)
+    assert _keepers(world.node)['one'].fence == fence
+
+
+def test_peers_know_what_each_other_has_in_flight(world, second):
+    head = 'e-one-0'
+    world.node.state.chains.in_flight[head] = 5
+    seen = second.state.chains
+    world.wait(lambda: seen.streams_at(head) == 5)
+    world.node.state.chains.in_flight.clear()
+    world.wait(lambda: not seen.streams_at(head))
+    world.node.state.chains.in_flight[head] = 5
+    world.wait(lambda: seen.streams_at(head) == 5)
+    _stop(world.node)
+    world.wait(lambda: not seen.streams_at(head), seconds=5)
+
+
+def _keepers(node):
+    return node.leases.keepers
