Keep connections for what may be repeated, and load only what a node needs

Ruled out: keeping connections for what must not run twice (a connection that broke meanwhile leaves open whether it ran), keeping them for long (a reset or silent one would be met by a request).

Change: a connection whose answer ended clean serves the next repeatable request to that endpoint within two seconds, or half of what the endpoint says; one with bytes, an end or an error waiting is closed. A wait comes before a read. The web application's base is a package of its own (webapp), and so is the log of decisions; wigeonspoke.core loads none of its parts.

--- a/wigeonspoke/bench/membership.py
+++ b/wigeonspoke/bench/membership.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from wigeonspoke.bench.scheduler import Scheduler
+from wigeonspoke.core.load_report import OWN_LOADS
 from wigeonspoke.core.membership import (
     EndpointLoad,
     EndpointMark,
@@ -18,7 +19,6 @@
     message_size,
     round_seconds,
 )
-from wigeonspoke.core.load_report import OWN_LOADS
 from wigeonspoke.core.membership.exchange import MESSAGE_OVERHEAD, ROUND_SECONDS
 
 SIZES = (6, 44, 100, 400)
--- a/wigeonspoke/bench/wire.py
+++ b/wigeonspoke/bench/wire.py
@@ -16,8 +16,8 @@
 from wigeonspoke.demo.world import World, load_document
 from wigeonspoke.load import LoadDriver, LoadPlan, LoadSummary
 from wigeonspoke.node import step_lane
-from wigeonspoke.transport import HttpApp, HttpClient, HttpListener
-from wigeonspoke.transport.http_app import read_body
+from wigeonspoke.transport import HttpClient, HttpListener
+from wigeonspoke.webapp import HttpApp, read_body
 
 CALLERS = 16
 SECONDS = 3.0
--- a/wigeonspoke/core/__init__.py
+++ b/wigeonspoke/core/__init__.py
@@ -1,5 +1,5 @@
-"""Decisions of the router, free of input, output, clocks and threads."""
+"""Decisions of the router, free of input, output, clocks and threads.
 
-from wigeonspoke.core.router import Router
-
-__all__ = ('Router',)
+Each part is a package of its own, and a process loads those that it needs;
+:mod:`wigeonspoke.core.router` puts them together.
+"""
--- a/wigeonspoke/core/actions.py
+++ b/wigeonspoke/core/actions.py
@@ -4,8 +4,8 @@
 
 from wigeonspoke.core.claims.records import ClaimRow, ClaimState, KeptReply
 from wigeonspoke.core.deployment import LayerRange
-from wigeonspoke.core.outcomes import StepError
 from wigeonspoke.core.keys import StepKey
+from wigeonspoke.core.outcomes import StepError
 
 
 class Action(msgspec.Struct, frozen=True, tag=True):
--- a/wigeonspoke/core/events.py
+++ b/wigeonspoke/core/events.py
@@ -8,13 +8,13 @@
 
 from wigeonspoke.core.claims.records import ClaimAnswer, ClaimRow
 from wigeonspoke.core.deployment import Configuration
+from wigeonspoke.core.keys import StepKey
 from wigeonspoke.core.membership.records import (
     Departure,
     EndpointMark,
     PeerReport,
 )
 from wigeonspoke.core.outcomes import Outcome, Reason
-from wigeonspoke.core.keys import StepKey
 
 
 class Event(msgspec.Struct, frozen=True, tag=True):
--- a/wigeonspoke/core/forwarding/budget.py
+++ b/wigeonspoke/core/forwarding/budget.py
@@ -7,7 +7,6 @@
 
 from collections import deque
 
-
 # Windows of several nodes do not end together, and a node that starts anew
 # forgets what it has sent.
 SAFE_SHARE = 0.75
--- a/wigeonspoke/core/routing/table.py
+++ b/wigeonspoke/core/routing/table.py
@@ -3,8 +3,8 @@
 from wigeonspoke.core.routing.rules import (
     ClientAccount,
     ClientLimits,
-    Rule,
     RoutingConfiguration,
+    Rule,
     ServiceProfile,
     Target,
 )
--- a/wigeonspoke/core/streams/session.py
+++ b/wigeonspoke/core/streams/session.py
@@ -12,8 +12,8 @@
 from wigeonspoke.core.actions import CancelStream, SendStep
 from wigeonspoke.core.deployment import Engine, Model
 from wigeonspoke.core.events import GenerationRequested, StepReplied
-from wigeonspoke.core.routes.route import Route
 from wigeonspoke.core.keys import StepKey
+from wigeonspoke.core.routes.route import Route
 
 PREFILL_BATCH = 16
 
--- a/wigeonspoke/core/tests/test_ingress_fuzz.py
+++ b/wigeonspoke/core/tests/test_ingress_fuzz.py
@@ -18,8 +18,13 @@
 from wigeonspoke.core.chains import ChainChooser, SuspectBook
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.forwarding import WindowBudget
-from wigeonspoke.core.leases import LeaseKeeper, LeaseStep, SeenLease
-from wigeonspoke.core.leases import LEASE_SECONDS, LeaseRow
+from wigeonspoke.core.leases import (
+    LEASE_SECONDS,
+    LeaseKeeper,
+    LeaseRow,
+    LeaseStep,
+    SeenLease,
+)
 from wigeonspoke.core.placement import Placing, Steward
 from wigeonspoke.core.tests.fleet_examples import (
     PROFILE,
--- a/wigeonspoke/observe/tests/test_decisions.py
+++ b/wigeonspoke/decisions/tests/test_decisions.py
@@ -3,8 +3,8 @@
 import msgspec
 import pytest
 
-from wigeonspoke.observe import DecisionLog
-from wigeonspoke.observe import decisions
+from wigeonspoke.decisions import DecisionLog
+from wigeonspoke.decisions import decision_log as decisions
 
 
 class StandingClock:
--- a/wigeonspoke/demo/world.py
+++ b/wigeonspoke/demo/world.py
@@ -18,13 +18,13 @@
 from wigeonspoke.load import Balancer
 from wigeonspoke.load.balancer import Target
 from wigeonspoke.node import Node, NodeSettings
-from wigeonspoke.store import HostEntry, HttpPlatform
 from wigeonspoke.standins import (
     Ledger,
     StandInEngine,
     StandInPlatform,
     StandInService,
 )
+from wigeonspoke.store import HostEntry, HttpPlatform
 from wigeonspoke.transport import HttpClient
 
 NODES_PER_DOMAIN = 2
--- a/wigeonspoke/ingress/endpoint_try.py
+++ b/wigeonspoke/ingress/endpoint_try.py
@@ -1,10 +1,13 @@
-"""One try of a request at one endpoint, on a connection of its own.
+"""One try of a request at one endpoint.
 
-A connection serves one try: bytes that come late, or after an answer, then
-belong to no other request, and a connection that cannot be made proves that
-nothing was sent.
+What must not run twice goes over a connection of its own: one that cannot
+be made then proves that nothing was sent, and bytes that come late belong
+to no other request.  Other tries may go over a kept connection; the answer
+is then known by its id.
 """
 
+import math
+import re
 import socket
 import time
 from contextlib import suppress
@@ -15,6 +18,7 @@
 from eventlet.hubs import trampoline
 
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.ingress.kept_connections import KeptConnections
 from wigeonspoke.ingress.protocols import HeaderList
 
 RECEIVE_BYTES = 65536
@@ -22,8 +26,12 @@
 # answer is awaited.
 INLINE_BODY_BYTES = 16384
 UNSENT_MILLISECONDS = 3000
+# A connection is not used close to the moment when the endpoint ends it.
+KEPT_SHARE = 0.5
 MIN_CONNECT_SECONDS = 0.001
 
+_KEEP_ALIVE = re.compile(rb'timeout=([0-9]{1,6})')
+
 
 class TryError(Exception):
     """The try ended without an answer; ``error`` says what is known."""
@@ -47,6 +55,9 @@
 
     __slots__ = (
         'is_aborted',
+        'is_drained',
+        'keeps_seconds',
+        'kept',
         'may_have_run',
         'parser',
         'peer',
@@ -54,8 +65,14 @@
         'sock',
     )
 
-    def __init__(self, peer: str) -> None:
+    def __init__(self, peer: str, kept: KeptConnections | None = None) -> None:
         self.peer = peer
+        # Where connections are taken from and left, none for a new one.
+        self.kept = kept
+        # How long the endpoint will keep the connection after its answer.
+        self.keeps_seconds = 0
+        # Nothing is on the connection as far as is known.
+        self.is_drained = True
         self.parser = h11.Connection(h11.CLIENT)
         self.sock: green_socket.socket | None = None
         self.sender: eventlet.greenthread.GreenThread | None = None
@@ -63,7 +80,11 @@
         self.is_aborted = False
 
     def connect(self, seconds: float) -> None:
-        """Open the connection."""
+        """Open the connection, or take one that was kept."""
+        if self.kept is not None:
+            self.sock = self.kept.take(self.peer)
+            if self.sock is not None:
+                return
         host, _, port = self.peer.rpartition(':')
         self.sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -113,6 +134,7 @@
         while True:
             event = self._next_event(until)
             if isinstance(event, h11.Response):
+                self.keeps_seconds = _kept_seconds(event)
                 return event
 
     def read_part(self, until: float) -> bytes | None:
@@ -131,11 +153,22 @@
                 self.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        """Free the connection."""
+        """Free the connection, or leave it for another try if it is clean."""
+        if self.sock is None:
+            return
+        if self.kept is not None and self._is_clean():
+            self.kept.put(self.peer, self.sock, self.keeps_seconds)
+            return
         if self.sender is not None:
             self.sender.kill()
-        if self.sock is not None:
-            self.sock.close()
+        self.sock.close()
+
+    def _is_clean(self) -> bool:
+        """Tell whether request and answer are whole and nothing follows."""
+        if self.is_aborted or self.sender is not None:
+            return False
+        states = {self.parser.our_state, self.parser.their_state}
+        return states == {h11.DONE} and not self.parser.trailing_data[0]
 
     def _next_event(self, until: float) -> object:
         event = self._parse()
@@ -155,24 +188,33 @@
             raise self._failed(Reason.CONTRACT, 'answer') from error
 
     def _receive(self, until: float) -> bytes:
-        raw = self.sock.fd
         while True:
-            try:
-                return raw.recv(RECEIVE_BYTES)
-            except BlockingIOError:
-                self._wait(until)
-            except OSError as error:
-                raise self._failed(Reason.RESET, 'answer') from error
-
-    def _wait(self, until: float) -> None:
-        left = until - time.monotonic()
-        if left <= 0:
-            raise TryTimeout
+            left = until - time.monotonic()
+            if self.is_drained and left > 0:
+                self._wait(left)
+            received = self._receive_now()
+            if received is not None:
+                self.is_drained = len(received) < RECEIVE_BYTES
+                return received
+            self.is_drained = True
+            if left <= 0:
+                raise TryTimeout
+
+    def _receive_now(self) -> bytes | None:
+        """Give what has come, nothing at the end, none if nothing came."""
+        try:
+            return self.sock.fd.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            raise self._failed(Reason.RESET, 'answer') from error
+
+    def _wait(self, seconds: float) -> None:
         with suppress(socket.timeout):
             trampoline(
                 self.sock.fd,
                 read=True,
-                timeout=left,
+                timeout=seconds,
                 timeout_exc=socket.timeout,
             )
 
@@ -185,3 +227,12 @@
     def _failed(self, reason: Reason, step: str) -> TryError:
         outcome = Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
         return TryError(StepError(outcome, reason, step, self.peer))
+
+
+def _kept_seconds(head: h11.Response) -> float:
+    """Read for how long the endpoint will keep the connection."""
+    for name, text in head.headers:
+        if name == b'keep-alive':
+            matched = _KEEP_ALIVE.search(text)
+            return KEPT_SHARE * int(matched[1]) if matched else 0
+    return math.inf
--- /dev/null
+++ b/wigeonspoke/ingress/kept_connections.py
@@ -0,0 +1,87 @@
+"""Connections to endpoints that are kept for the next request.
+
+The load pattern it answers: a head of a chain gets many short streams a
+second from each node, and each new connection costs it and the node time.
+Only connections that a whole answer has left clean are kept, and only for a
+moment, so that a connection that broke meanwhile is met rarely; what must
+not run twice never goes over one.
+"""
+
+import select
+import time
+from collections import defaultdict, deque
+from contextlib import suppress
+
+import eventlet
+import msgspec
+from eventlet.green import socket as green_socket
+from eventlet.patcher import original
+
+KEEP_SECONDS = 2.0
+SWEEP_SECONDS = 0.5
+KEPT_PER_PEER = 16
+
+_poll = original('select').poll
+
+
+class _Kept(msgspec.Struct):
+    sock: green_socket.socket
+    until: float
+
+
+class KeptConnections:
+    """Open connections by peer, the one used last first."""
+
+    __slots__ = ('by_peer',)
+
+    def __init__(self) -> None:
+        self.by_peer: dict[str, deque[_Kept]] = defaultdict(deque)
+
+    def take(self, peer: str) -> green_socket.socket | None:
+        """Give a connection on which the peer has said nothing since."""
+        kept = self.by_peer.get(peer)
+        while kept:
+            newest = kept.pop()
+            if newest.until > time.monotonic() and not _has_bytes(newest.sock):
+                return newest.sock
+            _close(newest.sock)
+        return None
+
+    def put(
+        self,
+        peer: str,
+        sock: green_socket.socket,
+        seconds: float,
+    ) -> None:
+        """Keep a connection for at most so long."""
+        kept = self.by_peer[peer]
+        until = time.monotonic() + min(KEEP_SECONDS, seconds)
+        kept.append(_Kept(sock, until))
+        if len(kept) > KEPT_PER_PEER:
+            _close(kept.popleft().sock)
+
+    def run(self) -> None:
+        """Close what was kept long enough, for ever."""
+        while True:
+            eventlet.sleep(SWEEP_SECONDS)
+            self.sweep(time.monotonic())
+
+    def sweep(self, now: float) -> None:
+        """Close what was kept long enough."""
+        for peer, kept in list(self.by_peer.items()):
+            while kept and kept[0].until <= now:
+                _close(kept.popleft().sock)
+            if not kept:
+                self.by_peer.pop(peer)
+
+
+def _has_bytes(sock: green_socket.socket) -> bool:
+    """Tell whether bytes, an end or an error wait on a connection."""
+    poll = _poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _close(sock: green_socket.socket) -> None:
+    with suppress(OSError):
+        sock.close()
--- a/wigeonspoke/ingress/metrics_page.py
+++ b/wigeonspoke/ingress/metrics_page.py
@@ -1,16 +1,22 @@
 """Metrics of an ingress node in the Prometheus text format."""
 
+from typing import TYPE_CHECKING
+
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.observe.metrics import MetricText
+
+if TYPE_CHECKING:
+    from wigeonspoke.observe.metrics import MetricText
 
 PREFIX = 'wigeonspoke_ingress'
 
 
-def render_counters(state: IngressState) -> MetricText:
+def render_counters(state: IngressState) -> 'MetricText':
     """Give the counters and gauges of a node as they are now."""
     # Imported when somebody asks: the library is a third of a start.
     from aioprometheus import Counter, Gauge, Registry, render
 
+    from wigeonspoke.observe.metrics import MetricText
+
     registry = Registry()
     events = Counter(
         f'{PREFIX}_events_total',
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -8,23 +8,23 @@
 
 import eventlet
 
-from wigeonspoke.ingress.front_app import FrontApp
-from wigeonspoke.ingress.metrics_page import render_counters
-from wigeonspoke.ingress.prober import Prober
-from wigeonspoke.ingress.protocols import EngineControl, WireFormat
+from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.feeds import (
     ConfigurationFeed,
     Feed,
     Follower,
     RegistryFeed,
 )
+from wigeonspoke.ingress.front_app import FrontApp
 from wigeonspoke.ingress.lease_loop import LeaseLoop
+from wigeonspoke.ingress.metrics_page import render_counters
 from wigeonspoke.ingress.peer_talk import PeerTalk
+from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.protocols import EngineControl, WireFormat
 from wigeonspoke.ingress.relay import RelayApp, TableNews
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.steward_loop import StewardLoop
-from wigeonspoke.observe import DecisionLog
 from wigeonspoke.store import FeedStore
 from wigeonspoke.transport import HttpClient, HttpListener, ListenerLimits
 
@@ -120,6 +120,7 @@
                 for keeper in self.leases.keepers.values()
             ),
             self.talk.run,
+            self.state.kept_connections.run,
             self._follow_limits,
         )
 
--- a/wigeonspoke/ingress/request_run.py
+++ b/wigeonspoke/ingress/request_run.py
@@ -101,7 +101,9 @@
     def begin_try(self, address: str) -> EndpointTry:
         """Begin a try that ends when the client leaves."""
         self.context.tries += 1
-        attempt = EndpointTry(address)
+        may_repeat = self.context.rule.may_repeat
+        kept = self.state.kept_connections if may_repeat else None
+        attempt = EndpointTry(address, kept)
         self.context.watch.on_left = attempt.abort
         return attempt
 
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -10,9 +10,10 @@
 from wigeonspoke.core.forwarding import ReplicaChooser, WindowBudget
 from wigeonspoke.core.membership import PeerBook
 from wigeonspoke.core.routing import RoutingTable
+from wigeonspoke.decisions import DecisionLog
+from wigeonspoke.ingress.kept_connections import KeptConnections
 from wigeonspoke.ingress.protocols import WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
-from wigeonspoke.observe import DecisionLog
 
 # Nodes that are taken to be there until they have been counted.
 ASSUMED_NODES = 10
@@ -28,6 +29,7 @@
         'counters',
         'fleet',
         'is_steward',
+        'kept_connections',
         'log',
         'peer_book',
         'peers',
@@ -68,6 +70,7 @@
         domain = settings.failure_domain
         self.chains = ChainChooser(self.fleet, self.suspects, domain)
         self.replicas = ReplicaChooser(self.fleet, domain)
+        self.kept_connections = KeptConnections()
         self.budgets: dict[str, WindowBudget] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
         self.random = random.Random(settings.name)
--- a/wigeonspoke/node/admin_app.py
+++ b/wigeonspoke/node/admin_app.py
@@ -31,14 +31,14 @@
 from wigeonspoke.node.mark_sync import MarkSync
 from wigeonspoke.node.runtime import Runtime
 from wigeonspoke.observe import NodeMetrics
-from wigeonspoke.transport import (
+from wigeonspoke.webapp import (
     ApiError,
     HttpApp,
     JsonReply,
     authorise,
+    read_body,
     read_json,
 )
-from wigeonspoke.transport.http_app import read_body
 
 _PUBLISH_STATUSES = {
     PublishProblem.CONFLICT: http.HTTPStatus.CONFLICT,
--- a/wigeonspoke/node/answers.py
+++ b/wigeonspoke/node/answers.py
@@ -8,7 +8,6 @@
 
 from wigeonspoke.core.actions import EmitToken, FinishGeneration
 from wigeonspoke.node.caller_watch import CallerWatch
-from wigeonspoke.node.outcome_replies import error_body
 from wigeonspoke.node.openai_messages import (
     Answer,
     ChatAnswer,
@@ -19,6 +18,7 @@
     CompletionChoice,
     Usage,
 )
+from wigeonspoke.node.outcome_replies import error_body
 from wigeonspoke.node.tokenizer import TextDecoder
 
 EVENT = b'data: %b\n\n'
--- a/wigeonspoke/node/callers_app.py
+++ b/wigeonspoke/node/callers_app.py
@@ -30,8 +30,15 @@
 from wigeonspoke.node.outcome_replies import REQUEST_HEADER, outcome_reply
 from wigeonspoke.node.runtime import PendingCall, RequestIds, Runtime
 from wigeonspoke.node.tokenizer import Tokenizer
-from wigeonspoke.transport import ApiError, HttpApp, JsonReply, read_json
-from wigeonspoke.transport.http_app import bearer_key, key_digest, read_body
+from wigeonspoke.webapp import (
+    ApiError,
+    HttpApp,
+    JsonReply,
+    bearer_key,
+    key_digest,
+    read_body,
+    read_json,
+)
 
 EVENT_STREAM = 'text/event-stream'
 CLOSED_REQUEST = 499
--- a/wigeonspoke/node/daemon.py
+++ b/wigeonspoke/node/daemon.py
@@ -25,7 +25,7 @@
 from wigeonspoke.observe import HybridClock, Timeline
 from wigeonspoke.store import HttpPlatform
 from wigeonspoke.transport import HttpClient, HttpListener
-from wigeonspoke.transport.http_app import key_digest
+from wigeonspoke.webapp import key_digest
 
 CHANCE_LENGTH = 4
 MILLISECONDS = 1000
--- a/wigeonspoke/node/gossip.py
+++ b/wigeonspoke/node/gossip.py
@@ -19,8 +19,8 @@
     message_size,
     round_seconds,
 )
-from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.membership.exchange import ROUND_SECONDS
+from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.node.config_sync import ConfigSync
 from wigeonspoke.node.runtime import Runtime
 from wigeonspoke.observe import HybridTime
--- a/wigeonspoke/node/outcome_replies.py
+++ b/wigeonspoke/node/outcome_replies.py
@@ -7,7 +7,7 @@
 from werkzeug.wrappers import Response
 
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.transport import JsonReply
+from wigeonspoke.webapp import JsonReply
 
 OUTCOME_HEADER = 'X-Wigeonspoke-Outcome'
 REQUEST_HEADER = 'X-Wigeonspoke-Request-Id'
--- a/wigeonspoke/node/peers_app.py
+++ b/wigeonspoke/node/peers_app.py
@@ -5,7 +5,7 @@
 from werkzeug.wrappers import Request, Response
 
 from wigeonspoke.node.gossip import Gossip, TimedMessage
-from wigeonspoke.transport import (
+from wigeonspoke.webapp import (
     ApiError,
     HttpApp,
     JsonReply,
--- a/wigeonspoke/node/tests/test_callers.py
+++ b/wigeonspoke/node/tests/test_callers.py
@@ -12,9 +12,9 @@
 from wigeonspoke.load import Caller, Prompt, Verdict
 from wigeonspoke.node.callers_app import chat_prompt
 from wigeonspoke.node.openai_messages import ChatMessage
-from wigeonspoke.store import HostEntry
 from wigeonspoke.standins import Fault, expected_answer
 from wigeonspoke.standins.platform import FaultKind
+from wigeonspoke.store import HostEntry
 from wigeonspoke.transport import HttpClient
 
 LAYERS = 24
--- a/wigeonspoke/observe/__init__.py
+++ b/wigeonspoke/observe/__init__.py
@@ -1,9 +1,5 @@
 """What operators see of a process: metrics, time line and logs."""
 
-from wigeonspoke.observe.decisions import (
-    DecisionLog,
-    send_decisions_to_stdout,
-)
 from wigeonspoke.observe.hybrid_clock import HybridClock, HybridTime
 from wigeonspoke.observe.latency import LatencyRecorder, Percentiles
 from wigeonspoke.observe.logs import configure_logs
@@ -11,7 +7,6 @@
 from wigeonspoke.observe.timeline import Timeline, TimelineEvent, merge_events
 
 __all__ = (
-    'DecisionLog',
     'HybridClock',
     'HybridTime',
     'LatencyRecorder',
@@ -21,5 +16,4 @@
     'TimelineEvent',
     'configure_logs',
     'merge_events',
-    'send_decisions_to_stdout',
 )
--- a/wigeonspoke/platform/program.py
+++ b/wigeonspoke/platform/program.py
@@ -10,8 +10,8 @@
 from eventlet.event import Event
 from returns.result import Success
 
+from wigeonspoke.decisions import DecisionLog, send_decisions_to_stdout
 from wigeonspoke.ingress import IngressNode, IngressSettings, Tables
-from wigeonspoke.observe import DecisionLog, send_decisions_to_stdout
 from wigeonspoke.platform.engine_control import PlatformEngines
 from wigeonspoke.platform.records import CONFIGURATION_KEY
 from wigeonspoke.platform.settings import (
--- a/wigeonspoke/platform/records.py
+++ b/wigeonspoke/platform/records.py
@@ -16,7 +16,6 @@
     ServiceProfile,
     Target,
 )
-
 from wigeonspoke.ingress.protocols import EngineState
 
 MILLISECONDS = 1000
--- a/wigeonspoke/platform/settings_watch.py
+++ b/wigeonspoke/platform/settings_watch.py
@@ -6,8 +6,8 @@
 import eventlet
 from returns.result import Success
 
+from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress import IngressSettings
-from wigeonspoke.observe import DecisionLog
 from wigeonspoke.platform.settings import read_settings
 
 LOOK_SECONDS = 1.0
--- a/wigeonspoke/platform/standins/raw_server.py
+++ b/wigeonspoke/platform/standins/raw_server.py
@@ -77,10 +77,11 @@
 class RawServer:
     """Serves one request at a time on each connection."""
 
-    __slots__ = ('address', 'greenlet', 'handle', 'open', 'sock')
+    __slots__ = ('accepted', 'address', 'greenlet', 'handle', 'open', 'sock')
 
     def __init__(self, handle: Callable[[RawRequest, Wire], None]) -> None:
         self.handle = handle
+        self.accepted = 0
         self.sock = eventlet.listen(('127.0.0.1', 0))
         host, port = self.sock.getsockname()[:2]
         self.address = f'{host}:{port}'
@@ -98,6 +99,7 @@
         while True:
             connection, _ = self.sock.accept()
             self.open.add(connection)
+            self.accepted += 1
             eventlet.spawn(self._serve, connection)
 
     def _serve(self, connection: socket.socket) -> None:
--- a/wigeonspoke/platform/tests/test_settings.py
+++ b/wigeonspoke/platform/tests/test_settings.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from wigeonspoke.observe import DecisionLog
+from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.platform.settings import decode_settings
 from wigeonspoke.platform.settings_watch import SettingsWatch
 
--- a/wigeonspoke/standins/engine.py
+++ b/wigeonspoke/standins/engine.py
@@ -23,7 +23,8 @@
 )
 from wigeonspoke.standins.ledger import Ledger, StepRecord
 from wigeonspoke.standins.model import StandInModel, token_of
-from wigeonspoke.transport import HttpApp, HttpListener, JsonReply, read_json
+from wigeonspoke.transport import HttpListener
+from wigeonspoke.webapp import HttpApp, JsonReply, read_json
 
 
 class _Stream:
--- a/wigeonspoke/standins/platform.py
+++ b/wigeonspoke/standins/platform.py
@@ -12,14 +12,14 @@
 from werkzeug.wrappers import Request, Response
 
 from wigeonspoke.store.protocols import HostEntry, TableRow
-from wigeonspoke.transport import (
+from wigeonspoke.transport import HttpListener
+from wigeonspoke.webapp import (
     ApiError,
     HttpApp,
-    HttpListener,
     JsonReply,
+    read_body,
     read_json,
 )
-from wigeonspoke.transport.http_app import read_body
 
 
 @enum.unique
--- a/wigeonspoke/standins/service.py
+++ b/wigeonspoke/standins/service.py
@@ -8,8 +8,8 @@
 from werkzeug.wrappers import Request, Response
 
 from wigeonspoke.standins.ledger import CallRecord, Ledger
-from wigeonspoke.transport import HttpApp, HttpListener, JsonReply
-from wigeonspoke.transport.http_app import read_body
+from wigeonspoke.transport import HttpListener
+from wigeonspoke.webapp import HttpApp, JsonReply, read_body
 
 WORK_SECONDS = 0.02
 
--- a/wigeonspoke/transport/tests/test_transport.py
+++ b/wigeonspoke/transport/tests/test_transport.py
@@ -7,13 +7,8 @@
 from returns.result import Success
 from werkzeug.wrappers import Response
 
-from wigeonspoke.transport import (
-    HttpApp,
-    HttpClient,
-    HttpListener,
-    ListenerLimits,
-)
-from wigeonspoke.transport.http_app import read_body
+from wigeonspoke.transport import HttpClient, HttpListener, ListenerLimits
+from wigeonspoke.webapp import HttpApp, read_body
 
 HEAD = b'POST /echo HTTP/1.1\r\nHost: x\r\n'
 
@@ -153,7 +148,7 @@
 
 
 def test_body_that_comes_too_slowly_is_given_up(listener, monkeypatch):
-    monkeypatch.setattr('wigeonspoke.transport.http_app.BODY_SECONDS', 0.2)
+    monkeypatch.setattr('wigeonspoke.webapp.json_app.BODY_SECONDS', 0.2)
     reply = _exchange(
         listener.address,
         HEAD,
--- /dev/null
+++ b/wigeonspoke/webapp/__init__.py
@@ -0,0 +1,23 @@
+"""Applications that speak JSON over HTTP to operators, callers and peers."""
+
+from wigeonspoke.webapp.json_app import (
+    ApiError,
+    HttpApp,
+    JsonReply,
+    authorise,
+    bearer_key,
+    key_digest,
+    read_body,
+    read_json,
+)
+
+__all__ = (
+    'ApiError',
+    'HttpApp',
+    'JsonReply',
+    'authorise',
+    'bearer_key',
+    'key_digest',
+    'read_body',
+    'read_json',
+)
