Read bodies in chunks by a small reader, and hear of leases from peers

Change: transport's ChunkedBody takes chunks apart as bytes come (hypothesis: any cut of the bytes gives the same body; what breaks the format raises). Stewards tell peers until when they hold a lease, which is believed over an older row.

--- a/wigeonspoke/ingress/endpoint_try.py
+++ b/wigeonspoke/ingress/endpoint_try.py
@@ -20,6 +20,7 @@
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.ingress.kept_connections import KeptConnections
 from wigeonspoke.ingress.protocols import HeaderList
+from wigeonspoke.transport import ChunkedBody, ChunkError
 
 RECEIVE_BYTES = 65536
 # A body that fits the peer's window needs no one to send it while the
@@ -54,6 +55,7 @@
     """
 
     __slots__ = (
+        'chunks',
         'is_aborted',
         'is_drained',
         'keeps_seconds',
@@ -74,6 +76,8 @@
         # Nothing is on the connection as far as is known.
         self.is_drained = True
         self.parser = h11.Connection(h11.CLIENT)
+        # The body of an answer in chunks, which is not left to the parser.
+        self.chunks: ChunkedBody | None = None
         self.sock: green_socket.socket | None = None
         self.sender: eventlet.greenthread.GreenThread | None = None
         self.may_have_run = False
@@ -134,11 +138,13 @@
         while True:
             event = self._next_event(until)
             if isinstance(event, h11.Response):
-                self.keeps_seconds = _kept_seconds(event)
+                self._take_head(event)
                 return event
 
     def read_part(self, until: float) -> bytes | None:
         """Read the next part of the body, none at its proper end."""
+        if self.chunks is not None:
+            return self._read_chunks(self.chunks, until)
         event = self._next_event(until)
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -163,12 +169,42 @@
             self.sender.kill()
         self.sock.close()
 
+    def _take_head(self, head: h11.Response) -> None:
+        self.keeps_seconds = _kept_seconds(head)
+        codings = [
+            text for name, text in head.headers if name == b'transfer-encoding'
+        ]
+        # The parser knows one coding only, and refuses others.
+        if codings:
+            self.chunks = ChunkedBody()
+            self.chunks.rest = self.parser.trailing_data[0]
+
+    def _read_chunks(self, chunks: ChunkedBody, until: float) -> bytes | None:
+        part = self._feed(chunks, b'') if chunks.rest else b''
+        while not part and not chunks.is_whole:
+            received = self._receive(until)
+            if not received:
+                raise self._failed(Reason.RESET, 'answer')
+            part = self._feed(chunks, received)
+        return part or None
+
+    def _feed(self, chunks: ChunkedBody, received: bytes) -> bytes:
+        try:
+            return chunks.feed(received)
+        except ChunkError as error:
+            raise self._failed(Reason.CONTRACT, 'answer') from error
+
     def _is_clean(self) -> bool:
         """Tell whether request and answer are whole and nothing follows."""
         if self.is_aborted or self.sender is not None:
             return False
-        states = {self.parser.our_state, self.parser.their_state}
-        return states == {h11.DONE} and not self.parser.trailing_data[0]
+        return self.parser.our_state is h11.DONE and self._is_answered()
+
+    def _is_answered(self) -> bool:
+        if self.chunks is not None:
+            return self.chunks.is_whole and not self.chunks.rest
+        is_done = self.parser.their_state is h11.DONE
+        return is_done and not self.parser.trailing_data[0]
 
     def _next_event(self, until: float) -> object:
         event = self._parse()
@@ -231,7 +267,11 @@
 
 def _kept_seconds(head: h11.Response) -> float:
     """Read for how long the endpoint will keep the connection."""
+    if head.http_version < b'1.1':
+        return 0
     for name, text in head.headers:
+        if name == b'connection' and b'close' in text.lower():
+            return 0
         if name == b'keep-alive':
             matched = _KEEP_ALIVE.search(text)
             return KEPT_SHARE * int(matched[1]) if matched else 0
--- a/wigeonspoke/ingress/lease_loop.py
+++ b/wigeonspoke/ingress/lease_loop.py
@@ -86,9 +86,7 @@
             for keeper in self.keepers.values():
                 if keeper.renewal_due(lease_clock()):
                     self._write(keeper, keeper.row_version)
-            self.state.is_steward = any(
-                each.is_held for each in self.keepers.values()
-            )
+            self.state.leases = self._held()
             eventlet.sleep(ROUND_SECONDS)
 
     def may_order(self, keeper: LeaseKeeper) -> bool:
@@ -109,6 +107,13 @@
         self._log('fenced-off', keeper)
         keeper.note_lost()
 
+    def _held(self) -> dict[str, float]:
+        return {
+            domain: self.seen[domain].row.until
+            for domain, keeper in self.keepers.items()
+            if keeper.is_held and domain in self.seen
+        }
+
     def _must_read(self, now: float) -> bool:
         if now >= self.next_read_at:
             return True
@@ -124,11 +129,11 @@
         present = None
         if now >= self.started_at + MEET_SECONDS:
             present = self.state.present_nodes
-        return keeper.judge(
-            self.seen.get(keeper.domain, SeenLease(0)),
-            now + self.store_ahead,
-            present,
-        )
+        seen = self.seen.get(keeper.domain, SeenLease(0))
+        told = self.state.told_leases.get(keeper.domain)
+        if seen.row is not None and told and told.until > seen.row.until:
+            seen = SeenLease(seen.version, told)
+        return keeper.judge(seen, now + self.store_ahead, present)
 
     def _read(self, now: float) -> None:
         self.read_at = now
--- a/wigeonspoke/ingress/peer_talk.py
+++ b/wigeonspoke/ingress/peer_talk.py
@@ -23,7 +23,7 @@
 )
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.ingress.relay import TableCopy, TableNews
-from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.state import IngressState, name_of
 from wigeonspoke.transport import HttpClient, HttpError
 
 PATH = '/peers/v1/talk'
@@ -38,11 +38,13 @@
 
     ``tables`` maps the names of the store's tables to the version of the
     newest change that the node has read, ``streams`` the ids of heads of
-    chains to the streams that it has there.
+    chains to the streams that it has there, and ``leases`` the failure
+    domains that it is steward of to when that ends, in seconds of the
+    store's steady clock.
     """
 
     gossip: GossipMessage
-    is_steward: bool
+    leases: dict[str, float]
     tables: dict[str, int]
     streams: dict[str, int]
 
@@ -123,7 +125,7 @@
         )
         return NodeTold(
             self.exchange.message_to(address, report),
-            self.state.is_steward,
+            self.state.leases,
             {name: copy.changed for name, copy in self.copies.items()},
             dict(self.state.chains.in_flight),
         )
@@ -142,12 +144,7 @@
         self._note_lost(book.depart(gossip.departures), 'told by a peer')
         if not book.take(gossip.report, now):
             return
-        self.state.chains.elsewhere.take(start, told.streams)
-        self.state.steward_peers.discard(start)
-        if told.is_steward:
-            self.state.steward_peers.add(start)
-        for name, changed in told.tables.items():
-            self.news.note(name, changed, gossip.address, now)
+        self._take_facts(told, now)
         if is_new:
             self.state.log.write('peer', peer=start, address=gossip.address)
 
@@ -162,6 +159,17 @@
         self.heard_at[told.gossip.address] = time.monotonic()
         return msgspec.json.encode(self.tell(told.gossip.address))
 
+    def _take_facts(self, told: NodeTold, now: float) -> None:
+        start = told.gossip.report.node
+        self.state.chains.elsewhere.take(start, told.streams)
+        self.state.steward_peers.discard(start)
+        if told.leases:
+            self.state.steward_peers.add(start)
+        for domain, until in told.leases.items():
+            self.state.note_lease(domain, name_of(start), until)
+        for name, changed in told.tables.items():
+            self.news.note(name, changed, told.gossip.address, now)
+
     def _talk(self, peer: str) -> None:
         body = msgspec.json.encode(self.tell(peer))
         reply = self.client.post(peer, PATH, body, ASK_SECONDS)
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -8,6 +8,7 @@
 from wigeonspoke.core.chains import ChainActivity, ChainChooser, SuspectBook
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.forwarding import ReplicaChooser, WindowBudget
+from wigeonspoke.core.leases import LeaseRow
 from wigeonspoke.core.membership import PeerBook
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
@@ -28,8 +29,8 @@
         'chains',
         'counters',
         'fleet',
-        'is_steward',
         'kept_connections',
+        'leases',
         'log',
         'peer_book',
         'peers',
@@ -42,6 +43,7 @@
         'store_failed_at',
         'suspects',
         'table',
+        'told_leases',
         'wire',
     )
 
@@ -60,7 +62,10 @@
         self.store_failed_at = -math.inf
         self.peer_book = PeerBook()
         self.peers: set[str] = set(settings.seeds)
-        self.is_steward = False
+        # When the leases that this node holds end, by failure domain.
+        self.leases: dict[str, float] = {}
+        # Leases as the peers that hold them tell.
+        self.told_leases: dict[str, LeaseRow] = {}
         # Starts of peers that hold a lease.
         self.steward_peers: set[str] = set()
         self.table = RoutingTable()
@@ -101,6 +106,17 @@
         """
         return max(self.registered_nodes, self.peer_book.live_nodes)
 
+    def note_lease(self, domain: str, holder: str, until: float) -> None:
+        """Take in what a peer tells of a lease that it holds."""
+        known = self.told_leases.get(domain)
+        if known is None or until > known.until:
+            self.told_leases[domain] = LeaseRow(holder, until)
+
+    @property
+    def is_steward(self) -> bool:
+        """Tell whether this node holds any lease."""
+        return bool(self.leases)
+
     @property
     def must_watch(self) -> bool:
         """Tell whether nobody else watches the store closely for this node."""
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -1,5 +1,6 @@
 """HTTP on eventlet: listeners with limits, and a client with outcomes."""
 
+from wigeonspoke.transport.chunked_body import ChunkedBody, ChunkError
 from wigeonspoke.transport.http_client import (
     HttpClient,
     HttpError,
@@ -11,6 +12,8 @@
 from wigeonspoke.transport.request_head import HeadError
 
 __all__ = (
+    'ChunkError',
+    'ChunkedBody',
     'HeadError',
     'HttpClient',
     'HttpError',
