Split the stream's run, and keep the platform's last names in its folder

The header of the node's own answers comes from the wire format, and the test of names looks for five more.

--- a/wigeonspoke/ingress/answers.py
+++ b/wigeonspoke/ingress/answers.py
@@ -78,13 +78,16 @@
 
 def start_answer(
     answer: EndpointAnswer | OwnAnswer,
-    request_id: str,
+    own_headers: HeaderList,
     start_response: Callable[..., Any],
 ) -> bytes:
-    """Hand the head of a whole answer to the server; give its body."""
+    """Hand the head of a whole answer to the server; give its body.
+
+    ``own_headers`` go with an answer of the node itself.
+    """
     headers = passed_headers(answer.headers)
     headers.append(('Content-Length', str(len(answer.body))))
     if isinstance(answer, OwnAnswer):
-        headers.append(('Request-Id', request_id))
+        headers.extend(own_headers)
     start_response(status_line(answer.status), headers)
     return answer.body
--- /dev/null
+++ b/wigeonspoke/ingress/event_cursor.py
@@ -0,0 +1,50 @@
+"""Where in a stream its client is."""
+
+from wigeonspoke.ingress.event_splitter import StreamEvent
+
+
+class EventCursor:
+    """The last event that the client got, over all tries of a stream.
+
+    ``last_number`` is none while no event had a number, and the stream
+    cannot go on elsewhere then.
+    """
+
+    __slots__ = ('last_number',)
+
+    def __init__(self, resumed_after: str) -> None:
+        self.last_number: int | None = None
+        if resumed_after.isdecimal():
+            self.last_number = int(resumed_after)
+
+    @property
+    def is_numbered(self) -> bool:
+        """Tell whether it is known where the stream could go on."""
+        return self.last_number is not None
+
+    @property
+    def resumes_at(self) -> str:
+        """Give the event after which a try is to go on, empty at a start."""
+        return '' if self.last_number is None else str(self.last_number)
+
+    def take(self, events: list[StreamEvent]) -> list[bytes] | None:
+        """Give the events that the client has not, none if one is missing."""
+        fresh: list[bytes] = []
+        for event in events:
+            step = self._step(event)
+            if step > 1:
+                return None
+            if step > 0:
+                self._note(event)
+                fresh.append(event.raw)
+        return fresh
+
+    def _step(self, event: StreamEvent) -> int:
+        """Give how many events it is after the last one, 1 if unknown."""
+        if event.number is None or self.last_number is None:
+            return 1
+        return event.number - self.last_number
+
+    def _note(self, event: StreamEvent) -> None:
+        if event.number is not None:
+            self.last_number = event.number
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -169,7 +169,8 @@
     ) -> Iterator[bytes]:
         if isinstance(answer, OwnAnswer):
             self._note_own(request, answer)
-        return iter((start_answer(answer, request.request_id, start_response),))
+        own_headers = self.state.wire.own_headers(request)
+        return iter((start_answer(answer, own_headers, start_response),))
 
     def _note_own(self, request: ClientRequest, answer: OwnAnswer) -> None:
         self.state.count('own-answer', answer.reason)
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -97,6 +97,9 @@
     def encode_headers(self, request: ClientRequest, hand: Hand) -> HeaderList:
         """Give the headers that an endpoint gets with a request."""
 
+    def own_headers(self, request: ClientRequest) -> HeaderList:
+        """Give the headers that tell a client whose answer of ours it is."""
+
     def read_marks(self, status: int, headers: HeaderList) -> AnswerMarks:
         """Read the marks of an endpoint's answer."""
 
--- a/wigeonspoke/ingress/stream_run.py
+++ b/wigeonspoke/ingress/stream_run.py
@@ -24,11 +24,13 @@
     status_line,
 )
 from wigeonspoke.ingress.call_run import decode_headers, read_body
+from wigeonspoke.ingress.chain_watch import ChainWatch
 from wigeonspoke.ingress.endpoint_try import (
     EndpointTry,
     TryError,
     TryTimeout,
 )
+from wigeonspoke.ingress.event_cursor import EventCursor
 from wigeonspoke.ingress.event_splitter import EventSplitter, StreamEvent
 from wigeonspoke.ingress.request_run import (
     RequestContext,
@@ -38,13 +40,7 @@
 )
 from wigeonspoke.ingress.state import IngressState
 
-# A chain that says nothing for this share of the time that users accept is
-# given up for another, if there is one.
-FIRST_EVENT_SHARE = 0.5
 LOOK_AGAIN_SECONDS = 0.03
-# On a chain whose other streams go on, a stream waits for its turn this many
-# times the pause that users accept.
-TURN_FACTOR = 4
 # How long a request waits for a chain to become whole: up to an eighth of
 # the time that users accept, nobody is worse off for it.
 CHAIN_WAIT_SHARE = 0.12
@@ -65,13 +61,12 @@
     __slots__ = (
         'avoided',
         'check_chain',
+        'cursor',
         'final',
-        'has_event',
         'last_error',
-        'last_number',
         'start_response',
         'started',
-        'waits_since',
+        'watch',
     )
 
     def __init__(
@@ -84,14 +79,11 @@
         self.check_chain = check_chain
         self.avoided: set[str] = set()
         self.last_error: StepError | None = None
-        self.last_number: int | None = None
+        self.cursor = EventCursor(context.request.last_event)
         self.started = False
-        self.has_event = False
-        self.waits_since = context.arrived_at
+        self.watch = ChainWatch(state, context.rule)
         self.final: EndpointAnswer | None = None
         self.start_response: Callable[..., Any] | None = None
-        if context.request.last_event.isdecimal():
-            self.last_number = int(context.request.last_event)
 
     def serve(self, start_response: Callable[..., Any]) -> Iterator[bytes]:
         """Run the stream; give the parts of its answer."""
@@ -113,7 +105,7 @@
 
     def may_repeat(self) -> bool:
         """Tell also whether the stream could go on where it was."""
-        can_resume = not self.started or self.last_number is not None
+        can_resume = not self.started or self.cursor.is_numbered
         return can_resume and super().may_repeat()
 
     def _choose(self) -> Chain | None:
@@ -165,13 +157,10 @@
         attempt: EndpointTry,
         chain: Chain,
     ) -> Iterator[bytes]:
-        resumed = '' if self.last_number is None else str(self.last_number)
         until = self.context.until
-        self.send(attempt, chain.head, until, chain, resumed)
-        self.waits_since = time.monotonic()
-        self.has_event = False
-        first_by = self._first_event_by()
-        head = self._read_patiently(attempt.read_head, first_by, chain)
+        self.send(attempt, chain.head, until, chain, self.cursor.resumes_at)
+        self.watch.begin(chain)
+        head = self._read_patiently(attempt.read_head, chain)
         headers = decode_headers(head)
         marks = self.state.wire.read_marks(head.status_code, headers)
         if marks.not_run:
@@ -191,7 +180,7 @@
             )
         if marks.is_encoded:
             raise TryError(wrong_answer(chain.head.address))
-        yield from self._relay(attempt, chain, headers, first_by)
+        yield from self._relay(attempt, chain, headers)
         return True
 
     def _relay(
@@ -199,73 +188,39 @@
         attempt: EndpointTry,
         chain: Chain,
         headers: tuple[tuple[str, str], ...],
-        first_by: float,
     ) -> Iterator[bytes]:
         splitter = EventSplitter()
-        next_by = first_by
         while True:
-            part = self._read_patiently(attempt.read_part, next_by, chain)
+            part = self._read_patiently(attempt.read_part, chain)
             if part is None:
                 break
             events = self._new_events(splitter.feed(part), chain)
             if events:
-                self._note_event(chain)
+                self.watch.note_event()
                 self._start(headers)
                 yield b''.join(events)
-                next_by = self.waits_since + self._silent_seconds(chain)
         self._start(headers)
         if splitter.rest:
             yield splitter.rest
 
-    def _note_event(self, chain: Chain) -> None:
-        head_id = chain.head.endpoint_id
-        now = time.monotonic()
-        gap = now - self.waits_since if self.has_event else 0
-        if gap:
-            self.state.activity.note_event(head_id, gap, now)
-        self.has_event = True
-        self.waits_since = now
-        self.state.suspects.trust(head_id)
-
-    def _silent_seconds(self, chain: Chain) -> float:
-        head_id = chain.head.endpoint_id
-        streams = self.state.chains.in_flight[head_id]
-        return self.state.activity.silent_seconds(head_id, streams)
-
     def _new_events(
         self,
         events: list[StreamEvent],
         chain: Chain,
     ) -> list[bytes]:
         """Leave out what the client has, and refuse what leaves a gap."""
-        fresh: list[bytes] = []
-        for event in events:
-            if self._is_old(event):
-                continue
-            if self._leaves_gap(event):
-                raise TryError(wrong_answer(chain.head.address))
-            if event.number is not None:
-                self.last_number = event.number
-            fresh.append(event.raw)
+        fresh = self.cursor.take(events)
+        if fresh is None:
+            raise TryError(wrong_answer(chain.head.address))
         return fresh
 
-    def _is_old(self, event: StreamEvent) -> bool:
-        if event.number is None or self.last_number is None:
-            return False
-        return event.number <= self.last_number
-
-    def _leaves_gap(self, event: StreamEvent) -> bool:
-        if event.number is None or self.last_number is None:
-            return False
-        return event.number > self.last_number + 1
-
     def _read_patiently(
         self,
         read: Callable[[float], Any],
-        until: float,
         chain: Chain,
     ) -> Any:
         """Read on until another chain can take over, or the time is up."""
+        until = self.watch.silent_at
         while True:
             try:
                 return read(min(until, self.context.until))
@@ -278,32 +233,17 @@
     def _must_leave(self, chain: Chain, now: float) -> bool:
         if now >= self.context.until:
             return True
-        if self._is_alive(chain, now):
+        if self.watch.is_alive(now, started=self.started):
             return False
         self._note_silence(chain, now)
         return self._can_move(now)
 
-    def _is_alive(self, chain: Chain, now: float) -> bool:
-        """Tell whether this stream only waits its turn, for a while."""
-        head_id = chain.head.endpoint_id
-        streams = self.state.chains.in_flight[head_id]
-        if self.state.activity.is_silent(head_id, streams, now):
-            return False
-        return now < self.waits_since + self._patience()
-
-    def _patience(self) -> float:
-        """Give how long a stream may wait on a chain that works."""
-        rule = self.context.rule
-        if self.started:
-            return TURN_FACTOR * rule.event_gap_seconds
-        return rule.target_seconds
-
     def _can_move(self, now: float) -> bool:
         context = self.context
         rule = context.rule
         if not rule.may_repeat or context.runs + 1 >= rule.max_tries:
             return False
-        if self.started and self.last_number is None:
+        if self.started and not self.cursor.is_numbered:
             return False
         if not self.is_allowed() or not self.budget.has_left(now):
             return False
@@ -325,15 +265,11 @@
         self.note(
             'silent',
             peer=head.address,
-            last=self.last_number,
-            waited=round(now - self.waits_since, 3),
+            last=self.cursor.last_number,
+            waited=round(now - self.watch.waits_since, 3),
         )
         self.check_chain(chain, 'silent')
 
-    def _first_event_by(self) -> float:
-        patience = FIRST_EVENT_SHARE * self.context.rule.target_seconds
-        return time.monotonic() + patience
-
     def _start(self, headers: tuple[tuple[str, str], ...]) -> None:
         if not self.started:
             self.started = True
@@ -355,8 +291,8 @@
             return False
         if self.started:
             return False
-        request_id = self.context.request.request_id
-        yield start_answer(answer, request_id, self.start_response)
+        own_headers = self.state.wire.own_headers(self.context.request)
+        yield start_answer(answer, own_headers, self.start_response)
         return True
 
     def _end_without(self) -> Iterator[bytes]:
@@ -367,15 +303,15 @@
             started=self.started,
             runs=self.context.runs,
             client_left=self.context.watch.has_left,
-            last=self.last_number,
+            last=self.cursor.last_number,
         )
         if self.started:
             self.state.count('stream-cut', self._reason)
             raise AnswerCutOff(self._reason)
         answer = self.final or self._own_answer()
         self.state.count('own-answer', self._reason)
-        request_id = self.context.request.request_id
-        yield start_answer(answer, request_id, self.start_response)
+        own_headers = self.state.wire.own_headers(self.context.request)
+        yield start_answer(answer, own_headers, self.start_response)
 
     @property
     def _reason(self) -> str:
@@ -435,7 +371,7 @@
             outcome=error.outcome,
             reason=error.reason,
             client_left=has_left,
-            last=self.last_number,
+            last=self.cursor.last_number,
         )
         if not has_left and error.reason is not Reason.TIMEOUT:
             now = time.monotonic()
--- /dev/null
+++ b/wigeonspoke/ingress/tests/test_event_cursor.py
@@ -0,0 +1,42 @@
+"""Events that are left out, passed on, or show that one is missing."""
+
+import pytest
+
+from wigeonspoke.ingress.event_cursor import EventCursor
+from wigeonspoke.ingress.event_splitter import StreamEvent
+
+
+@pytest.mark.parametrize(
+    ('resumed_after', 'numbers', 'passed'),
+    [
+        ('', [1, 2, 3], [1, 2, 3]),
+        ('', [7, 8], [7, 8]),
+        ('2', [1, 2, 3], [3]),
+        ('2', [3, 4], [3, 4]),
+        ('2', [4], None),
+        ('', [1, 3], None),
+        ('', [0, 1], [0, 1]),
+        ('', [None, 1, None, 2], [None, 1, None, 2]),
+        ('', [1, 1, 2], [1, 2]),
+        ('soon', [5], [5]),
+    ],
+)
+def test_events_pass_once_and_in_order(resumed_after, numbers, passed):
+    cursor = EventCursor(resumed_after)
+    events = [StreamEvent(str(number).encode(), number) for number in numbers]
+    fresh = cursor.take(events)
+    expected = None
+    if passed is not None:
+        expected = [str(number).encode() for number in passed]
+    assert fresh == expected
+
+
+@pytest.mark.parametrize(
+    ('resumed_after', 'numbers', 'resumes_at'),
+    [('', [], ''), ('4', [], '4'), ('', [None], ''), ('', [3, None], '3')],
+)
+def test_where_a_stream_goes_on(resumed_after, numbers, resumes_at):
+    cursor = EventCursor(resumed_after)
+    cursor.take([StreamEvent(b'', number) for number in numbers])
+    assert cursor.resumes_at == resumes_at
+    assert cursor.is_numbered == bool(resumes_at)
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -87,6 +87,11 @@
     return (*request.headers, *added)
 
 
+def own_headers(request: ClientRequest) -> HeaderList:
+    """Give the headers of an answer of ours to a request."""
+    return ((REQUEST_ID, request.request_id),)
+
+
 def describe_chain(chain: Chain) -> str:
     """Give a chain as the engines of the platform read it."""
     return ','.join(
--- a/wigeonspoke/platform/tests/test_names.py
+++ b/wigeonspoke/platform/tests/test_names.py
@@ -9,6 +9,7 @@
 NAMES = re.compile(
     'Hop-Count|Expect-Instance|Not-Executed|Response-Signature|At-Server|'
     'Token-Usage|Prompt-Prefix|Deadline-Ms|rows-tx|rows-feed|rows-get|'
+    '(?<!-)Request-Id|Credential|Weight-Versions|Request-Urgency|Length-Hint|'
     'path-prefix|target-latency-ms|WIGEONSPOKE_CONFIG|drain-mode',
 )
 SOURCES = sorted(
--- a/wigeonspoke/platform/wire_format.py
+++ b/wigeonspoke/platform/wire_format.py
@@ -31,6 +31,10 @@
         """Give the headers that an endpoint gets with a request."""
         return headers.encode_headers(request, hand)
 
+    def own_headers(self, request: ClientRequest) -> HeaderList:
+        """Give the headers that tell a client whose answer of ours it is."""
+        return headers.own_headers(request)
+
     def read_marks(self, status: int, given: HeaderList) -> AnswerMarks:
         """Read the marks of an endpoint's answer."""
         return headers.read_marks(status, given)
