Take a steward for gone only where silence tells that

Cause: read as a newcomer, the takeover of a lease took any node not heard of for gone. With more than eight peers a round reaches four, and nodes that live are not heard of for longer than the patience: their leases would be taken all the time.

Change: silence is enough where each round reaches every node; else a holder is gone when it did not answer a peer and nothing later was heard of it. A test with addresses that never answer fails without this.

--- a/wigeonspoke/core/leases/lease.py
+++ b/wigeonspoke/core/leases/lease.py
@@ -6,7 +6,6 @@
 """
 
 import enum
-from collections.abc import Container
 
 import msgspec
 
@@ -98,12 +97,13 @@
         self,
         seen: SeenLease,
         store_now: float,
-        present: Container[str] | None = None,
+        *,
+        is_gone: bool = False,
     ) -> LeaseStep:
         """Decide about a lease as it was read.
 
-        ``present`` names the nodes that are heard of; none at all means that
-        this node cannot tell.
+        ``is_gone`` tells that the holder is surely not there any more, as
+        far as its peers know.
         """
         row = seen.row
         if row is not None and row.holder == self.holder:
@@ -111,7 +111,7 @@
         if row is None:
             return self._take_if_own()
         until = row.until
-        if present is not None and row.holder not in present:
+        if is_gone:
             until += GONE_SECONDS - LEASE_SECONDS
         patience = 0 if self.is_own_domain else FOREIGN_SECONDS
         if store_now > until + patience:
--- a/wigeonspoke/core/tests/test_ingress_core.py
+++ b/wigeonspoke/core/tests/test_ingress_core.py
@@ -150,28 +150,22 @@
 
 
 @pytest.mark.parametrize(
-    ('is_own', 'written_at', 'present', 'step'),
+    ('is_own', 'written_at', 'is_gone', 'step'),
     [
-        # Nothing is known of peers as yet.
-        (True, 7.0, None, LeaseStep.WAIT),
-        (True, 7.0, {'other'}, LeaseStep.WAIT),
-        (True, 7.0, {'third'}, LeaseStep.TAKE),
+        (True, 7.0, False, LeaseStep.WAIT),
+        (True, 7.0, True, LeaseStep.TAKE),
         # It may have been written after its holder was last heard of.
-        (True, 9.0, {'third'}, LeaseStep.WAIT),
-        (False, 7.0, {'third'}, LeaseStep.WAIT),
-        (False, 2.0, {'third'}, LeaseStep.TAKE),
-        (False, 2.0, {'other'}, LeaseStep.WAIT),
+        (True, 9.0, True, LeaseStep.WAIT),
+        (False, 7.0, True, LeaseStep.WAIT),
+        (False, 2.0, True, LeaseStep.TAKE),
+        (False, 2.0, False, LeaseStep.WAIT),
     ],
 )
-def test_the_lease_of_a_node_that_is_not_heard(
-    is_own,
-    written_at,
-    present,
-    step,
-):
+def test_the_lease_of_a_node_that_is_gone(is_own, written_at, is_gone, step):
     keeper = LeaseKeeper('one', 'me', is_own)
     row = LeaseRow('other', written_at + LEASE_SECONDS)
-    assert keeper.judge(SeenLease(3, row), 10.0, present) is step
+    judged = keeper.judge(SeenLease(3, row), 10.0, is_gone=is_gone)
+    assert judged is step
 
 
 def test_a_renewal_that_failed_is_not_tried_again_at_once():
--- a/wigeonspoke/ingress/lease_loop.py
+++ b/wigeonspoke/ingress/lease_loop.py
@@ -126,14 +126,18 @@
 
     def _judge(self, keeper: LeaseKeeper) -> LeaseStep:
         now = lease_clock()
-        present = None
-        if now >= self.started_at + MEET_SECONDS:
-            present = self.state.present_nodes
         seen = self.seen.get(keeper.domain, SeenLease(0))
         told = self.state.told_leases.get(keeper.domain)
         if seen.row is not None and told and told.until > seen.row.until:
             seen = SeenLease(seen.version, told)
-        return keeper.judge(seen, now + self.store_ahead, present)
+        has_met = now >= self.started_at + MEET_SECONDS
+        return keeper.judge(
+            seen,
+            now + self.store_ahead,
+            is_gone=has_met
+            and seen.row is not None
+            and self.state.is_gone(seen.row.holder),
+        )
 
     def _read(self, now: float) -> None:
         self.read_at = now
--- a/wigeonspoke/ingress/peer_talk.py
+++ b/wigeonspoke/ingress/peer_talk.py
@@ -101,6 +101,7 @@
         while True:
             for address in self.state.peers:
                 self.exchange.meet(address)
+            self.state.hears_all_peers = self.exchange.is_small
             # An exchange goes both ways: one a round is enough for a pair.
             heard_before = time.monotonic() - ROUND_SECONDS
             for peer in self.exchange.choose_peers():
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -29,6 +29,7 @@
         'chains',
         'counters',
         'fleet',
+        'hears_all_peers',
         'kept_connections',
         'leases',
         'log',
@@ -61,6 +62,8 @@
         self.registered_nodes = ASSUMED_NODES
         self.store_failed_at = -math.inf
         self.peer_book = PeerBook()
+        # Whether each round of talk reaches every node.
+        self.hears_all_peers = True
         self.peers: set[str] = set(settings.seeds)
         # When the leases that this node holds end, by failure domain.
         self.leases: dict[str, float] = {}
@@ -132,6 +135,19 @@
         """Count something that happened."""
         self.counters[name, reason] += 1
 
+    def is_gone(self, name: str) -> bool:
+        """Tell whether a node is not there any more.
+
+        In a small deployment each node hears every other within a round or
+        two.  In a large one a node that is not heard of may just not have
+        had its turn: only one that did not answer a peer is gone.
+        """
+        if name in self.present_nodes:
+            return False
+        if self.hears_all_peers:
+            return True
+        return name in {name_of(start) for start in self.peer_book.departures}
+
 
 def name_of(start: str) -> str:
     """Give the name of a node whose start goes by ``NAME#TAG``."""
--- a/wigeonspoke/platform/tests/test_relay.py
+++ b/wigeonspoke/platform/tests/test_relay.py
@@ -161,6 +161,21 @@
     assert _keepers(world.node)['one'].fence == fence
 
 
+def test_in_a_large_deployment_only_one_that_did_not_answer_is_gone(
+    world,
+    second,
+):
+    state = second.state
+    world.wait(lambda: state.present_nodes == {'node-1'})
+    for number in range(12):
+        second.talk.exchange.meet(f'127.0.0.1:{number + 1}')
+    world.wait(lambda: not state.hears_all_peers, seconds=2)
+    assert not state.is_gone('never-heard')
+    assert not state.is_gone('node-1')
+    _stop(world.node)
+    world.wait(lambda: state.is_gone('node-1'), seconds=8)
+
+
 def test_peers_know_what_each_other_has_in_flight(world, second):
     head = 'e-one-0'
     world.node.state.chains.in_flight[head] = 5
