Log a peer's table that cannot be read, and ask a peer that is gone less often

Cause: found on reading: the relay had lost its line for an unreadable table, and a node that was behind asked a peer that did not answer ten times a second.

--- a/wigeonspoke/ingress/feeds.py
+++ b/wigeonspoke/ingress/feeds.py
@@ -236,8 +236,8 @@
                 self.copy.known,
                 time.monotonic() - grace,
             )
-            if peer:
-                self._ask_peer(peer)
+            if peer and not self._ask_peer(peer):
+                eventlet.sleep(GRACE_SECONDS)
 
     def _gather_seconds(self) -> float:
         """Give how long to let changes come together, more in a burst."""
@@ -288,12 +288,20 @@
         self.copy.replace(rows, version)
         self.feed.take_all(rows)
 
-    def _ask_peer(self, peer: str) -> None:
-        """Take a peer's table, if it is newer than what is known."""
+    def _ask_peer(self, peer: str) -> bool:
+        """Take a peer's table if it is newer; tell whether it was there."""
         known = self.copy.known
-        relayed = ask_table(self.client, peer, self.feed.table, known)
-        if relayed is None or relayed.version <= self.copy.known:
-            return
+        relayed = ask_table(
+            self.client,
+            self.state.log,
+            peer,
+            self.feed.table,
+            known,
+        )
+        if relayed is None:
+            return False
+        if relayed.version <= self.copy.known:
+            return True
         self.state.log.write(
             'told-by-peer',
             peer=peer,
@@ -303,6 +311,7 @@
             age_seconds=round(relayed.age, 3),
         )
         self._take_relayed(relayed)
+        return True
 
     def _take_relayed(self, relayed: RelayedTable) -> None:
         rows = tuple(
--- a/wigeonspoke/ingress/relay.py
+++ b/wigeonspoke/ingress/relay.py
@@ -13,6 +13,7 @@
 import msgspec
 from returns.result import Success
 
+from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.store import TableRow
 from wigeonspoke.transport import HttpClient
 
@@ -189,6 +190,7 @@
 
 def ask_table(
     client: HttpClient,
+    log: DecisionLog,
     peer: str,
     name: str,
     known: int,
@@ -200,4 +202,5 @@
     try:
         return msgspec.json.decode(asked.unwrap().body, type=RelayedTable)
     except msgspec.MsgspecError:
+        log.write('peer-unreadable', peer=peer, step='table', table=name)
         return None
