Use one reader of chunks and one look at waiting bytes

Cause: read over once more, the answers' reader of chunks stood beside that of requests with the same pattern and bounds; three places looked at a socket for waiting bytes, each in its own way; and a node built the set of peers it hears for each failure domain, ten times a second, with the same loop in two places.

Change: request bodies go through ChunkedBody, read so that no byte behind them is taken; transport.peek serves the watch on clients, kept connections and the stand-ins; LeaseLoop asks once a round which leases are to be taken. The bound on trailers is the tighter one of the two, that of requests. The doc of ChainRoom tells that it counts the streams of all nodes.

Conclusion: one copy each of the chunk format and of the look at a socket.

--- a/wigeonspoke/core/chains/room.py
+++ b/wigeonspoke/core/chains/room.py
@@ -1,14 +1,15 @@
-"""How many requests of a node a chain can hold, learnt from refusals.
+"""How many requests a chain can hold, learnt from refusals.
 
 The load pattern it answers: a chain whose engines have little memory left
 refuses what is over, and every refusal costs a try of the retry budget that
-all nodes share.  A node therefore keeps to what the chain held when it last
-refused, and feels its way up again while the chain takes what it is given.
+all nodes share.  A node therefore keeps to what the chain held of all nodes
+when it last refused, and feels its way up again while the chain takes what it
+is given.
 """
 
 import msgspec
 
-# Below what was in flight at a refusal: the other nodes go on sending.
+# Below what was in flight at a refusal: what others send is heard late.
 BACK_OFF = 0.9
 # Requests a second by which a limit rises again.
 RISE_A_SECOND = 4.0
--- a/wigeonspoke/ingress/client_watch.py
+++ b/wigeonspoke/ingress/client_watch.py
@@ -7,6 +7,8 @@
 import eventlet
 from eventlet.hubs import trampoline
 
+from wigeonspoke.transport import peek
+
 
 class ClientWatch:
     """Calls back once when a client closes its connection.
@@ -38,15 +40,7 @@
             self.on_left()
 
     def _sees_request(self) -> bool:
-        return bool(self._peek())
+        return bool(peek(self.sock))
 
     def _sees_end(self) -> bool:
-        return self._peek() == b''
-
-    def _peek(self) -> bytes | None:
-        try:
-            return self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b''
+        return peek(self.sock) == b''
--- a/wigeonspoke/ingress/kept_connections.py
+++ b/wigeonspoke/ingress/kept_connections.py
@@ -7,7 +7,6 @@
 not run twice never goes over one.
 """
 
-import select
 import time
 from collections import defaultdict, deque
 from contextlib import suppress
@@ -15,14 +14,13 @@
 import eventlet
 import msgspec
 from eventlet.green import socket as green_socket
-from eventlet.patcher import original
+
+from wigeonspoke.transport import peek
 
 KEEP_SECONDS = 2.0
 SWEEP_SECONDS = 0.5
 KEPT_PER_PEER = 16
 
-_poll = original('select').poll
-
 
 class _Kept(msgspec.Struct):
     sock: green_socket.socket
@@ -42,7 +40,8 @@
         kept = self.by_peer.get(peer)
         while kept:
             newest = kept.pop()
-            if newest.until > time.monotonic() and not _has_bytes(newest.sock):
+            is_quiet = peek(newest.sock.fd) is None
+            if is_quiet and newest.until > time.monotonic():
                 return newest.sock
             _close(newest.sock)
         return None
@@ -75,13 +74,6 @@
                 self.by_peer.pop(peer)
 
 
-def _has_bytes(sock: green_socket.socket) -> bool:
-    """Tell whether bytes, an end or an error wait on a connection."""
-    poll = _poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _close(sock: green_socket.socket) -> None:
     with suppress(OSError):
         sock.close()
--- a/wigeonspoke/ingress/lease_loop.py
+++ b/wigeonspoke/ingress/lease_loop.py
@@ -119,12 +119,19 @@
             return True
         if now < self.read_at + READ_AGAIN_SECONDS:
             return False
-        return any(
-            not keeper.is_held and self._judge(keeper) is not LeaseStep.WAIT
+        return bool(self._due())
+
+    def _due(self) -> list[LeaseKeeper]:
+        """Give those whose lease is to be taken, as far as is known."""
+        present = self.state.present_nodes
+        return [
+            keeper
             for keeper in self.keepers.values()
-        )
+            if not keeper.is_held
+            and self._judge(keeper, present) is not LeaseStep.WAIT
+        ]
 
-    def _judge(self, keeper: LeaseKeeper) -> LeaseStep:
+    def _judge(self, keeper: LeaseKeeper, present: set[str]) -> LeaseStep:
         now = lease_clock()
         seen = self.seen.get(keeper.domain, SeenLease(0))
         told = self.state.told_leases.get(keeper.domain)
@@ -136,7 +143,7 @@
             now + self.store_ahead,
             is_gone=has_met
             and seen.row is not None
-            and self.state.is_gone(seen.row.holder),
+            and self.state.is_gone(seen.row.holder, present),
         )
 
     def _read(self, now: float) -> None:
@@ -156,10 +163,9 @@
         self.seen = _decode_rows(page)
         self.store_ahead = page.store_seconds - lease_clock()
         self._note_nodes(page.store_seconds)
-        for keeper in self.keepers.values():
-            if not keeper.is_held and self._judge(keeper) is not LeaseStep.WAIT:
-                seen = self.seen.get(keeper.domain, SeenLease(0))
-                self._write(keeper, seen.version)
+        for keeper in self._due():
+            seen = self.seen.get(keeper.domain, SeenLease(0))
+            self._write(keeper, seen.version)
 
     def _note_nodes(self, store_now: float) -> None:
         """Take in which nodes have told of themselves, and tell of this."""
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -135,14 +135,16 @@
         """Count something that happened."""
         self.counters[name, reason] += 1
 
-    def is_gone(self, name: str) -> bool:
+    def is_gone(self, name: str, present: set[str]) -> bool:
         """Tell whether a node is not there any more.
 
+        ``present`` names the nodes heard of lately, for many questions.
+
         In a small deployment each node hears every other within a round or
         two.  In a large one a node that is not heard of may just not have
         had its turn: only one that did not answer a peer is gone.
         """
-        if name in self.present_nodes:
+        if name in present:
             return False
         if self.hears_all_peers:
             return True
--- a/wigeonspoke/platform/standins/raw_server.py
+++ b/wigeonspoke/platform/standins/raw_server.py
@@ -13,6 +13,8 @@
 import msgspec
 from eventlet.greenio import shutdown_safe
 
+from wigeonspoke.transport import peek
+
 READ_BYTES = 65536
 LINGER_RESET = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 
@@ -57,12 +59,7 @@
 
     def has_left(self) -> bool:
         """Tell whether the other side has closed the connection."""
-        try:
-            return self.sock.fd.recv(1, socket.MSG_PEEK) == b''
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return peek(self.sock.fd) == b''
 
     def reset(self) -> None:
         """End the connection with a reset."""
--- a/wigeonspoke/platform/tests/test_relay.py
+++ b/wigeonspoke/platform/tests/test_relay.py
@@ -170,10 +170,10 @@
     for number in range(12):
         second.talk.exchange.meet(f'127.0.0.1:{number + 1}')
     world.wait(lambda: not state.hears_all_peers, seconds=2)
-    assert not state.is_gone('never-heard')
-    assert not state.is_gone('node-1')
+    assert not state.is_gone('never-heard', state.present_nodes)
+    assert not state.is_gone('node-1', state.present_nodes)
     _stop(world.node)
-    world.wait(lambda: state.is_gone('node-1'), seconds=8)
+    world.wait(lambda: state.is_gone('node-1', state.present_nodes), seconds=8)
 
 
 def test_peers_know_what_each_other_has_in_flight(world, second):
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -8,6 +8,7 @@
     read_lines,
 )
 from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
+from wigeonspoke.transport.peeking import peek
 from wigeonspoke.transport.request_body import read_request_body
 from wigeonspoke.transport.request_head import HeadError
 
@@ -20,6 +21,7 @@
     'HttpListener',
     'HttpReply',
     'ListenerLimits',
+    'peek',
     'read_lines',
     'read_request_body',
 )
--- a/wigeonspoke/transport/chunked_body.py
+++ b/wigeonspoke/transport/chunked_body.py
@@ -1,4 +1,4 @@
-"""Taking a body in chunks apart as its bytes come.
+"""Taking a body in chunks apart as its bytes come, of requests and answers.
 
 Streams of events consist of many small chunks; a general parser of HTTP
 spends more on each than all the rest of passing it on.
@@ -7,6 +7,7 @@
 import re
 
 MAX_LINE = 1024
+# With the empty line that ends them.
 MAX_TRAILERS = 16
 HEXADECIMAL = 16
 LINE_END = b'\r\n'
@@ -112,5 +113,5 @@
             self.is_whole = True
             return
         self.trailers += 1
-        if self.trailers > MAX_TRAILERS:
+        if self.trailers >= MAX_TRAILERS:
             raise ChunkError('trailers')
--- a/wigeonspoke/transport/request_body.py
+++ b/wigeonspoke/transport/request_body.py
@@ -1,17 +1,16 @@
 """Reading of a request's body, whole and within a size."""
 
 import http
-import re
 from typing import Any, BinaryIO
 
+from wigeonspoke.transport.chunked_body import (
+    LINE_END,
+    MAX_LINE,
+    ChunkedBody,
+    ChunkError,
+)
 from wigeonspoke.transport.request_head import HeadError
 
-MAX_CHUNK_LINE = 1024
-MAX_TRAILERS = 16
-HEXADECIMAL = 16
-
-_CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]{1,8})(?:[ \t]*;[^\r\n\x00]*)?\r\n')
-
 
 def read_request_body(environ: dict[str, Any], max_bytes: int) -> bytes:
     """Read the whole body of a request that :class:`HttpListener` serves.
@@ -38,36 +37,34 @@
 
 
 def _read_chunks(source: BinaryIO, max_bytes: int) -> bytes:
+    body = ChunkedBody()
     parts: list[bytes] = []
     left = max_bytes
-    while True:
-        matched = _CHUNK_LINE.fullmatch(source.readline(MAX_CHUNK_LINE))
-        if matched is None:
-            raise HeadError(http.HTTPStatus.BAD_REQUEST, 'size of a chunk')
-        size = int(matched[1], HEXADECIMAL)
-        if not size:
-            _skip_trailers(source)
-            return b''.join(parts)
-        left -= size
+    while not body.is_whole:
+        left -= body.left
         if left < 0:
             raise _too_large()
-        parts.append(_read_chunk(source, size))
+        try:
+            parts.append(body.feed(_read_piece(source, body.left)))
+        except ChunkError as error:
+            problem = str(error)
+            raise HeadError(http.HTTPStatus.BAD_REQUEST, problem) from error
+    return b''.join(parts)
 
 
-def _read_chunk(source: BinaryIO, size: int) -> bytes:
+def _read_piece(source: BinaryIO, size: int) -> bytes:
+    """Read the data of a chunk, or a line, and no byte that follows it."""
+    if not size:
+        line = source.readline(MAX_LINE)
+        if not line.endswith(LINE_END):
+            raise ChunkError('line of a chunk')
+        return line
     chunk = source.read(size)
-    if len(chunk) < size or source.read(2) != b'\r\n':
-        raise HeadError(http.HTTPStatus.BAD_REQUEST, 'end of a chunk')
+    if len(chunk) < size:
+        raise ChunkError('end of a chunk')
     return chunk
 
 
-def _skip_trailers(source: BinaryIO) -> None:
-    for _ in range(MAX_TRAILERS):
-        if source.readline(MAX_CHUNK_LINE) == b'\r\n':
-            return
-    raise HeadError(http.HTTPStatus.BAD_REQUEST, 'trailers')
-
-
 def _too_large() -> HeadError:
     return HeadError(
         http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
