Note a failed try, and decode the store's rows, in one place each

Cause: read over once more, the runs of calls and of streams counted and logged a failed try with the same lines, and three records were decoded by the same five lines.

Change: RequestRun.note_failed does the first for both, records._decode the second. A stream's line has the same facts as before, a call's too.

Conclusion: one place each.

--- a/wigeonspoke/ingress/call_run.py
+++ b/wigeonspoke/ingress/call_run.py
@@ -33,12 +33,11 @@
 class CallRun(RequestRun):
     """Runs a call at one replica, or at several if that is allowed."""
 
-    __slots__ = ('avoided', 'last_error', 'spare')
+    __slots__ = ('avoided', 'spare')
 
     def __init__(self, state: IngressState, context: RequestContext) -> None:
         super().__init__(state, context)
         self.avoided: set[str] = set()
-        self.last_error: StepError | None = None
         # An error of the application, kept in case no other try does better.
         self.spare: EndpointAnswer | None = None
 
@@ -148,25 +147,13 @@
         return answer
 
     def _note_error(self, replica: Endpoint, error: StepError) -> None:
-        now = time.monotonic()
-        self.last_error = error
-        if error.outcome is not Outcome.NOT_RUN:
-            self.context.runs += 1
-        has_left = self.context.watch.has_left
-        if error.reason is Reason.TIMEOUT and not has_left:
-            self.state.replicas.note_slow(replica)
-        elif not has_left:
-            self.state.replicas.note_failure(replica, error.reason, now)
-        self.state.count('try-failed', error.reason)
-        self.note(
-            'try-failed',
-            peer=replica.address,
-            endpoint=replica.endpoint_id,
-            step=error.step,
-            outcome=error.outcome,
-            reason=error.reason,
-            client_left=has_left,
-        )
+        if not self.context.watch.has_left:
+            if error.reason is Reason.TIMEOUT:
+                self.state.replicas.note_slow(replica)
+            else:
+                now = time.monotonic()
+                self.state.replicas.note_failure(replica, error.reason, now)
+        self.note_failed(replica, error)
 
     def _own_answer(self) -> OwnAnswer:
         if self.context.runs:
--- a/wigeonspoke/ingress/request_run.py
+++ b/wigeonspoke/ingress/request_run.py
@@ -34,11 +34,12 @@
 class RequestRun:
     """The part of a run that does not depend on the kind of request."""
 
-    __slots__ = ('context', 'service', 'state')
+    __slots__ = ('context', 'last_error', 'service', 'state')
 
     def __init__(self, state: IngressState, context: RequestContext) -> None:
         self.state = state
         self.context = context
+        self.last_error: StepError | None = None
         self.service = choose_target(
             context.rule.targets,
             state.random.random(),
@@ -112,6 +113,28 @@
         self.context.watch.on_left = None
         attempt.close()
 
+    def note_failed(
+        self,
+        endpoint: Endpoint,
+        error: StepError,
+        **facts: object,
+    ) -> None:
+        """Take in that a try got no answer of the request's own."""
+        self.last_error = error
+        if error.outcome is not Outcome.NOT_RUN:
+            self.context.runs += 1
+        self.state.count('try-failed', str(error.reason))
+        self.note(
+            'try-failed',
+            peer=endpoint.address,
+            endpoint=endpoint.endpoint_id,
+            step=error.step,
+            outcome=error.outcome,
+            reason=error.reason,
+            client_left=self.context.watch.has_left,
+            **facts,
+        )
+
     def is_allowed(self) -> bool:
         """Tell whether the configuration in force still allows the run."""
         context = self.context
--- a/wigeonspoke/ingress/stream_run.py
+++ b/wigeonspoke/ingress/stream_run.py
@@ -63,7 +63,6 @@
         'check_chain',
         'cursor',
         'final',
-        'last_error',
         'start_response',
         'started',
         'watch',
@@ -78,7 +77,6 @@
         super().__init__(state, context)
         self.check_chain = check_chain
         self.avoided: set[str] = set()
-        self.last_error: StepError | None = None
         self.cursor = EventCursor(context.request.last_event)
         self.started = False
         self.watch = ChainWatch(state, context.rule)
@@ -359,20 +357,7 @@
             # The try was ended by us; what its connection said then is
             # nothing against the engine.
             error = msgspec.structs.replace(error, reason=Reason.CALLER_GONE)
-        self.last_error = error
-        if error.outcome is not Outcome.NOT_RUN:
-            self.context.runs += 1
-        self.state.count('try-failed', str(error.reason))
-        self.note(
-            'try-failed',
-            peer=chain.head.address,
-            endpoint=chain.head.endpoint_id,
-            step=error.step,
-            outcome=error.outcome,
-            reason=error.reason,
-            client_left=has_left,
-            last=self.cursor.last_number,
-        )
+        self.note_failed(chain.head, error, last=self.cursor.last_number)
         if not has_left and error.reason is not Reason.TIMEOUT:
             now = time.monotonic()
             self.state.suspects.doubt(chain.head.endpoint_id, now)
--- a/wigeonspoke/platform/records.py
+++ b/wigeonspoke/platform/records.py
@@ -1,6 +1,6 @@
 """What operators and endpoints write into the store, decoded once."""
 
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -21,6 +21,8 @@
 MILLISECONDS = 1000
 CONFIGURATION_KEY = 'config'
 
+Shape = TypeVar('Shape')
+
 _KINDS = {
     'safe': RequestKind.SAFE,
     'unsafe': RequestKind.UNSAFE,
@@ -142,10 +144,10 @@
     body: bytes,
 ) -> Result[RoutingConfiguration, str]:
     """Decode a version of the configuration."""
-    try:
-        wire = msgspec.json.decode(body, type=_WireConfiguration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(str(error))
+    decoded = _decode(body, _WireConfiguration)
+    if not isinstance(decoded, Success):
+        return decoded
+    wire = decoded.unwrap()
     return Success(
         RoutingConfiguration(
             version=wire.version,
@@ -164,10 +166,10 @@
     Entries of other writers may hold anything; an entry that cannot be
     read, or whose state is not known, names no endpoint.
     """
-    try:
-        wire = msgspec.json.decode(body, type=_WireServer)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(str(error))
+    decoded = _decode(body, _WireServer)
+    if not isinstance(decoded, Success):
+        return decoded
+    wire = decoded.unwrap()
     if wire.state not in {'ready', 'draining'}:
         return Failure(f'state {wire.state!r}')
     if not _is_address(wire.address):
@@ -189,10 +191,10 @@
 
 def decode_report(body: bytes) -> Result[EngineState, str]:
     """Decode the report of an engine."""
-    try:
-        wire = msgspec.json.decode(body, type=_WireReport)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(str(error))
+    decoded = _decode(body, _WireReport)
+    if not isinstance(decoded, Success):
+        return decoded
+    wire = decoded.unwrap()
     return Success(
         EngineState(
             born=wire.born,
@@ -205,6 +207,13 @@
     )
 
 
+def _decode(body: bytes, shape: type[Shape]) -> Result[Shape, str]:
+    try:
+        return Success(msgspec.json.decode(body, type=shape))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(str(error))
+
+
 def _rule(wire: _WireRoute) -> Rule:
     targets = tuple(
         Target(target.service, target.weight) for target in wire.backends
