End the demo's balancer with its deployment

Its loop belonged to nobody, so each deployment that the tests of callers start went on asking its dead nodes' ports, four times a second, for the rest of the run, whoever listened there by then.

Change: the deployment keeps the loop and ends it. The test failed first: the port of a dead node was asked again within a second.

Conclusion: the flake is older than this change and may have hit any test that counts requests.

--- /dev/null
+++ b/wigeonspoke/demo/tests/test_world.py
@@ -0,0 +1,20 @@
+"""A deployment that has ended leaves nothing behind in its process."""
+
+import eventlet
+
+from wigeonspoke.demo.world import World, load_document
+
+
+def test_after_its_end_a_deployment_asks_nobody():
+    world = World(load_document('consorcio.toml'))
+    world.start()
+    host, _, port = world.nodes[0].admin.address.rpartition(':')
+    world.close()
+    # Whoever listens there next is not asked for the dead node.
+    listener = eventlet.listen((host, int(port)))
+    limit = eventlet.Timeout(1.0, exception=False)
+    came = []
+    with limit:
+        came.append(listener.accept())
+    listener.close()
+    assert not came
--- a/wigeonspoke/demo/world.py
+++ b/wigeonspoke/demo/world.py
@@ -10,6 +10,7 @@
 
 import eventlet
 import msgspec
+from eventlet.greenthread import GreenThread
 from returns.result import Success
 
 from wigeonspoke.config import ConfigStore, Questionnaire, read_answers
@@ -41,6 +42,7 @@
     __slots__ = (
         'answers',
         'balancer',
+        'checks',
         'document',
         'engines',
         'keys',
@@ -77,6 +79,7 @@
             for node in self.nodes
         )
         self.balancer = Balancer(targets)
+        self.checks: GreenThread | None = None
 
     @property
     def layers(self) -> int:
@@ -88,7 +91,7 @@
         self.store.publish(self.answers, 0, 'demo').unwrap()
         for node in self.nodes:
             node.start()
-        eventlet.spawn(self.balancer.check_forever)
+        self.checks = eventlet.spawn(self.balancer.check_forever)
         limit = eventlet.Timeout(READY_SECONDS)
         try:
             while len(self.balancer.ready) < len(self.nodes):
@@ -107,6 +110,8 @@
 
     def close(self) -> None:
         """End everything."""
+        if self.checks is not None:
+            self.checks.kill()
         for node in self.nodes:
             node.kill()
         for engine in self.engines:
