Wait for an order only as long as it may be carried out

Cause: read over once more, a node that had given an order asked the engine for its state until the order was forgotten, and forgetting is part of deciding: one that lost its lease meanwhile decided nothing more and would have asked for ever. A second order to the same engine had two such loops.

Change: Steward.is_awaited ends with the order's own due time, and is true only for the engine's last order; the loop asks it.

Conclusion: bounded.

--- a/wigeonspoke/core/placement/orders.py
+++ b/wigeonspoke/core/placement/orders.py
@@ -104,6 +104,16 @@
         if pending is not None and pending.placing == placing:
             pending.due_at = max(pending.due_at, now + BUSY_SECONDS)
 
+    def is_awaited(self, placing: Placing, now: float) -> bool:
+        """Tell whether an order is the engine's last, and may be carried out.
+
+        That ends by itself, also where nothing is decided any more.
+        """
+        pending = self.pending.get(placing.endpoint.endpoint_id)
+        if pending is None or pending.placing != placing:
+            return False
+        return now < pending.due_at
+
     def note_refused(self, placing: Placing) -> None:
         """Take in that an engine will not carry an order out."""
         self.pending.pop(placing.endpoint.endpoint_id, None)
--- a/wigeonspoke/core/tests/test_placement.py
+++ b/wigeonspoke/core/tests/test_placement.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from wigeonspoke.core.deployment import LayerRange
 from wigeonspoke.core.placement import (
+    Placing,
     Steward,
     balance_domain,
     even_room,
@@ -129,6 +131,37 @@
     assert len(steward.decide(engines, (), at)) == orders
 
 
+@pytest.mark.parametrize(
+    ('at', 'is_awaited'),
+    [
+        (2.5, True),
+        # A second, and three times what the load should take.
+        (60.0, False),
+    ],
+)
+def test_nobody_waits_for_an_order_for_ever(at, is_awaited):
+    # A steward that has lost its lease decides nothing any more.
+    steward = Steward(PROFILE)
+    engines = domain_engines('two')
+    steward.decide(engines, (), 0)
+    placing = steward.decide(engines, (), 2.0)[0]
+    steward.note_sent(placing, 2.0)
+    steward.note_accepted(placing, 2.0)
+    assert steward.is_awaited(placing, at) == is_awaited
+
+
+def test_only_the_last_order_to_an_engine_is_waited_for():
+    steward = Steward(PROFILE)
+    engines = domain_engines('two')
+    steward.decide(engines, (), 0)
+    placing = steward.decide(engines, (), 2.0)[0]
+    steward.note_sent(placing, 2.0)
+    later = Placing(placing.endpoint, LayerRange(0, 1))
+    steward.note_sent(later, 2.1)
+    assert not steward.is_awaited(placing, 2.2)
+    assert steward.is_awaited(later, 2.2)
+
+
 def test_an_order_ends_when_the_engine_holds_the_layers():
     steward = Steward(PROFILE)
     engines = domain_engines('two')
--- a/wigeonspoke/ingress/steward_loop.py
+++ b/wigeonspoke/ingress/steward_loop.py
@@ -178,7 +178,7 @@
         """Ask an engine until it holds what it was ordered to."""
         endpoint = placing.endpoint
         eventlet.sleep(POLL_SECONDS)
-        while endpoint.endpoint_id in steward.pending:
+        while steward.is_awaited(placing, time.monotonic()):
             asked = self.control.ask_state(endpoint.address, ASK_SECONDS)
             if isinstance(asked, Success):
                 found = asked.unwrap()
