Log the chains of each domain, the load of heads and the reason of probes

A chains line now tells of each change in a domain's chains, with the reason if there is none; chain-refused and silent lines show the streams known at the head and its slots; probes are counted by reason. No decision changes.

--- a/wigeonspoke/core/chains/__init__.py
+++ b/wigeonspoke/core/chains/__init__.py
@@ -2,7 +2,12 @@
 
 from wigeonspoke.core.chains.activity import ChainActivity
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
-from wigeonspoke.core.chains.paths import Chain, Hop, find_chain
+from wigeonspoke.core.chains.paths import (
+    Chain,
+    Hop,
+    explain_missing_chain,
+    find_chain,
+)
 from wigeonspoke.core.chains.peer_load import PeerLoad
 from wigeonspoke.core.chains.selector import ChainSelector
 from wigeonspoke.core.chains.suspicion import SuspectRegistry, Suspicion
@@ -16,5 +21,6 @@
     'PeerLoad',
     'SuspectRegistry',
     'Suspicion',
+    'explain_missing_chain',
     'find_chain',
 )
--- a/wigeonspoke/core/chains/paths.py
+++ b/wigeonspoke/core/chains/paths.py
@@ -75,6 +75,27 @@
     return search.run()
 
 
+def explain_missing_chain(
+    engines: Iterable[Endpoint],
+    profile: EngineProfile,
+) -> str:
+    """Return why :func:`find_chain` finds no chain over these engines.
+
+    Either no engine holds some of the layers, or every chain found has too
+    many hops.
+    """
+    covered = 0
+    for layers in sorted(
+        engine.layers for engine in engines if engine.layers is not None
+    ):
+        if layers.first > covered:
+            break
+        covered = max(covered, layers.end)
+    if covered < profile.layers:
+        return f'no engine holds layer {covered}'
+    return f'more than {MAX_HOPS} hops'
+
+
 class _Search:
     """Dijkstra's algorithm over the number of covered layers and the domain."""
 
--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -14,7 +14,11 @@
 import msgspec
 
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
-from wigeonspoke.core.chains.paths import Chain, find_chain
+from wigeonspoke.core.chains.paths import (
+    Chain,
+    explain_missing_chain,
+    find_chain,
+)
 from wigeonspoke.core.chains.peer_load import PeerLoad
 from wigeonspoke.core.chains.suspicion import SuspectRegistry
 from wigeonspoke.core.fleet import Endpoint, EngineProfile, Fleet
@@ -81,6 +85,30 @@
             self.cached_chains[service] = cached
         return cached.chains
 
+    def describe_domains(
+        self,
+        service: str,
+        profile: EngineProfile,
+    ) -> dict[str, str]:
+        """Return the chains of each failure domain as text for the log.
+
+        A domain without a chain is described by the reason.
+        """
+        engines = self._usable_engines(service)
+        domains = {engine.failure_domain for engine in engines}
+        described = {
+            domain: explain_missing_chain(
+                _engines_in_domain(engines, domain), profile
+            )
+            for domain in domains
+        }
+        for chain in self.chains(service, profile):
+            head = chain.head
+            described[head.failure_domain] = (
+                f'head {head.endpoint_id}, {len(chain.hops)} hops'
+            )
+        return described
+
     def select(
         self,
         service: str,
@@ -157,17 +185,20 @@
             self.streams_at(head.endpoint_id),
         )
 
+    def _usable_engines(self, service: str) -> list[Endpoint]:
+        return [
+            engine
+            for engine in self.fleet.of_service(service)
+            if not self.suspects.is_suspect(engine)
+        ]
+
     def _find_chains(
         self,
         service: str,
         profile: EngineProfile,
     ) -> tuple[Chain, ...]:
         """Compute the chains of a service from all engines not suspect."""
-        engines = [
-            engine
-            for engine in self.fleet.of_service(service)
-            if not self.suspects.is_suspect(engine)
-        ]
+        engines = self._usable_engines(service)
         domains = sorted({engine.failure_domain for engine in engines})
         found = [
             self._find_domain_chain(
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -9,6 +9,7 @@
 import eventlet
 
 from wigeonspoke.decisions import DecisionLog
+from wigeonspoke.ingress.chain_reporter import ChainReporter
 from wigeonspoke.ingress.front_app import FrontApp
 from wigeonspoke.ingress.lease_loop import LeaseLoop
 from wigeonspoke.ingress.metrics_page import render_counters
@@ -125,6 +126,7 @@
             ),
             self.gossip.run,
             self.state.connection_pool.run,
+            ChainReporter(self.state).run,
             self._sync_limits,
         )
 
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -61,6 +61,7 @@
 
     def _probe(self, endpoint: Endpoint, reason: str) -> None:
         """Probe an engine; suspect it only after two failures."""
+        self.state.count_event('probe', reason)
         problem = ''
         for _ in range(PROBE_ATTEMPTS):
             result = self.control.fetch_state(
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -288,6 +288,7 @@
             peer=head.address,
             last=self.cursor.last_number,
             waited=round(now - self.chain_monitor.waiting_since, 3),
+            **self._head_load(chain),
         )
         self.check_chain(chain, 'silent')
 
@@ -381,6 +382,7 @@
             peer=chain.head.address,
             status=status,
             fault=fault_address,
+            **self._head_load(chain),
         )
         self.state.suspects.deprioritize(
             chain.head.endpoint_id, time.monotonic()
@@ -392,6 +394,16 @@
             # requests have ended.
             self.excluded.discard(chain.head.endpoint_id)
 
+    def _head_load(self, chain: Chain) -> dict[str, int]:
+        """Return the load of a chain's head, as far as this node knows it."""
+        head = chain.head
+        chains = self.state.chains
+        return {
+            'own_streams': chains.in_flight[head.endpoint_id],
+            'streams': chains.streams_at(head.endpoint_id),
+            'slots': head.slots,
+        }
+
     def _record_error(self, chain: Chain, error: StepError) -> None:
         is_disconnected = self.context.disconnect_monitor.is_disconnected
         if is_disconnected:
