--- a/wigeonspoke/platform/tests/test_streams.py
+++ b/wigeonspoke/platform/tests/test_streams.py
@@ -145,6 +145,23 @@
     assert _event_ids(_request_stream(placed_harness, 'id2')[2]) == ALL_EVENTS
 
 
+# Multiplied health checks by nodes and engines: a head without a free slot was
+# treated as a faulty chain.
+def test_a_full_head_causes_no_probes_of_other_engines(placed_harness):
+    head = _head_engine(placed_harness, 'one')
+    head.is_full = True
+    others = [
+        engine
+        for engine in placed_harness.engines
+        if engine.zone == 'one' and engine is not head
+    ]
+    reports_before = sum(engine.reports for engine in others)
+    assert _event_ids(_request_stream(placed_harness)[2]) == ALL_EVENTS
+    assert len(_head_engine(placed_harness, 'two').runs) == 1
+    eventlet.sleep(0.3)
+    assert sum(engine.reports for engine in others) == reports_before
+
+
 def test_a_stream_is_cancelled_when_the_client_disconnects(placed_harness):
     head = _head_engine(placed_harness, 'one')
     head.events = 500
