Keep chains within the hops that engines accept

Cause: the platform refuses requests with more than 32 parts. The chain search knew the limit and gave up if its cheapest chain was longer; the decisions on placement did not know it. A domain of 33 engines was planned over 33 parts, so two of three domains had no chain at all. The class: a limit of the platform that a decision does not know. Repair and balancing could pass the limit too.

Evidence: all nodes log "more than 32 hops" for these domains and one chain of 32 hops for the third, whose head all refusals name.

Change: the limit is part of the engine profile. A plan uses the engines with most memory up to the limit, a repair that would pass it plans anew, balancing adds no engine beyond it, and the search returns the chain with the fewest hops if the cheapest one is too long. That suffices since fewest hops is exact: if that chain is too long, so is every other.

--- a/wigeonspoke/core/chains/paths.py
+++ b/wigeonspoke/core/chains/paths.py
@@ -8,11 +8,12 @@
 from wigeonspoke.core.deployment import LayerRange
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 
-MAX_HOPS = 32
 # Activations of whole prompts cross a link that all failure domains share, so
 # a chain crosses domains only if no chain within one domain is complete.
 DOMAIN_CROSSING_COST = 1000.0
 HOP_COST = 0.1
+# With this cost, hops outweigh everything else in the cost of a chain.
+DOMINANT_HOP_COST = 1000000.0
 
 
 class Hop(msgspec.Struct, frozen=True):
@@ -66,13 +67,17 @@
     """Find the cheapest chain that covers all layers, if there is one.
 
     Slow accelerators cost more per layer.  A hop from one failure domain to
-    another costs far more than that.
+    another costs far more than that.  If the cheapest chain has more hops than
+    engines accept, the chain with the fewest hops is returned instead.
     """
     engines_with_layers = [
         engine for engine in engines if engine.layers is not None
     ]
-    search = _Search(engines_with_layers, profile)
-    return search.run()
+    for hop_cost in (HOP_COST, DOMINANT_HOP_COST):
+        chain = _Search(engines_with_layers, profile, hop_cost).run()
+        if chain is None or len(chain.hops) <= profile.max_hops:
+            return chain
+    return None
 
 
 def explain_missing_chain(
@@ -81,8 +86,8 @@
 ) -> str:
     """Return why :func:`find_chain` finds no chain over these engines.
 
-    Either no engine holds some of the layers, or every chain found has too
-    many hops.
+    Either no engine holds some of the layers, or every chain has too many
+    hops.
     """
     covered = 0
     for layers in sorted(
@@ -93,7 +98,7 @@
         covered = max(covered, layers.end)
     if covered < profile.layers:
         return f'no engine holds layer {covered}'
-    return f'more than {MAX_HOPS} hops'
+    return f'more than {profile.max_hops} hops'
 
 
 class _Search:
@@ -103,6 +108,7 @@
         'best_costs',
         'engines_with_layers',
         'heap',
+        'hop_cost',
         'predecessors',
         'profile',
     )
@@ -111,9 +117,11 @@
         self,
         engines_with_layers: list[Endpoint],
         profile: EngineProfile,
+        hop_cost: float,
     ) -> None:
         self.engines_with_layers = engines_with_layers
         self.profile = profile
+        self.hop_cost = hop_cost
         self.heap: list[_SearchState] = [_SearchState(0, 0, '', -1)]
         self.best_costs: dict[tuple[int, str], float] = {}
         self.predecessors: dict[tuple[int, str], tuple[int, str, int]] = {}
@@ -150,12 +158,12 @@
         layer_share = (engine.layers.end - state.covered) / self.profile.layers
         crosses_domain = state.domain not in {'', engine.failure_domain}
         return (
-            HOP_COST
+            self.hop_cost
             + slowdown * layer_share
             + DOMAIN_CROSSING_COST * crosses_domain
         )
 
-    def _build_chain(self, final_state: _SearchState) -> Chain | None:
+    def _build_chain(self, final_state: _SearchState) -> Chain:
         hops: list[Hop] = []
         vertex = _vertex(final_state)
         while vertex in self.predecessors:
@@ -163,8 +171,6 @@
             layers = LayerRange(covered, vertex[0])
             hops.append(Hop(self.engines_with_layers[index], layers))
             vertex = (covered, domain)
-        if len(hops) > MAX_HOPS:
-            return None
         return Chain(tuple(reversed(hops)))
 
 
--- a/wigeonspoke/core/fleet/records.py
+++ b/wigeonspoke/core/fleet/records.py
@@ -48,7 +48,8 @@
     at most ``loads_at_once`` engines load at the same time.
     ``kv_token_bytes`` is the size of a token's key-value cache over all
     layers, and ``mean_request_tokens`` the mean length of prompt and answer
-    together.
+    together.  Engines refuse a request whose chain has more than ``max_hops``
+    engines.
     """
 
     model: str
@@ -59,6 +60,7 @@
     loads_at_once: int
     mean_request_tokens: float
     accelerators: tuple[Accelerator, ...]
+    max_hops: int
 
     def accelerator(self, name: str) -> Accelerator | None:
         """Return the kind of accelerator with a name, if there is one."""
--- a/wigeonspoke/core/placement/balance.py
+++ b/wigeonspoke/core/placement/balance.py
@@ -14,6 +14,7 @@
 from wigeonspoke.core.placement.plan import (
     Placement,
     balanced_capacity,
+    count_hops,
     token_capacity,
 )
 
@@ -47,6 +48,9 @@
     if trimmed is not None:
         return (Placement(bottleneck, trimmed),)
     empty = [engine for engine in engines if engine.layers is None]
+    if count_hops(holders, profile.layers) >= profile.max_hops:
+        # Another engine would make the chain too long.
+        empty = []
     moves = [
         _replicate_end(engine, bottleneck, capacity, profile)
         for engine in empty
--- a/wigeonspoke/core/placement/plan.py
+++ b/wigeonspoke/core/placement/plan.py
@@ -7,7 +7,7 @@
 memory.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from functools import partial
 
 import msgspec
@@ -43,8 +43,9 @@
 ) -> tuple[Placement, ...]:
     """Plan a complete copy of the model over the engines of one domain.
 
-    The plan is empty if the engines together have too little memory.
-    Engines that already hold layers keep their order, so that a new plan
+    The plan is empty if the engines together have too little memory.  If there
+    are more engines than a chain may have hops, those with the most memory are
+    used.  Engines that already hold layers keep their order, so that a new plan
     shifts boundaries instead of reloading everything.  Engines without
     layers are inserted at layer ``insert_at``.
 
@@ -54,7 +55,9 @@
 
         plan_domain([one, two], profile)
     """
-    ordered = sorted(engines, key=partial(_sort_key, insert_at))
+    ordered = sorted(
+        _largest_engines(engines, profile), key=partial(_sort_key, insert_at)
+    )
     counts = _layer_counts(ordered, profile)
     placements: list[Placement] = []
     first = 0
@@ -66,6 +69,26 @@
     return tuple(placements)
 
 
+def count_hops(engines: Iterable[Endpoint], layers: int) -> int:
+    """Return the fewest hops of a chain, 0 if the engines hold a gap."""
+    hops = 0
+    covered = 0
+    while covered < layers:
+        reached = max(
+            (
+                engine.layers.end
+                for engine in engines
+                if engine.layers is not None and engine.layers.first <= covered
+            ),
+            default=0,
+        )
+        if reached <= covered:
+            return 0
+        covered = reached
+        hops += 1
+    return hops
+
+
 def token_capacity(
     engine: Endpoint,
     layers: int,
@@ -82,6 +105,25 @@
     return free / (layers * profile.kv_token_bytes / profile.layers)
 
 
+def _largest_engines(
+    engines: Sequence[Endpoint],
+    profile: EngineProfile,
+) -> list[Endpoint]:
+    """Return as many engines as a chain may have, those with most memory.
+
+    Among engines of equal size, those that already hold layers come first.
+    """
+    by_size = sorted(
+        engines,
+        key=lambda engine: (
+            -profile.max_layers(engine.accelerator),
+            engine.layers is None,
+            engine.endpoint_id,
+        ),
+    )
+    return by_size[: profile.max_hops]
+
+
 def _sort_key(insert_at: float, engine: Endpoint) -> tuple[float, str]:
     if engine.layers is None:
         return (insert_at, engine.endpoint_id)
@@ -133,11 +175,12 @@
 
     The capacity is 0 if the engines cannot hold the whole model.
     """
+    largest = _largest_engines(engines, profile)
     capacities = [
         token_capacity(engine, count, profile)
         for engine, count in zip(
-            engines,
-            _layer_counts(engines, profile),
+            largest,
+            _layer_counts(largest, profile),
             strict=False,
         )
         if count
--- a/wigeonspoke/core/placement/repair.py
+++ b/wigeonspoke/core/placement/repair.py
@@ -16,6 +16,7 @@
 from wigeonspoke.core.placement.plan import (
     Placement,
     balanced_capacity,
+    count_hops,
     layers_to_load,
     max_layers_for_capacity,
     plan_domain,
@@ -75,6 +76,7 @@
     gaps = find_gaps(engines, profile.layers)
     if not gaps:
         return ()
+    first_gap = gaps[0]
     repaired = list(engines)
     while gaps and gaps[0] != LayerRange(0, profile.layers):
         candidate = _best_candidate(gaps[0], repaired, profile)
@@ -85,8 +87,8 @@
             for engine in repaired
         ]
         gaps = find_gaps(repaired, profile.layers)
-    if gaps:
-        return _replan(gaps[0], engines, profile)
+    if gaps or count_hops(repaired, profile.layers) > profile.max_hops:
+        return _replan(first_gap, engines, profile)
     return tuple(
         Placement(engine, repaired_engine.layers)
         for engine, repaired_engine in zip(engines, repaired, strict=True)
--- a/wigeonspoke/core/tests/fleet_examples.py
+++ b/wigeonspoke/core/tests/fleet_examples.py
@@ -20,6 +20,7 @@
         Accelerator('small', 21600.0, 16.0, 8.2),
         Accelerator('tiny', 14400.0, 15.0, 15.0),
     ),
+    max_hops=32,
 )
 # Number of engines by accelerator in each failure domain.
 DOMAINS = {
--- a/wigeonspoke/core/tests/test_large_domains.py
+++ b/wigeonspoke/core/tests/test_large_domains.py
@@ -1,8 +1,10 @@
 """Domains with memory for several copies of the model serve accordingly."""
 
+import random
+
 import pytest
 
-from wigeonspoke.core.chains import ChainSelector, SuspectRegistry
+from wigeonspoke.core.chains import ChainSelector, SuspectRegistry, find_chain
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.placement import PlacementController
 from wigeonspoke.core.tests.fleet_examples import (
@@ -10,6 +12,7 @@
     LARGE_DOMAINS,
     LARGE_PROFILE,
     domain_engines,
+    make_engine,
     place_engines,
 )
 
@@ -59,3 +62,33 @@
     engines = place_engines(PlacementController(LARGE_PROFILE), engines)
     heads = {chain.head.endpoint_id for chain in _find_chains(engines, domain)}
     assert len(heads) >= copies
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_repairs_keep_chains_to_the_limit_of_parts(seed):
+    rng = random.Random(seed)
+    controller = PlacementController(LARGE_PROFILE)
+    engines = place_engines(controller, domain_engines('five'))
+    for step in range(1, 7):
+        lost = engines.pop(rng.randrange(len(engines)))
+        engines = place_engines(controller, engines, step * 1000)
+        engines.append(make_engine(lost.endpoint_id, lost.accelerator))
+        engines = place_engines(controller, engines, step * 1000 + 500)
+        chains = _find_chains(engines, 'five')
+        assert chains
+        assert all(len(chain.hops) <= MAX_PARTS for chain in chains)
+
+
+def test_chain_with_fewer_hops_is_found_if_the_cheapest_is_too_long():
+    # Two slow engines cost more than forty fast ones.
+    cheapest = [
+        make_engine(f'large-{index}', 'large', (2 * index, 2 * index + 2))
+        for index in range(40)
+    ]
+    shortest = [
+        make_engine('small-1', 'small', (0, 40)),
+        make_engine('small-2', 'small', (40, 80)),
+    ]
+    chain = find_chain([*cheapest, *shortest], LARGE_PROFILE)
+    assert chain is not None
+    assert len(chain.hops) <= MAX_PARTS
--- a/wigeonspoke/platform/records.py
+++ b/wigeonspoke/platform/records.py
@@ -25,6 +25,8 @@
 
 MILLISECONDS_PER_SECOND = 1000
 CONFIGURATION_KEY = 'config'
+# Engines answer 400 to a request with more parts.
+MAX_CHAIN_PARTS = 32
 
 WireType = TypeVar('WireType')
 
@@ -267,6 +269,7 @@
             Accelerator(kind.name, kind.mb, kind.pace, kind.read_x)
             for kind in wire.kinds
         ),
+        max_hops=MAX_CHAIN_PARTS,
     )
 
 
