Let a repair end if engines of a copy overlap

What callers would see: the node that holds a domain's lease stops answering.

Cause: to fill a gap, layers are passed on from neighbour to neighbour. An engine that lies wholly within the range of another one was taken for the next neighbour, although it holds none of the layers to be passed on. Layers were released without a successor, the gap moved, and the search for repairs went on for good. The class: a loop that assumes progress. Single copies overlap seldom, after balancing, so no earlier test met it.

Change: such an engine is passed over, and a round of repairs that does not reduce the missing layers is the last; a new plan follows, as before where no repair is found.

--- a/wigeonspoke/core/placement/repair.py
+++ b/wigeonspoke/core/placement/repair.py
@@ -76,19 +76,11 @@
     gaps = find_gaps(engines, profile.layers)
     if not gaps:
         return ()
-    first_gap = gaps[0]
-    repaired = list(engines)
-    while gaps and gaps[0] != LayerRange(0, profile.layers):
-        candidate = _best_candidate(gaps[0], repaired, profile)
-        if candidate is None:
-            break
-        repaired = [
-            _with_placements(engine, candidate.placements)
-            for engine in repaired
-        ]
-        gaps = find_gaps(repaired, profile.layers)
-    if gaps or count_hops(repaired, profile.layers) > profile.max_hops:
-        return _replan(first_gap, engines, profile)
+    repaired = _fill_gaps(engines, profile)
+    is_complete = not find_gaps(repaired, profile.layers)
+    hops = count_hops(repaired, profile.layers)
+    if not is_complete or hops > profile.max_hops:
+        return _replan(gaps[0], engines, profile)
     return tuple(
         Placement(engine, repaired_engine.layers)
         for engine, repaired_engine in zip(engines, repaired, strict=True)
@@ -96,6 +88,28 @@
     )
 
 
+def _fill_gaps(
+    engines: Sequence[Endpoint],
+    profile: EngineProfile,
+) -> list[Endpoint]:
+    """Return the engines with as many gaps filled as possible, in turn."""
+    filled = list(engines)
+    gaps = find_gaps(filled, profile.layers)
+    while gaps and gaps[0] != LayerRange(0, profile.layers):
+        candidate = _best_candidate(gaps[0], filled, profile)
+        if candidate is None:
+            break
+        filled = [
+            _with_placements(engine, candidate.placements) for engine in filled
+        ]
+        missing = _count_layers(gaps)
+        gaps = find_gaps(filled, profile.layers)
+        if _count_layers(gaps) >= missing:
+            # Layers released for this gap have left another one.
+            break
+    return filled
+
+
 def offload_slow_engines(
     fast: Sequence[Endpoint],
     profile: EngineProfile,
@@ -129,6 +143,10 @@
     return tuple(gaps)
 
 
+def _count_layers(gaps: Iterable[LayerRange]) -> int:
+    return sum(gap.end - gap.first for gap in gaps)
+
+
 def _best_candidate(
     gap: LayerRange,
     engines: Sequence[Endpoint],
@@ -287,6 +305,10 @@
         placements: list[Placement] = []
         for engine in sorted(engines, key=_end_layer, reverse=True):
             held = engine.layers
+            if held.first >= edge:
+                # Another engine runs all of its layers, so it does not adjoin
+                # the layers still to be taken over.
+                continue
             if held.end >= edge:
                 return placements
             first = max(held.first, edge - max(1, self._max_layers(engine)))
--- a/wigeonspoke/core/tests/test_placement.py
+++ b/wigeonspoke/core/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from wigeonspoke.core.deployment import LayerRange
@@ -270,3 +271,47 @@
         releases_layers(placement)
         for placement in controller.decide(engines, slow, 5.0)
     )
+
+
+# Never returned, which would have stopped the lease holder's node: an engine
+# within the range of another one was taken for the next one in the chain.
+def test_repair_ends_if_an_engine_lies_within_the_range_of_another():
+    held = [
+        ('middle', (0, 15)),
+        ('tiny', (15, 21)),
+        ('small', (21, 30)),
+        ('small', (30, 40)),
+        ('middle', (43, 59)),
+        ('tiny', (58, 64)),
+        ('tiny', (64, 70)),
+        ('tiny', (70, 75)),
+        ('tiny', (75, 80)),
+        ('small', (10, 16)),
+        ('tiny', (49, 54)),
+    ]
+    engines = [
+        make_engine(f'e{index}', accelerator, layers)
+        for index, (accelerator, layers) in enumerate(held)
+    ]
+    profile = msgspec.structs.replace(PROFILE, kv_token_bytes=786000.0)
+    placements = repair_domain(engines, profile)
+    repaired = apply_placements(engines, placements)
+    assert placements
+    assert not find_gaps(repaired, profile.layers)
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_repair_completes_any_ranges_that_have_the_memory(seed):
+    rng = random.Random(seed)
+    engines = []
+    for each in domain_engines(rng.choice(tuple(DOMAINS))):
+        first = rng.randrange(PROFILE.layers)
+        size = rng.randrange(1, PROFILE.max_layers(each.accelerator) + 1)
+        layers = LayerRange(first, min(PROFILE.layers, first + size))
+        if rng.randrange(5):
+            each = msgspec.structs.replace(each, layers=layers)
+        engines.append(each)
+    placements = repair_domain(engines, PROFILE)
+    repaired = apply_placements(engines, placements)
+    assert not find_gaps(repaired, PROFILE.layers)
+    _assert_fits(repaired)
