Hold as many copies of a model in a domain as its memory allows

Cause: a domain held one copy of the model over all its engines, so one head. A head runs 96 requests at once, and a request of 180 tokens takes 3 s whatever the number of engines, so one chain is full at some 30 requests a second. The class: capacity that does not grow with engines. The smaller deployments have memory for one copy in a domain, which hid it.

Change: the engines of a domain are divided into copies, each with memory for the weights and for the requests of mean length that fill its head. The division is derived from the layers held, so a new lease holder continues it. A copy that lost too much becomes a reserve, and engines with memory to spare are relieved for it. The chain search returns a chain for each head; chains share an engine only where they must, so that the loss of one engine is bridged through another copy at once. A stream that failed moves to a chain without any engine of the failed one. Full heads rank after other domains.

--- a/wigeonspoke/core/chains/__init__.py
+++ b/wigeonspoke/core/chains/__init__.py
@@ -7,6 +7,7 @@
     Hop,
     explain_missing_chain,
     find_chain,
+    find_chains,
 )
 from wigeonspoke.core.chains.peer_load import PeerLoad
 from wigeonspoke.core.chains.selector import ChainSelector
@@ -23,4 +24,5 @@
     'Suspicion',
     'explain_missing_chain',
     'find_chain',
+    'find_chains',
 )
--- a/wigeonspoke/core/chains/paths.py
+++ b/wigeonspoke/core/chains/paths.py
@@ -1,7 +1,8 @@
 """Search for chains of engines that run every layer once and in order."""
 
 import heapq
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -10,8 +11,15 @@
 
 # Activations of whole prompts cross a link that all failure domains share, so
 # a chain crosses domains only if no chain within one domain is complete.
-DOMAIN_CROSSING_COST = 1000.0
+DOMAIN_CROSSING_COST = 10000.0
 HOP_COST = 0.1
+# Cost of each layer that an engine holds and another engine of the chain runs.
+# It keeps a chain to the engines that were placed to form a copy together.
+WASTED_LAYER_COST = 10.0
+# Cost of an engine that another chain uses already.  Chains share an engine
+# rather than use a slow one, but only where they have to.
+SHARED_ENGINE_COST = 100.0
+SLOW_ENGINE_COST = 1000.0
 # With this cost, hops outweigh everything else in the cost of a chain.
 DOMINANT_HOP_COST = 1000000.0
 
@@ -60,9 +68,62 @@
     engine_index: int
 
 
+class SearchCosts:
+    """What the cost of a chain depends on beside its engines' accelerators.
+
+    ``uses`` counts the chains that use an engine already, by endpoint id.
+    ``slow_ids`` are engines that are slower than their accelerator should be.
+    ``heads`` may not be the head of a further chain.
+    """
+
+    __slots__ = ('heads', 'hop_cost', 'slow_ids', 'uses')
+
+    def __init__(self, slow_ids: Collection[str] = ()) -> None:
+        self.slow_ids = slow_ids
+        self.uses: Counter[str] = Counter()
+        self.heads: set[str] = set()
+        self.hop_cost = HOP_COST
+
+    def record_chain(self, chain: Chain) -> None:
+        """Let further chains use other engines where possible."""
+        self.uses.update(chain.endpoint_ids)
+        self.heads.add(chain.head.endpoint_id)
+
+    def engine_cost(self, engine: Endpoint) -> float:
+        """Return the cost of using an engine, apart from its layers."""
+        is_slow = engine.endpoint_id in self.slow_ids
+        return (
+            self.hop_cost
+            + SHARED_ENGINE_COST * self.uses[engine.endpoint_id]
+            + SLOW_ENGINE_COST * is_slow
+        )
+
+
+def find_chains(
+    engines: Iterable[Endpoint],
+    profile: EngineProfile,
+    slow_ids: Collection[str] = (),
+) -> tuple[Chain, ...]:
+    """Find one chain for each engine that can be the head of one.
+
+    The chains share an engine only if they could not be complete otherwise,
+    or if the alternative is a slow engine.
+    """
+    listed = list(engines)
+    costs = SearchCosts(slow_ids)
+    chains: list[Chain] = []
+    chain = find_chain(listed, profile, costs)
+    while chain is not None:
+        chains.append(chain)
+        costs.record_chain(chain)
+        chain = find_chain(listed, profile, costs)
+    return tuple(chains)
+
+
 def find_chain(
     engines: Iterable[Endpoint],
     profile: EngineProfile,
+    costs: SearchCosts | None = None,
 ) -> Chain | None:
     """Find the cheapest chain that covers all layers, if there is one.
 
@@ -73,8 +134,10 @@
     engines_with_layers = [
         engine for engine in engines if engine.layers is not None
     ]
+    used_costs = costs or SearchCosts()
     for hop_cost in (HOP_COST, DOMINANT_HOP_COST):
-        chain = _Search(engines_with_layers, profile, hop_cost).run()
+        used_costs.hop_cost = hop_cost
+        chain = _Search(engines_with_layers, profile, used_costs).run()
         if chain is None or len(chain.hops) <= profile.max_hops:
             return chain
     return None
@@ -106,9 +169,9 @@
 
     __slots__ = (
         'best_costs',
+        'costs',
         'engines_with_layers',
         'heap',
-        'hop_cost',
         'predecessors',
         'profile',
     )
@@ -117,11 +180,11 @@
         self,
         engines_with_layers: list[Endpoint],
         profile: EngineProfile,
-        hop_cost: float,
+        costs: SearchCosts,
     ) -> None:
         self.engines_with_layers = engines_with_layers
         self.profile = profile
-        self.hop_cost = hop_cost
+        self.costs = costs
         self.heap: list[_SearchState] = [_SearchState(0, 0, '', -1)]
         self.best_costs: dict[tuple[int, str], float] = {}
         self.predecessors: dict[tuple[int, str], tuple[int, str, int]] = {}
@@ -142,6 +205,8 @@
         layers = engine.layers
         if not layers.first <= state.covered < layers.end:
             return
+        if not state.covered and engine.endpoint_id in self.costs.heads:
+            return
         cost = state.cost + self._cost(state, engine)
         next_state = _SearchState(
             cost, layers.end, engine.failure_domain, index
@@ -156,10 +221,12 @@
         accelerator = self.profile.accelerator(engine.accelerator)
         slowdown = accelerator.step_time_factor if accelerator else 1.0
         layer_share = (engine.layers.end - state.covered) / self.profile.layers
+        wasted_layers = state.covered - engine.layers.first
         crosses_domain = state.domain not in {'', engine.failure_domain}
         return (
-            self.hop_cost
+            self.costs.engine_cost(engine)
             + slowdown * layer_share
+            + WASTED_LAYER_COST * wasted_layers
             + DOMAIN_CROSSING_COST * crosses_domain
         )
 
--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -1,8 +1,8 @@
 """Selection of a chain for a request.
 
-Each failure domain normally holds a complete copy of the model and has its
-own clients, so a request goes to the chain of its own domain.  If that chain
-is broken or deprioritized, the whole request goes to the least loaded chain
+Each failure domain normally holds one or more copies of the model and has its
+own clients, so a request goes to a chain of its own domain.  If these are
+broken, deprioritized or full, the whole request goes to the least loaded chain
 of another domain.  Requests are not split across domains, because the
 activations of a prompt would saturate the link between domains, while the
 text of a response does not.
@@ -18,6 +18,7 @@
     Chain,
     explain_missing_chain,
     find_chain,
+    find_chains,
 )
 from wigeonspoke.core.chains.peer_load import PeerLoad
 from wigeonspoke.core.chains.suspicion import SuspectRegistry
@@ -25,11 +26,15 @@
 
 
 class CachedChains(msgspec.Struct):
-    """The chains of a service and the input versions they depend on."""
+    """The chains of a service and the input versions they depend on.
+
+    ``uses`` counts the chains that use an engine, by endpoint id.
+    """
 
     fleet_revision: int
     suspects_revision: int
     chains: tuple[Chain, ...]
+    uses: Counter[str]
 
 
 class ChainSelector:
@@ -68,22 +73,11 @@
         service: str,
         profile: EngineProfile,
     ) -> tuple[Chain, ...]:
-        """Return one chain per failure domain that has a complete one.
+        """Return the chains of all failure domains that have complete ones.
 
         If no domain has one, return a chain across domains, if there is one.
         """
-        cached = self.cached_chains.get(service)
-        fleet_revision = self.fleet.revision
-        suspects_revision = self.suspects.revision
-        if (
-            cached is None
-            or cached.fleet_revision != fleet_revision
-            or cached.suspects_revision != suspects_revision
-        ):
-            found = self._find_chains(service, profile)
-            cached = CachedChains(fleet_revision, suspects_revision, found)
-            self.cached_chains[service] = cached
-        return cached.chains
+        return self._cached(service, profile).chains
 
     def describe_domains(
         self,
@@ -95,37 +89,39 @@
         A domain without a chain is described by the reason.
         """
         engines = self._usable_engines(service)
-        domains = {engine.failure_domain for engine in engines}
-        described = {
-            domain: explain_missing_chain(
+        chains = self.chains(service, profile)
+        described: dict[str, str] = {}
+        for domain in sorted({engine.failure_domain for engine in engines}):
+            heads = [
+                f'{chain.head.endpoint_id} with {len(chain.hops)} hops'
+                for chain in chains
+                if chain.head.failure_domain == domain
+            ]
+            described[domain] = ', '.join(heads) or explain_missing_chain(
                 _engines_in_domain(engines, domain), profile
             )
-            for domain in domains
-        }
-        for chain in self.chains(service, profile):
-            head = chain.head
-            described[head.failure_domain] = (
-                f'head {head.endpoint_id}, {len(chain.hops)} hops'
-            )
         return described
 
     def select(
         self,
         service: str,
         profile: EngineProfile,
-        excluded_heads: Collection[str],
+        excluded_ids: Collection[str],
         now: float,
     ) -> Chain | None:
-        """Select the best chain with capacity whose head is not excluded."""
+        """Select the best chain with capacity and no excluded engine."""
+        cached = self._cached(service, profile)
         usable = [
             chain
-            for chain in self.chains(service, profile)
-            if chain.head.endpoint_id not in excluded_heads
+            for chain in cached.chains
+            if chain.endpoint_ids.isdisjoint(excluded_ids)
             and self.has_capacity(chain, now)
         ]
         if not usable:
             return None
-        return min(usable, key=lambda chain: self._rank(chain, now))
+        return min(
+            usable, key=lambda chain: self._rank(chain, cached.uses, now)
+        )
 
     def has_capacity(self, chain: Chain, now: float) -> bool:
         """Return whether a chain is expected to accept one more request."""
@@ -141,7 +137,8 @@
     def record_refusal(self, chain: Chain, now: float) -> None:
         """Lower the limit of a chain that refused a request.
 
-        Chains refuse requests when their engines run out of memory.
+        Chains refuse requests when the slots of their head are taken or when
+        an engine runs out of memory.
         """
         head_id = chain.head.endpoint_id
         others = self.streams_at(head_id) - 1
@@ -158,31 +155,47 @@
         if not self.in_flight[head_id]:
             self.in_flight.pop(head_id)
 
-    def _find_domain_chain(
-        self,
-        engines: list[Endpoint],
-        profile: EngineProfile,
-    ) -> Chain | None:
-        """Find a chain in one domain, without slow engines if possible."""
-        fast = [
-            engine for engine in engines if not self.suspects.is_slow(engine)
-        ]
-        found = find_chain(fast, profile)
-        if found is None and len(fast) < len(engines):
-            return find_chain(engines, profile)
-        return found
+    def _cached(self, service: str, profile: EngineProfile) -> CachedChains:
+        cached = self.cached_chains.get(service)
+        fleet_revision = self.fleet.revision
+        suspects_revision = self.suspects.revision
+        if (
+            cached is None
+            or cached.fleet_revision != fleet_revision
+            or cached.suspects_revision != suspects_revision
+        ):
+            found = self._find_chains(service, profile)
+            uses = Counter(
+                endpoint_id
+                for chain in found
+                for endpoint_id in chain.endpoint_ids
+            )
+            cached = CachedChains(
+                fleet_revision, suspects_revision, found, uses
+            )
+            self.cached_chains[service] = cached
+        return cached
 
     def _has_slow_engine(self, chain: Chain) -> bool:
         return any(self.suspects.is_slow(hop.endpoint) for hop in chain.hops)
 
-    def _rank(self, chain: Chain, now: float) -> tuple[int, bool, int]:
-        """Return the sort key of a chain; the least is selected."""
+    def _rank(
+        self, chain: Chain, uses: Counter[str], now: float
+    ) -> tuple[int, bool, bool, float]:
+        """Return the sort key of a chain; the least is selected.
+
+        A chain whose engines other chains use too counts as more loaded, by
+        the most chains that share one of its engines.
+        """
         head = chain.head
+        streams = self.streams_at(head.endpoint_id)
         is_deprioritized = self.suspects.is_deprioritized(head.endpoint_id, now)
+        sharing = max(uses[endpoint_id] for endpoint_id in chain.endpoint_ids)
         return (
             is_deprioritized + self._has_slow_engine(chain),
+            streams >= head.slots,
             head.failure_domain != self.failure_domain,
-            self.streams_at(head.endpoint_id),
+            streams * sharing,
         )
 
     def _usable_engines(self, service: str) -> list[Endpoint]:
@@ -199,16 +212,20 @@
     ) -> tuple[Chain, ...]:
         """Compute the chains of a service from all engines not suspect."""
         engines = self._usable_engines(service)
-        domains = sorted({engine.failure_domain for engine in engines})
-        found = [
-            self._find_domain_chain(
-                _engines_in_domain(engines, domain), profile
+        slow_ids = {
+            engine.endpoint_id
+            for engine in engines
+            if self.suspects.is_slow(engine)
+        }
+        domain_chains = [
+            chain
+            for domain in sorted({engine.failure_domain for engine in engines})
+            for chain in find_chains(
+                _engines_in_domain(engines, domain), profile, slow_ids
             )
-            for domain in domains
         ]
-        domain_chains = tuple(chain for chain in found if chain is not None)
         if domain_chains:
-            return domain_chains
+            return tuple(domain_chains)
         cross_domain_chain = find_chain(engines, profile)
         return () if cross_domain_chain is None else (cross_domain_chain,)
 
--- a/wigeonspoke/core/placement/__init__.py
+++ b/wigeonspoke/core/placement/__init__.py
@@ -1,31 +1,39 @@
 """Placement of model layers on the engines of a failure domain."""
 
-from wigeonspoke.core.placement.balance import balance_domain
+from wigeonspoke.core.placement.balance import balance_copy
 from wigeonspoke.core.placement.controller import (
     PendingOrder,
     PlacementController,
 )
+from wigeonspoke.core.placement.copies import (
+    Division,
+    count_copies,
+    divide_engines,
+)
 from wigeonspoke.core.placement.plan import (
     Placement,
     balanced_capacity,
-    plan_domain,
+    plan_copy,
     token_capacity,
 )
 from wigeonspoke.core.placement.repair import (
     find_gaps,
-    offload_slow_engines,
-    repair_domain,
+    relieve_engines,
+    repair_copy,
 )
 
 __all__ = (
+    'Division',
     'PendingOrder',
     'Placement',
     'PlacementController',
-    'balance_domain',
+    'balance_copy',
     'balanced_capacity',
+    'count_copies',
+    'divide_engines',
     'find_gaps',
-    'offload_slow_engines',
-    'plan_domain',
-    'repair_domain',
+    'relieve_engines',
+    'plan_copy',
+    'repair_copy',
     'token_capacity',
 )
--- a/wigeonspoke/core/placement/balance.py
+++ b/wigeonspoke/core/placement/balance.py
@@ -26,7 +26,7 @@
 MIN_CAPACITY_GAIN = 1.25
 
 
-def balance_domain(
+def balance_copy(
     engines: Sequence[Endpoint],
     profile: EngineProfile,
 ) -> tuple[Placement, ...]:
--- a/wigeonspoke/core/placement/controller.py
+++ b/wigeonspoke/core/placement/controller.py
@@ -9,12 +9,14 @@
 import msgspec
 
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
-from wigeonspoke.core.placement.balance import balance_domain
-from wigeonspoke.core.placement.plan import Placement, layers_to_load
-from wigeonspoke.core.placement.repair import (
-    offload_slow_engines,
-    repair_domain,
+from wigeonspoke.core.placement.balance import balance_copy
+from wigeonspoke.core.placement.copies import (
+    Division,
+    divide_engines,
+    relieve_engine,
 )
+from wigeonspoke.core.placement.plan import Placement, layers_to_load
+from wigeonspoke.core.placement.repair import relieve_engines, repair_copy
 
 # Engines register over some seconds at the start of a deployment.  A first
 # plan made before the registrations settle would leave engines out.  Orders
@@ -55,10 +57,13 @@
     """
 
     __slots__ = (
+        'divided_engines',
+        'division',
         'is_bulk_registration',
         'known_ids',
         'last_added_at',
         'last_balanced_at',
+        'last_unrelieved',
         'pending',
         'profile',
     )
@@ -70,6 +75,11 @@
         self.last_added_at = 0
         self.is_bulk_registration = False
         self.last_balanced_at = 0
+        # The last division into copies, and the engines that it was made of.
+        self.divided_engines: tuple[Endpoint, ...] = ()
+        self.division = Division()
+        # The last division in which no engine could be relieved.
+        self.last_unrelieved: Division | None = None
 
     def decide(
         self,
@@ -88,15 +98,12 @@
         self._drop_finished(registered, now)
         if self._is_unsettled(registered, now):
             return ()
-        expected = [self._with_pending_layers(engine) for engine in registered]
-        repairs = repair_domain(expected, self.profile)
-        if not repairs and slow_ids:
-            fast = [
-                engine
-                for engine in expected
-                if engine.endpoint_id not in slow_ids
-            ]
-            repairs = offload_slow_engines(fast, self.profile)
+        division = self._divide(map(self._with_pending_layers, registered))
+        repairs = [
+            placement
+            for copy in division.copies
+            for placement in self._repair(copy, slow_ids)
+        ]
         if repairs:
             return self._without_pending(repairs)
         if (
@@ -105,7 +112,12 @@
         ):
             return ()
         self.last_balanced_at = now
-        return balance_domain(registered, self.profile)
+        balancing = tuple(
+            placement
+            for copy in division.copies
+            for placement in balance_copy(copy, self.profile)
+        )
+        return balancing or self._relieve(division)
 
     def record_sent(self, placement: Placement, now: float) -> None:
         """Record that an order is being sent."""
@@ -155,6 +167,35 @@
             / self.profile.layers
         )
 
+    def _divide(self, engines: Iterable[Endpoint]) -> Division:
+        """Divide the engines into copies, anew only if any has changed."""
+        key = tuple(engines)
+        if key != self.divided_engines:
+            self.divided_engines = key
+            self.division = divide_engines(key, self.profile)
+        return self.division
+
+    def _relieve(self, division: Division) -> tuple[Placement, ...]:
+        """Free an engine for a copy that is wanted; search once a division."""
+        if division is self.last_unrelieved:
+            return ()
+        placements = relieve_engine(division, self.profile)
+        if not placements:
+            self.last_unrelieved = division
+        return placements
+
+    def _repair(
+        self,
+        copy: tuple[Endpoint, ...],
+        slow_ids: Collection[str],
+    ) -> tuple[Placement, ...]:
+        """Return the placements that complete a copy or relieve its engines."""
+        repairs = repair_copy(copy, self.profile)
+        fast = [engine for engine in copy if engine.endpoint_id not in slow_ids]
+        if repairs or len(fast) == len(copy):
+            return repairs
+        return relieve_engines(fast, self.profile)
+
     def _is_unsettled(self, registered: list[Endpoint], now: float) -> bool:
         """Tell whether absent engines may be about to register.
 
@@ -168,7 +209,7 @@
 
     def _without_pending(
         self,
-        placements: tuple[Placement, ...],
+        placements: Iterable[Placement],
     ) -> tuple[Placement, ...]:
         return tuple(
             placement
--- a/wigeonspoke/core/placement/plan.py
+++ b/wigeonspoke/core/placement/plan.py
@@ -36,7 +36,7 @@
     return count - max(0, shared)
 
 
-def plan_domain(
+def plan_copy(
     engines: Sequence[Endpoint],
     profile: EngineProfile,
     insert_at: float = 0,
@@ -53,7 +53,7 @@
     --------
     Two engines with the same accelerator get half of the layers each::
 
-        plan_domain([one, two], profile)
+        plan_copy([one, two], profile)
     """
     ordered = sorted(
         _largest_engines(engines, profile), key=partial(_sort_key, insert_at)
--- a/wigeonspoke/core/placement/repair.py
+++ b/wigeonspoke/core/placement/repair.py
@@ -19,7 +19,7 @@
     count_hops,
     layers_to_load,
     max_layers_for_capacity,
-    plan_domain,
+    plan_copy,
 )
 
 
@@ -63,7 +63,7 @@
         return (self.seconds, len(self.placements))
 
 
-def repair_domain(
+def repair_copy(
     engines: Sequence[Endpoint],
     profile: EngineProfile,
 ) -> tuple[Placement, ...]:
@@ -110,17 +110,17 @@
     return filled
 
 
-def offload_slow_engines(
-    fast: Sequence[Endpoint],
+def relieve_engines(
+    others: Sequence[Endpoint],
     profile: EngineProfile,
 ) -> tuple[Placement, ...]:
-    """Return placements that load the layers of slow engines elsewhere.
+    """Return placements that load the layers of some engines elsewhere.
 
-    ``fast`` lists the other engines.  The chain still works, if slowly, so
-    no engine releases layers for this: the result is empty if one would
+    ``others`` lists the other engines of the copy.  The copy is complete, so
+    none of them releases layers for this: the result is empty if one would
     have to.
     """
-    placements = repair_domain(fast, profile)
+    placements = repair_copy(others, profile)
     return () if any(map(releases_layers, placements)) else placements
 
 
@@ -329,7 +329,7 @@
 ) -> tuple[Placement, ...]:
     return tuple(
         placement
-        for placement in plan_domain(engines, profile, gap.first)
+        for placement in plan_copy(engines, profile, gap.first)
         if placement.layers != placement.endpoint.layers
     )
 
--- a/wigeonspoke/core/tests/test_chains.py
+++ b/wigeonspoke/core/tests/test_chains.py
@@ -11,7 +11,7 @@
     find_chain,
 )
 from wigeonspoke.core.fleet import Fleet
-from wigeonspoke.core.placement import plan_domain
+from wigeonspoke.core.placement import plan_copy
 from wigeonspoke.core.tests.fleet_examples import (
     DOMAINS,
     PROFILE,
@@ -23,7 +23,7 @@
 
 def _loaded_engines(domain: str) -> list:
     engines = domain_engines(domain)
-    return apply_placements(engines, plan_domain(engines, PROFILE))
+    return apply_placements(engines, plan_copy(engines, PROFILE))
 
 
 def _selector(domain: str = 'one') -> ChainSelector:
--- a/wigeonspoke/core/tests/test_large_domains.py
+++ b/wigeonspoke/core/tests/test_large_domains.py
@@ -2,11 +2,13 @@
 
 import random
 
+import msgspec
 import pytest
 
 from wigeonspoke.core.chains import ChainSelector, SuspectRegistry, find_chain
+from wigeonspoke.core.deployment import LayerRange
 from wigeonspoke.core.fleet import Fleet
-from wigeonspoke.core.placement import PlacementController
+from wigeonspoke.core.placement import PlacementController, divide_engines
 from wigeonspoke.core.tests.fleet_examples import (
     ENGINE_SLOTS,
     LARGE_DOMAINS,
@@ -21,12 +23,15 @@
 FULL_HEAD_TOKENS = ENGINE_SLOTS * LARGE_PROFILE.mean_request_tokens
 
 
-def _find_chains(engines, domain: str):
+def _selector(engines, domain: str) -> ChainSelector:
     fleet = Fleet()
     for engine in engines:
         fleet.put(engine)
-    selector = ChainSelector(fleet, SuspectRegistry(), domain)
-    return selector.chains('drafting', LARGE_PROFILE)
+    return ChainSelector(fleet, SuspectRegistry(), domain)
+
+
+def _find_chains(engines, domain: str):
+    return _selector(engines, domain).chains('drafting', LARGE_PROFILE)
 
 
 def _copies_that_fit(engines) -> int:
@@ -92,3 +97,158 @@
     chain = find_chain([*cheapest, *shortest], LARGE_PROFILE)
     assert chain is not None
     assert len(chain.hops) <= MAX_PARTS
+
+
+@pytest.mark.parametrize('domain', LARGE_DOMAINS)
+def test_copies_of_a_domain_share_no_engine(domain):
+    engines = place_engines(
+        PlacementController(LARGE_PROFILE), domain_engines(domain)
+    )
+    chains = _find_chains(engines, domain)
+    assert len(chains) == _copies_that_fit(engines)
+    used = [each for chain in chains for each in chain.endpoint_ids]
+    assert len(used) == len(set(used))
+
+
+@pytest.mark.parametrize('domain', LARGE_DOMAINS)
+def test_loss_of_any_engine_leaves_chains_and_is_repaired(domain):
+    controller = PlacementController(LARGE_PROFILE)
+    placed = place_engines(controller, domain_engines(domain))
+    copies = len(_find_chains(placed, domain))
+    for lost in placed:
+        left = [engine for engine in placed if engine is not lost]
+        assert len(_find_chains(left, domain)) >= copies - 1
+        copies_left = min(copies, _copies_that_fit(left))
+        repaired = place_engines(PlacementController(LARGE_PROFILE), left)
+        chains = _find_chains(repaired, domain)
+        assert len(chains) >= copies_left
+        used = [each for chain in chains for each in chain.endpoint_ids]
+        assert len(used) == len(set(used))
+
+
+@pytest.mark.parametrize('domain', LARGE_DOMAINS)
+def test_new_controller_keeps_the_copies_of_the_previous_one(domain):
+    placed = place_engines(
+        PlacementController(LARGE_PROFILE), domain_engines(domain)
+    )
+    assert place_engines(PlacementController(LARGE_PROFILE), placed) == placed
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_copies_survive_losses_and_returns(seed):
+    rng = random.Random(seed)
+    domain = rng.choice(tuple(LARGE_DOMAINS))
+    controller = PlacementController(LARGE_PROFILE)
+    engines = place_engines(controller, domain_engines(domain))
+    copies = len(_find_chains(engines, domain))
+    now = 0
+    for _ in range(6):
+        rng.shuffle(engines)
+        lost_count = rng.randrange(1, 5)
+        lost = engines[:lost_count]
+        engines = engines[lost_count:]
+        now += 1000
+        engines = place_engines(controller, engines, now)
+        assert _find_chains(engines, domain)
+        now += 1000
+        returned = [
+            make_engine(each.endpoint_id, each.accelerator, domain=domain)
+            for each in lost
+        ]
+        engines = place_engines(controller, [*engines, *returned], now)
+        for engine in engines:
+            limit = LARGE_PROFILE.max_layers(engine.accelerator)
+            held = engine.layers
+            assert held is None or held.end - held.first <= limit
+    chains = _find_chains(engines, domain)
+    assert len(chains) >= copies
+    used = [each for chain in chains for each in chain.endpoint_ids]
+    assert len(used) - len(set(used)) <= 1
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_one_copy_remains_while_the_memory_suffices_for_it(seed):
+    rng = random.Random(seed)
+    controller = PlacementController(LARGE_PROFILE)
+    engines = place_engines(controller, domain_engines('four'))
+    rng.shuffle(engines)
+    now = 0
+    while engines:
+        engines.pop()
+        now += 1000
+        engines = place_engines(controller, engines, now)
+        limits = [
+            LARGE_PROFILE.max_layers(engine.accelerator) for engine in engines
+        ]
+        if sum(limits) >= LARGE_PROFILE.layers:
+            assert _find_chains(engines, 'four')
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_division_puts_each_engine_into_one_copy(seed):
+    rng = random.Random(seed)
+    engines = [
+        msgspec.structs.replace(engine, layers=_random_layers(rng))
+        for engine in domain_engines(rng.choice(tuple(LARGE_DOMAINS)))
+    ]
+    division = divide_engines(engines, LARGE_PROFILE)
+    divided = sorted(
+        engine.endpoint_id
+        for part in (*division.copies, division.reserve)
+        for engine in part
+    )
+    assert divided == sorted(engine.endpoint_id for engine in engines)
+
+
+def _random_layers(rng: random.Random) -> LayerRange | None:
+    first = rng.randrange(LARGE_PROFILE.layers)
+    end = min(LARGE_PROFILE.layers, first + rng.randrange(1, 9))
+    return rng.choice((None, LayerRange(first, end)))
+
+
+def test_requests_are_spread_over_the_chains_of_a_domain():
+    engines = place_engines(
+        PlacementController(LARGE_PROFILE), domain_engines('four')
+    )
+    selector = _selector(engines, 'four')
+    for _ in range(30):
+        selector.begin(selector.select('drafting', LARGE_PROFILE, (), 0))
+    assert sorted(selector.in_flight.values()) == [10, 10, 10]
+
+
+def test_full_heads_rank_after_other_domains():
+    engines = [
+        *place_engines(
+            PlacementController(LARGE_PROFILE), domain_engines('four')
+        ),
+        *place_engines(
+            PlacementController(LARGE_PROFILE), domain_engines('seven')
+        ),
+    ]
+    selector = _selector(engines, 'four')
+    for _ in range(3 * ENGINE_SLOTS):
+        chain = selector.select('drafting', LARGE_PROFILE, (), 0)
+        assert chain.domains == {'four'}
+        selector.begin(chain)
+    chain = selector.select('drafting', LARGE_PROFILE, (), 0)
+    assert chain.domains == {'seven'}
+
+
+def test_chain_of_a_broken_copy_uses_an_engine_of_another_copy():
+    engines = place_engines(
+        PlacementController(LARGE_PROFILE), domain_engines('four')
+    )
+    selector = _selector(engines, 'four')
+    chain = selector.chains('drafting', LARGE_PROFILE)[0]
+    lost = chain.hops[3].endpoint
+    selector.suspects.suspect(lost, 'silent', 0)
+    chains = selector.chains('drafting', LARGE_PROFILE)
+    assert len(chains) == 3
+    assert all(lost.endpoint_id not in each.endpoint_ids for each in chains)
+    # A stream that failed on one of them does not move to an engine of it.
+    other = selector.select(
+        'drafting', LARGE_PROFILE, chains[0].endpoint_ids, 0
+    )
+    assert other is None or other.endpoint_ids.isdisjoint(
+        chains[0].endpoint_ids
+    )
--- a/wigeonspoke/core/tests/test_placement.py
+++ b/wigeonspoke/core/tests/test_placement.py
@@ -9,11 +9,11 @@
 from wigeonspoke.core.placement import (
     Placement,
     PlacementController,
-    balance_domain,
+    balance_copy,
     balanced_capacity,
     find_gaps,
-    plan_domain,
-    repair_domain,
+    plan_copy,
+    repair_copy,
     token_capacity,
 )
 from wigeonspoke.core.placement.repair import releases_layers
@@ -39,7 +39,7 @@
 @pytest.mark.parametrize('domain', DOMAINS)
 def test_plan_covers_every_layer_once_with_balanced_capacity(domain):
     engines = domain_engines(domain)
-    placed = apply_placements(engines, plan_domain(engines, PROFILE))
+    placed = apply_placements(engines, plan_copy(engines, PROFILE))
     assert not find_gaps(placed, PROFILE.layers)
     assert sum(_count(engine.layers) for engine in placed) == PROFILE.layers
     _assert_fits(placed)
@@ -53,10 +53,10 @@
 @pytest.mark.parametrize('domain', DOMAINS)
 def test_loss_of_any_engine_is_repaired(domain):
     engines = domain_engines(domain)
-    placed = apply_placements(engines, plan_domain(engines, PROFILE))
+    placed = apply_placements(engines, plan_copy(engines, PROFILE))
     for lost in placed:
         left = [engine for engine in placed if engine is not lost]
-        repaired = apply_placements(left, repair_domain(left, PROFILE))
+        repaired = apply_placements(left, repair_copy(left, PROFILE))
         assert not find_gaps(repaired, PROFILE.layers)
         _assert_fits(repaired)
 
@@ -65,13 +65,13 @@
 def test_successive_losses_are_repaired_while_memory_suffices(seed):
     rng = random.Random(seed)
     engines = domain_engines('two')
-    engines = apply_placements(engines, plan_domain(engines, PROFILE))
+    engines = apply_placements(engines, plan_copy(engines, PROFILE))
     while engines:
         engines.pop(rng.randrange(len(engines)))
         capacity = sum(
             PROFILE.max_layers(engine.accelerator) for engine in engines
         )
-        engines = apply_placements(engines, repair_domain(engines, PROFILE))
+        engines = apply_placements(engines, repair_copy(engines, PROFILE))
         _assert_fits(engines)
         assert bool(find_gaps(engines, PROFILE.layers)) == (capacity < 80)
 
@@ -83,7 +83,7 @@
         make_engine('d', 'small', (46, 52)),
         make_engine('e', 'large', (52, 80)),
     ]
-    placements = repair_domain(engines, PROFILE)
+    placements = repair_copy(engines, PROFILE)
     shown = {
         placement.endpoint.endpoint_id: placement.layers.describe()
         for placement in placements
@@ -99,7 +99,7 @@
         make_engine('d', 'small', (48, 54)),
         make_engine('e', 'large', (54, 80)),
     ]
-    placements = repair_domain(engines, PROFILE)
+    placements = repair_copy(engines, PROFILE)
     assert [placement.endpoint.endpoint_id for placement in placements] == ['n']
     assert not find_gaps(apply_placements(engines, placements), PROFILE.layers)
 
@@ -192,10 +192,10 @@
 def test_repair_leaves_every_engine_token_capacity(domain, seed):
     rng = random.Random(seed)
     engines = domain_engines(domain)
-    engines = apply_placements(engines, plan_domain(engines, PROFILE))
+    engines = apply_placements(engines, plan_copy(engines, PROFILE))
     for _ in range(3):
         engines.pop(rng.randrange(len(engines)))
-        engines = apply_placements(engines, repair_domain(engines, PROFILE))
+        engines = apply_placements(engines, repair_copy(engines, PROFILE))
         even = balanced_capacity(engines, PROFILE)
         capacities = [
             token_capacity(engine, _count(engine.layers), PROFILE)
@@ -210,19 +210,19 @@
 def test_balancing_converges_and_keeps_every_layer_held(seed):
     rng = random.Random(seed)
     engines = domain_engines('three')
-    engines = apply_placements(engines, plan_domain(engines, PROFILE))
+    engines = apply_placements(engines, plan_copy(engines, PROFILE))
     for _ in range(rng.randrange(1, 4)):
         lost = engines.pop(rng.randrange(len(engines)))
-        engines = apply_placements(engines, repair_domain(engines, PROFILE))
+        engines = apply_placements(engines, repair_copy(engines, PROFILE))
         engines.append(make_engine(lost.endpoint_id, lost.accelerator))
     for _ in range(40):
-        moves = balance_domain(engines, PROFILE)
+        moves = balance_copy(engines, PROFILE)
         if not moves:
             break
         engines = apply_placements(engines, moves)
         _assert_fits(engines)
         assert not find_gaps(engines, PROFILE.layers)
-    assert not balance_domain(engines, PROFILE)
+    assert not balance_copy(engines, PROFILE)
     capacities = [
         token_capacity(engine, _count(engine.layers), PROFILE)
         for engine in engines
@@ -233,7 +233,7 @@
 
 def test_new_controller_waits_for_registrations_to_settle():
     engines = domain_engines('two')
-    placed = apply_placements(engines, plan_domain(engines, PROFILE))
+    placed = apply_placements(engines, plan_copy(engines, PROFILE))
     controller = PlacementController(PROFILE)
     assert not controller.decide(placed[:5], (), 0)
     assert not controller.decide(placed, (), 0.5)
@@ -263,7 +263,7 @@
 
 def test_slow_engine_is_kept_if_others_would_have_to_release_layers():
     engines = domain_engines('one')[:9]
-    engines = apply_placements(engines, plan_domain(engines, PROFILE))
+    engines = apply_placements(engines, plan_copy(engines, PROFILE))
     controller = PlacementController(PROFILE)
     controller.decide(engines, (), 0)
     slow = {engines[3].endpoint_id}
@@ -294,7 +294,7 @@
         for index, (accelerator, layers) in enumerate(held)
     ]
     profile = msgspec.structs.replace(PROFILE, kv_token_bytes=786000.0)
-    placements = repair_domain(engines, profile)
+    placements = repair_copy(engines, profile)
     repaired = apply_placements(engines, placements)
     assert placements
     assert not find_gaps(repaired, profile.layers)
@@ -311,7 +311,7 @@
         if rng.randrange(5):
             each = msgspec.structs.replace(each, layers=layers)
         engines.append(each)
-    placements = repair_domain(engines, PROFILE)
+    placements = repair_copy(engines, PROFILE)
     repaired = apply_placements(engines, placements)
     assert not find_gaps(repaired, PROFILE.layers)
     _assert_fits(repaired)
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -77,6 +77,7 @@
     ) -> None:
         super().__init__(state, context)
         self.check_chain = check_chain
+        # Endpoint ids of all engines of the chains that failed.
         self.excluded: set[str] = set()
         self.cursor = EventCursor(context.request.last_event_id)
         self.response_started = False
@@ -145,7 +146,7 @@
 
     def _attempt(self, chain: Chain) -> Iterator[bytes]:
         """Try a chain; the generator returns whether it served the stream."""
-        self.excluded.add(chain.head.endpoint_id)
+        self.excluded.update(chain.endpoint_ids)
         attempt = self.begin_attempt(chain.head.address)
         self.state.chains.begin(chain)
         try:
@@ -392,7 +393,7 @@
             self.state.chains.record_refusal(chain, time.monotonic())
             # The request has not run there, and may be admitted when other
             # requests have ended.
-            self.excluded.discard(chain.head.endpoint_id)
+            self.excluded.difference_update(chain.endpoint_ids)
 
     def _head_load(self, chain: Chain) -> dict[str, int]:
         """Return the load of a chain's head, as far as this node knows it."""
