Treat a head without a free slot as full, not as a faulty chain

What callers saw: once a head was full, requests were refused at once although it would have had room again soon, and health checks grew to 20 a request.

Cause: a head whose slots are taken refuses with 503 and names no engine. The node excluded the chain for the request, learned no limit from the refusal and probed every engine of the chain, at every node. The class: overload met as if it were a fault, with a cost of nodes times engines.

Change: such a refusal lowers the limit of the chain as one for want of memory does, and probes nothing; a refusal with 421 that names no engine makes the node probe the head alone. The probe of a full head would also have met a health check that waits for a slot, and the head would have been suspected.

--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -385,14 +385,18 @@
             fault=fault_address,
             **self._head_load(chain),
         )
-        self.state.suspects.deprioritize(
-            chain.head.endpoint_id, time.monotonic()
-        )
-        self.check_chain(chain, 'refused', fault_address)
-        if fault_address and status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            self.state.chains.record_refusal(chain, time.monotonic())
+        now = time.monotonic()
+        self.state.suspects.deprioritize(chain.head.endpoint_id, now)
+        is_full = status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        if fault_address or not is_full:
+            self.check_chain(
+                chain, 'refused', fault_address or chain.head.address
+            )
+        if is_full:
+            # No slot is free at the head, or no memory at the engine named.
             # The request has not run there, and may be admitted when other
             # requests have ended.
+            self.state.chains.record_refusal(chain, now)
             self.excluded.difference_update(chain.endpoint_ids)
 
     def _head_load(self, chain: Chain) -> dict[str, int]:
