Order nothing while a lease holder knows no engine

What callers would see: a domain without layers.

Cause: the search for an engine to relieve took the largest of no copies.

Change: without copies there is nothing to relieve.

--- a/wigeonspoke/core/placement/copies.py
+++ b/wigeonspoke/core/placement/copies.py
@@ -114,7 +114,8 @@
     copy keeps the memory that a copy needs.  The engine is then not used there
     any more and joins the reserve.
     """
-    if len(division.copies) >= division.wanted_copies:
+    has_all_copies = len(division.copies) >= division.wanted_copies
+    if has_all_copies or not division.copies:
         return ()
     richest = max(
         division.copies,
--- a/wigeonspoke/core/tests/test_placement.py
+++ b/wigeonspoke/core/tests/test_placement.py
@@ -315,3 +315,11 @@
     repaired = apply_placements(engines, placements)
     assert not find_gaps(repaired, PROFILE.layers)
     _assert_fits(repaired)
+
+
+# Ended the placement loop of a lease holder that knew no engine yet.
+@pytest.mark.parametrize('now', [0, 5.0, 10.0])
+def test_no_orders_without_engines(now):
+    controller = PlacementController(PROFILE)
+    assert not controller.decide([], (), 0)
+    assert not controller.decide([], (), now)
