Start a background loop again after an unforeseen error

What callers would see: an error in one round of placement, leases, gossip or table following ended that task for good at its node, with a traceback on standard error only; the node went on holding its lease without sending orders.

Cause: the loops ran in bare greenlets. The class: a task on which others depend and that nobody watches.

Change: each loop runs in a wrapper that writes a loop-failed line with the traceback, counts it, and starts the loop again after half a second.

--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -2,6 +2,7 @@
 
 import http
 import time
+import traceback
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -39,6 +40,7 @@
 EXIT_MARGIN_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.05
 LIMITS_POLL_SECONDS = 0.5
+LOOP_RESTART_SECONDS = 0.5
 
 
 class TableNames:
@@ -154,7 +156,9 @@
             f'{settings.host}:{settings.metrics_port}',
             ListenerLimits(connections=READY_CONNECTIONS),
         )
-        self.greenlets = [eventlet.spawn(loop) for loop in self.loops]
+        self.greenlets = [
+            eventlet.spawn(self._run_loop, loop) for loop in self.loops
+        ]
         self.state.log.write(
             'start',
             front=settings.front,
@@ -215,6 +219,22 @@
             and bool(state.fleet.endpoints)
         )
 
+    def _run_loop(self, loop: Callable[[], None]) -> None:
+        """Run a background loop; start it again if it fails.
+
+        The other loops and all requests depend on it, so that an unforeseen
+        error must not end it for good.
+        """
+        while True:
+            try:
+                loop()
+            except Exception:
+                self.state.count_event('loop-failed')
+                self.state.log.write(
+                    'loop-failed', problem=traceback.format_exc()
+                )
+                eventlet.sleep(LOOP_RESTART_SECONDS)
+
     def _sync_limits(self) -> None:
         """Apply the configuration's limits to the listener."""
         while True:
