--- a/wigeonspoke/core/placement/plan.py
+++ b/wigeonspoke/core/placement/plan.py
@@ -1,4 +1,4 @@
-"""Plan a complete copy of a model over the engines of a failure domain.
+"""Plan a complete copy of a model over a set of engines.
 
 The plan is made for many short, concurrent generations on accelerators of
 different sizes.  Their key-value caches occupy the memory that the weights
@@ -41,7 +41,7 @@
     profile: EngineProfile,
     insert_at: float = 0,
 ) -> tuple[Placement, ...]:
-    """Plan a complete copy of the model over the engines of one domain.
+    """Plan a complete copy of the model over the given engines.
 
     The plan is empty if the engines together have too little memory.  If there
     are more engines than a chain may have hops, those with the most memory are
--- a/wigeonspoke/core/placement/repair.py
+++ b/wigeonspoke/core/placement/repair.py
@@ -1,4 +1,4 @@
-"""Fill gaps in a domain's copy of the model.
+"""Fill gaps in a copy of the model.
 
 A gap is left when an engine goes away with the layers that it held.  If one
 engine took over the whole gap, it could have too little memory left for
@@ -67,7 +67,7 @@
     engines: Sequence[Endpoint],
     profile: EngineProfile,
 ) -> tuple[Placement, ...]:
-    """Return the placements that complete a domain's copy of the model.
+    """Return the placements that complete a copy of the model.
 
     ``layers`` of each engine must be the layers that it holds or is loading.
     The result is empty if the copy is complete, or if the engines together
