Choose among chains by the requests they have slots and memory for

Cause: a chain's load was its number of requests, multiplied by the chains that share an engine; an engine with little memory left counted like any other.

Change: each chain has a capacity, the least of its head's slots and of what the memory of its engines holds of requests of mean length, an engine's memory being divided among the chains that use it. Chains rank by requests in proportion to that; one that is full by this estimate ranks after chains of other domains, but is still used.

--- a/wigeonspoke/core/chains/__init__.py
+++ b/wigeonspoke/core/chains/__init__.py
@@ -1,6 +1,7 @@
 """Selection and health of chains of engines that serve whole requests."""
 
 from wigeonspoke.core.chains.activity import ChainActivity
+from wigeonspoke.core.chains.capacity import estimate_capacities
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
 from wigeonspoke.core.chains.paths import (
     Chain,
@@ -22,6 +23,7 @@
     'PeerLoad',
     'SuspectRegistry',
     'Suspicion',
+    'estimate_capacities',
     'explain_missing_chain',
     'find_chain',
     'find_chains',
--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from wigeonspoke.core.chains.capacity import estimate_capacities
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
 from wigeonspoke.core.chains.paths import (
     Chain,
@@ -28,13 +29,14 @@
 class CachedChains(msgspec.Struct):
     """The chains of a service and the input versions they depend on.
 
-    ``uses`` counts the chains that use an engine, by endpoint id.
+    ``capacities`` holds the requests that a chain has slots and memory for, by
+    the endpoint id of its head.
     """
 
     fleet_revision: int
     suspects_revision: int
     chains: tuple[Chain, ...]
-    uses: Counter[str]
+    capacities: dict[str, float]
 
 
 class ChainSelector:
@@ -120,7 +122,10 @@
         if not usable:
             return None
         return min(
-            usable, key=lambda chain: self._rank(chain, cached.uses, now)
+            usable,
+            key=lambda chain: self._rank(
+                chain, cached.capacities[chain.head.endpoint_id], now
+            ),
         )
 
     def has_capacity(self, chain: Chain, now: float) -> bool:
@@ -165,13 +170,11 @@
             or cached.suspects_revision != suspects_revision
         ):
             found = self._find_chains(service, profile)
-            uses = Counter(
-                endpoint_id
-                for chain in found
-                for endpoint_id in chain.endpoint_ids
-            )
             cached = CachedChains(
-                fleet_revision, suspects_revision, found, uses
+                fleet_revision,
+                suspects_revision,
+                found,
+                estimate_capacities(found, profile),
             )
             self.cached_chains[service] = cached
         return cached
@@ -180,22 +183,17 @@
         return any(self.suspects.is_slow(hop.endpoint) for hop in chain.hops)
 
     def _rank(
-        self, chain: Chain, uses: Counter[str], now: float
+        self, chain: Chain, capacity: float, now: float
     ) -> tuple[int, bool, bool, float]:
-        """Return the sort key of a chain; the least is selected.
-
-        A chain whose engines other chains use too counts as more loaded, by
-        the most chains that share one of its engines.
-        """
+        """Return the sort key of a chain; the least is selected."""
         head = chain.head
         streams = self.streams_at(head.endpoint_id)
         is_deprioritized = self.suspects.is_deprioritized(head.endpoint_id, now)
-        sharing = max(uses[endpoint_id] for endpoint_id in chain.endpoint_ids)
         return (
             is_deprioritized + self._has_slow_engine(chain),
-            streams >= head.slots,
+            streams >= capacity,
             head.failure_domain != self.failure_domain,
-            streams * sharing,
+            streams / max(1.0, capacity),
         )
 
     def _usable_engines(self, service: str) -> list[Endpoint]:
--- a/wigeonspoke/core/fleet/records.py
+++ b/wigeonspoke/core/fleet/records.py
@@ -4,6 +4,8 @@
 
 from wigeonspoke.core.deployment import LayerRange
 
+BYTES_PER_MEGABYTE = 1000000.0
+
 
 class Endpoint(msgspec.Struct, frozen=True):
     """One run of an endpoint, as the registry lists it.
@@ -75,3 +77,15 @@
         if kind is None or not self.layer_mb:
             return 0
         return min(self.layers, int(kind.memory_mb // self.layer_mb))
+
+    def cache_capacity(self, name: str, layers: int) -> float:
+        """Return how many caches of one token for one layer fit in memory.
+
+        This is the memory that the weights of ``layers`` layers leave free on
+        an accelerator; it is 0 for an unknown one.
+        """
+        kind = self.accelerator(name)
+        if kind is None:
+            return 0
+        free = (kind.memory_mb - layers * self.layer_mb) * BYTES_PER_MEGABYTE
+        return free / (self.kv_token_bytes / self.layers)
--- a/wigeonspoke/core/placement/copies.py
+++ b/wigeonspoke/core/placement/copies.py
@@ -13,11 +13,14 @@
 
 import msgspec
 
-from wigeonspoke.core.fleet import Endpoint, EngineProfile
+from wigeonspoke.core.fleet import (
+    BYTES_PER_MEGABYTE,
+    Endpoint,
+    EngineProfile,
+)
 from wigeonspoke.core.placement.plan import Placement, balanced_capacity
 from wigeonspoke.core.placement.repair import relieve_engines
 
-BYTES_PER_MEGABYTE = 1000000.0
 # Costs of a layer that a copy lacks, and of a layer that one of its engines
 # holds in vain because another engine of the copy runs it.  Taking an engine
 # with other boundaries from another copy should not pay.
--- a/wigeonspoke/core/placement/plan.py
+++ b/wigeonspoke/core/placement/plan.py
@@ -15,8 +15,6 @@
 from wigeonspoke.core.deployment import LayerRange
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 
-BYTES_PER_MEGABYTE = 1000000.0
-
 
 class Placement(msgspec.Struct, frozen=True):
     """Assignment of a range of layers to an engine."""
@@ -98,11 +96,9 @@
 
     The capacity is 0 for an unknown accelerator or an engine without layers.
     """
-    kind = profile.accelerator(engine.accelerator)
-    if kind is None or not layers:
+    if not layers:
         return 0
-    free = (kind.memory_mb - layers * profile.layer_mb) * BYTES_PER_MEGABYTE
-    return free / (layers * profile.kv_token_bytes / profile.layers)
+    return profile.cache_capacity(engine.accelerator, layers) / layers
 
 
 def _largest_engines(
