Pass the cost of a hop to the chain search by itself

The search changed a field of its caller's costs between its two passes. The cost of a hop is now an argument.

--- a/wigeonspoke/core/chains/paths.py
+++ b/wigeonspoke/core/chains/paths.py
@@ -76,13 +76,12 @@
     ``heads`` may not be the head of a further chain.
     """
 
-    __slots__ = ('heads', 'hop_cost', 'slow_ids', 'uses')
+    __slots__ = ('heads', 'slow_ids', 'uses')
 
     def __init__(self, slow_ids: Collection[str] = ()) -> None:
         self.slow_ids = slow_ids
         self.uses: Counter[str] = Counter()
         self.heads: set[str] = set()
-        self.hop_cost = HOP_COST
 
     def record_chain(self, chain: Chain) -> None:
         """Let further chains use other engines where possible."""
@@ -90,13 +89,10 @@
         self.heads.add(chain.head.endpoint_id)
 
     def engine_cost(self, engine: Endpoint) -> float:
-        """Return the cost of using an engine, apart from its layers."""
+        """Return the cost of using an engine, apart from hop and layers."""
         is_slow = engine.endpoint_id in self.slow_ids
-        return (
-            self.hop_cost
-            + SHARED_ENGINE_COST * self.uses[engine.endpoint_id]
-            + SLOW_ENGINE_COST * is_slow
-        )
+        shared_cost = SHARED_ENGINE_COST * self.uses[engine.endpoint_id]
+        return shared_cost + SLOW_ENGINE_COST * is_slow
 
 
 def find_chains(
@@ -134,10 +130,10 @@
     engines_with_layers = [
         engine for engine in engines if engine.layers is not None
     ]
-    used_costs = costs or SearchCosts()
+    engine_costs = costs or SearchCosts()
     for hop_cost in (HOP_COST, DOMINANT_HOP_COST):
-        used_costs.hop_cost = hop_cost
-        chain = _Search(engines_with_layers, profile, used_costs).run()
+        search = _Search(engines_with_layers, profile, engine_costs, hop_cost)
+        chain = search.run()
         if chain is None or len(chain.hops) <= profile.max_hops:
             return chain
     return None
@@ -172,6 +168,7 @@
         'costs',
         'engines_with_layers',
         'heap',
+        'hop_cost',
         'predecessors',
         'profile',
     )
@@ -181,10 +178,12 @@
         engines_with_layers: list[Endpoint],
         profile: EngineProfile,
         costs: SearchCosts,
+        hop_cost: float,
     ) -> None:
         self.engines_with_layers = engines_with_layers
         self.profile = profile
         self.costs = costs
+        self.hop_cost = hop_cost
         self.heap: list[_SearchState] = [_SearchState(0, 0, '', -1)]
         self.best_costs: dict[tuple[int, str], float] = {}
         self.predecessors: dict[tuple[int, str], tuple[int, str, int]] = {}
@@ -224,7 +223,8 @@
         wasted_layers = state.covered - engine.layers.first
         crosses_domain = state.domain not in {'', engine.failure_domain}
         return (
-            self.costs.engine_cost(engine)
+            self.hop_cost
+            + self.costs.engine_cost(engine)
             + slowdown * layer_share
             + WASTED_LAYER_COST * wasted_layers
             + DOMAIN_CROSSING_COST * crosses_domain
