Do not miss changes between the pages of a table

What callers would see: a node that keeps an endpoint, or a configuration, that changed while it read a table of more than 500 rows.

Cause: the version of the last page was taken for the whole table, so the feed went on after changes to rows of earlier pages.

Change: the version is that of the first page; the feed then repeats what changed meanwhile, which the consumers bear.

Test: a row changed or removed between two pages is told by the feed; both cases fail before. The store stand-in has pages and a hook between them.

--- a/wigeonspoke/platform/standins/store.py
+++ b/wigeonspoke/platform/standins/store.py
@@ -4,6 +4,7 @@
 import enum
 import http
 import time
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -21,6 +22,7 @@
 POLL_SECONDS = 0.01
 HANG_SECONDS = 60.0
 DELAY_SECONDS = 0.3
+MAX_PAGE_ROWS = 500
 
 
 @enum.unique
@@ -55,12 +57,15 @@
 class StoreStandin:
     """Stores rows in memory and serves the store's HTTP interface.
 
-    All rows have the empty ``part``, which the node uses exclusively.
+    All rows have the empty ``part``, which the node uses exclusively.  A read
+    returns at most ``page_rows`` rows; ``after_page`` is called after each.
     """
 
     __slots__ = (
+        'after_page',
         'expired_before',
         'fault',
+        'page_rows',
         'requested_paths',
         'rows',
         'server',
@@ -71,6 +76,8 @@
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.version = 0
         self.expired_before = 0
+        self.page_rows = MAX_PAGE_ROWS
+        self.after_page: Callable[[], None] | None = None
         self.fault = StoreFault.NONE
         self.requested_paths: list[str] = []
         self.server = RawServer(self._handle)
@@ -117,7 +124,7 @@
         if self._inject_fault(connection):
             return
         if parts.path == '/v1/rows-get':
-            self._send_page(connection, self._table_rows(query['table']))
+            self._handle_read(query, connection)
         elif parts.path == '/v1/rows-feed':
             self._handle_feed(query, connection)
         else:
@@ -128,6 +135,19 @@
         action = _FAULT_ACTIONS.get(self.fault)
         return action is not None and action(connection)
 
+    def _handle_read(
+        self, query: dict[str, str], connection: RawConnection
+    ) -> None:
+        rows = [
+            row
+            for row in self._table_rows(query['table'])
+            if row.key >= query.get('from', '')
+        ]
+        page = rows[: self.page_rows]
+        self._send_page(connection, page, truncated=len(page) < len(rows))
+        if self.after_page is not None:
+            self.after_page()
+
     def _handle_feed(
         self, query: dict[str, str], connection: RawConnection
     ) -> None:
@@ -186,11 +206,15 @@
         self._send_page(connection, [])
 
     def _send_page(
-        self, connection: RawConnection, rows: list[StoredRow]
+        self,
+        connection: RawConnection,
+        rows: list[StoredRow],
+        *,
+        truncated: bool = False,
     ) -> None:
         body = {
             'rows': [_encode_row(row) for row in rows],
-            'truncated': False,
+            'truncated': truncated,
             'ver': self.version,
             'now-ms': time.monotonic() * MILLISECONDS_PER_SECOND,
         }
--- a/wigeonspoke/platform/store_client.py
+++ b/wigeonspoke/platform/store_client.py
@@ -55,10 +55,12 @@
     def read_table(self, table: str) -> Result[RowPage, StoreError]:
         """Read all rows of a table.
 
-        A table of several pages is not read at one version: each page is
-        consistent in itself only.
+        A table of several pages is not read at one version.  The version
+        returned is that of the first page, so that a feed from there repeats
+        whatever changed while the other pages were read.
         """
         rows: list[TableRow] = []
+        first_page: _WirePage | None = None
         start_key = ''
         while True:
             query = {'table': table, 'part': '', 'limit': ROWS_PER_PAGE}
@@ -68,9 +70,10 @@
             if not isinstance(result, Success):
                 return result
             page = result.unwrap()
+            first_page = first_page or page
             rows.extend(_convert_rows(page))
             if not page.truncated or not page.rows:
-                return Success(_convert_page(page, tuple(rows)))
+                return Success(_convert_page(first_page, tuple(rows)))
             # Keys are ordered bytewise, so the smallest key after another is
             # that key with a zero byte appended.
             start_key = f'{page.rows[-1].key}\0'
--- a/wigeonspoke/platform/tests/test_store.py
+++ b/wigeonspoke/platform/tests/test_store.py
@@ -3,7 +3,7 @@
 import eventlet
 import pytest
 
-from wigeonspoke.platform.standins import StoreFault
+from wigeonspoke.platform.standins import StoreFault, StoreStandin
 from wigeonspoke.platform.store_client import PlatformStore
 from wigeonspoke.platform.tests.harness import make_configuration, send_request
 from wigeonspoke.store import RowWrite, StoreProblem
@@ -124,3 +124,29 @@
     harness.store.remove('servers', 'r-one')
     fleet = harness.node.state.fleet
     harness.wait_until(lambda: 'r-one' not in fleet.endpoints, seconds=1)
+
+
+# A row changed while a later page was read was never told by the feed.
+@pytest.mark.parametrize('change', ['put', 'remove'])
+def test_changes_between_the_pages_of_a_table_are_not_missed(change):
+    store = StoreStandin()
+    for number in range(4):
+        store.put('servers', f's{number}', {'round': 1})
+    store.page_rows = 2
+
+    def change_first_page() -> None:
+        store.after_page = None
+        if change == 'put':
+            store.put('servers', 's0', {'round': 2})
+        else:
+            store.remove('servers', 's0')
+
+    store.after_page = change_first_page
+    client = PlatformStore(store.address, HttpClient())
+    page = client.read_table('servers').unwrap()
+    assert [row.key for row in page.rows] == ['s0', 's1', 's2', 's3']
+    changed = client.follow('servers', page.version, 1.0).unwrap().rows
+    assert [(row.key, row.is_removed) for row in changed] == [
+        ('s0', change == 'remove')
+    ]
+    store.server.close()
