--- a/wigeonspoke/core/placement/controller.py
+++ b/wigeonspoke/core/placement/controller.py
@@ -91,7 +91,8 @@
 
         ``slow_ids`` names the engines whose layers other engines should
         load, if they have the memory.  Repairs come before balancing, which
-        waits until no order is pending.
+        waits until no order is pending.  Last, an engine is relieved if a
+        further copy is wanted.
         """
         registered = list(engines)
         self._update_known_ids(registered, now)
@@ -189,7 +190,7 @@
         copy: tuple[Endpoint, ...],
         slow_ids: Collection[str],
     ) -> tuple[Placement, ...]:
-        """Return the placements that complete a copy or relieve its engines."""
+        """Return placements that complete a copy or relieve slow engines."""
         repairs = repair_copy(copy, self.profile)
         fast = [engine for engine in copy if engine.endpoint_id not in slow_ids]
         if repairs or len(fast) == len(copy):
--- a/wigeonspoke/core/placement/copies.py
+++ b/wigeonspoke/core/placement/copies.py
@@ -78,11 +78,12 @@
     engines: Sequence[Endpoint],
     profile: EngineProfile,
 ) -> Division:
-    """Divide the engines of a domain into copies; each engine is in one.
+    """Divide the engines of a domain into copies and at most one reserve.
 
     Engines whose layers make up a copy, or most of one, stay together.  The
-    others go to the copies with the least memory.  A copy that would have too
-    little memory is not formed.
+    others go to the copies with the least memory.  If the engines of a copy
+    have too little memory, they are reserved for it while the domain as a whole
+    has enough, and join the other copies otherwise.
     """
     wanted = count_copies(engines, profile)
     kept = count_copies(engines, profile, KEPT_COPY_FRACTION)
