Say how the bodies of streams end

What callers saw: answers that lack their last events and look complete. The logs could not tell the hypotheses apart, since nothing said whether a body ended by its length, a last chunk or only the close of its connection.

Change: a `stream-end` line for a body that ends by close or inside an event, with the last event, the bytes of an incomplete one and whether sending had failed; a counter of the ends of all streams. No decision changes.

--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -20,7 +20,12 @@
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.ingress.connection_pool import ConnectionPool
 from wigeonspoke.ingress.protocols import HeaderList
-from wigeonspoke.transport import ChunkedDecoder, ChunkError
+from wigeonspoke.transport import (
+    BodyEnd,
+    ChunkedDecoder,
+    ChunkError,
+    find_body_end,
+)
 
 RECEIVE_BYTES = 65536
 # A payload of this size fits the peer's receive window and is sent inline;
@@ -58,6 +63,7 @@
     """
 
     __slots__ = (
+        'body_end',
         'chunks',
         'is_aborted',
         'is_drained',
@@ -66,6 +72,7 @@
         'parser',
         'peer',
         'pool',
+        'send_failed',
         'sender',
         'sock',
     )
@@ -80,10 +87,14 @@
         # Whether the last read emptied the socket's receive buffer.
         self.is_drained = True
         self.parser = h11.Connection(h11.CLIENT)
+        # What marks the end of the response body, as the head tells.
+        self.body_end: BodyEnd | None = None
         # Decoder of a chunked response body, used instead of the h11 parser.
         self.chunks: ChunkedDecoder | None = None
         self.sock: green_socket.socket | None = None
         self.sender: eventlet.greenthread.GreenThread | None = None
+        # Whether the connection broke before the request was sent completely.
+        self.send_failed = False
         self.may_have_executed = False
         self.is_aborted = False
 
@@ -176,6 +187,7 @@
 
     def _process_head(self, head: h11.Response) -> None:
         self.keep_alive_seconds = _reusable_seconds(head)
+        self.body_end = find_body_end(head.headers)
         codings = [
             text for name, text in head.headers if name == b'transfer-encoding'
         ]
@@ -266,8 +278,10 @@
     def _send_all(self, payload: bytes) -> None:
         # An endpoint may respond before it has read the body and then reset
         # the connection; its response can still be read.
-        with suppress(OSError):
+        try:
             self.sock.sendall(payload)
+        except OSError:
+            self.send_failed = True
 
     def _error(self, reason: Reason, step: str) -> AttemptError:
         outcome = Outcome.UNKNOWN if self.may_have_executed else Outcome.NOT_RUN
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -39,6 +39,7 @@
     status_line,
 )
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.transport import BodyEnd
 
 SILENCE_RECHECK_SECONDS = 0.03
 # How long a request waits for a complete chain, as a fraction of the rule's
@@ -207,6 +208,7 @@
         while True:
             part = self._read_until_silent(attempt.read_body_part, chain)
             if part is None:
+                self._record_end(attempt, splitter)
                 break
             events = self._take_new_events(splitter.feed(part), chain)
             if events:
@@ -217,6 +219,21 @@
         if splitter.incomplete:
             yield splitter.incomplete
 
+    def _record_end(
+        self, attempt: EndpointAttempt, splitter: EventSplitter
+    ) -> None:
+        """Count the end of a body; log one that does not prove itself."""
+        self.state.count_event('stream-end', str(attempt.body_end))
+        if attempt.body_end is BodyEnd.CLOSE or splitter.incomplete:
+            self.note(
+                'stream-end',
+                peer=attempt.peer,
+                end=attempt.body_end,
+                last=self.cursor.last_number,
+                incomplete_bytes=len(splitter.incomplete),
+                send_failed=attempt.send_failed,
+            )
+
     def _take_new_events(
         self,
         events: list[StreamEvent],
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -1,5 +1,6 @@
 """HTTP on eventlet: a server with limits, and a client with outcomes."""
 
+from wigeonspoke.transport.body_end import BodyEnd, find_body_end
 from wigeonspoke.transport.chunked_decoder import ChunkedDecoder, ChunkError
 from wigeonspoke.transport.http_client import (
     HttpClient,
@@ -13,6 +14,7 @@
 from wigeonspoke.transport.socket_peek import peek
 
 __all__ = (
+    'BodyEnd',
     'ChunkError',
     'ChunkedDecoder',
     'HttpClient',
@@ -21,6 +23,7 @@
     'HttpReply',
     'ListenerLimits',
     'RequestError',
+    'find_body_end',
     'peek',
     'read_lines',
     'read_request_body',
