Add failing tests of answers that are broken off

What callers saw: streams that lack their last events arrived as complete.

Besides, a reset that the task sending the request receives, and an abort, are read as a regular end.

--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -16,6 +16,7 @@
     ReceivedRequest,
     record_request,
 )
+from wigeonspoke.transport import BodyEnd
 
 STALL_SECONDS = 2.0
 POLL_SECONDS = 0.01
@@ -33,7 +34,10 @@
     """
 
     __slots__ = (
+        'body_end',
         'born',
+        'breaks_off_at_event',
+        'broken_event_bytes',
         'endpoint_id',
         'engines',
         'events',
@@ -84,6 +88,12 @@
         self.reports = 0
         self.ignores_orders = False
         self.reset_at_event: int | None = None
+        # What marks the end of the body of a stream.
+        self.body_end = BodyEnd.LAST_CHUNK
+        # Event at which the body ends as if it were complete, after
+        # ``broken_event_bytes`` of it.
+        self.breaks_off_at_event: int | None = None
+        self.broken_event_bytes = 12
         self.received: list[ReceivedRequest] = []
         self.runs: list[ReceivedRequest] = []
         self.server = RawServer(self._handle)
@@ -213,13 +223,7 @@
         hops: dict[str, tuple[int, int]],
         connection: RawConnection,
     ) -> None:
-        connection.write(
-            b'HTTP/1.1 200 OK\r\n'
-            b'Content-Type: text/event-stream\r\n'
-            b'Transfer-Encoding: chunked\r\n'
-            + f'Request-Id: {received.request_id}\r\n'.encode()
-            + f'Response-Signature: s.{self.endpoint_id}\r\n\r\n'.encode(),
-        )
+        self._write_head(received, connection)
         first = int(received.headers.get('last-event-id', '0')) + 1
         for number in range(first, self.events + 1):
             eventlet.sleep(EVENT_INTERVAL_SECONDS)
@@ -233,8 +237,37 @@
             if not self._wait_for_hops(received, hops, connection):
                 return
             event = f'id: {number}\ndata: {self._format_token(number)}\n\n'
-            connection.write_chunk(event.encode())
-        connection.write(b'0\r\n\r\n')
+            if number == self.breaks_off_at_event:
+                event = event[: self.broken_event_bytes]
+                self._write_part(event.encode(), connection)
+                break
+            self._write_part(event.encode(), connection)
+        if self.body_end is BodyEnd.CLOSE:
+            connection.sock.close()
+        else:
+            connection.write(b'0\r\n\r\n')
+
+    def _write_head(
+        self, received: ReceivedRequest, connection: RawConnection
+    ) -> None:
+        framing = 'Transfer-Encoding: chunked'
+        if self.body_end is BodyEnd.CLOSE:
+            framing = 'Connection: close'
+        lines = (
+            'HTTP/1.1 200 OK',
+            'Content-Type: text/event-stream',
+            framing,
+            f'Request-Id: {received.request_id}',
+            f'Response-Signature: s.{self.endpoint_id}',
+        )
+        head = '\r\n'.join(lines)
+        connection.write(f'{head}\r\n\r\n'.encode())
+
+    def _write_part(self, part: bytes, connection: RawConnection) -> None:
+        if self.body_end is BodyEnd.CLOSE:
+            connection.write(part)
+        elif part:
+            connection.write_chunk(part)
 
     def _wait_for_hops(
         self,
--- /dev/null
+++ b/wigeonspoke/platform/tests/test_broken_answers.py
@@ -0,0 +1,130 @@
+"""An answer that is broken off does not reach its client as complete."""
+
+import re
+
+import pytest
+
+from wigeonspoke.platform.tests.harness import (
+    Client,
+    send_request,
+)
+from wigeonspoke.transport import BodyEnd
+
+ALL_EVENTS = list(range(1, 21))
+# Bytes of an event that are sent before its body ends; -1 for all but one.
+INSIDE_ID = 3
+INSIDE_DATA = 14
+BEFORE_EMPTY_LINE = -1
+ENDS = (BodyEnd.CLOSE, BodyEnd.LAST_CHUNK)
+
+
+def _event_ids(body: bytes) -> list[int]:
+    return [int(found) for found in re.findall(rb'^id: (\d+)$', body, re.M)]
+
+
+def _head_engine(harness, zone: str):
+    return next(
+        engine
+        for engine in harness.engines
+        if engine.zone == zone and engine.layers[0] == 0
+    )
+
+
+def _break_off(engine, end: BodyEnd, event: int, sent_bytes: int) -> None:
+    engine.body_end = end
+    engine.breaks_off_at_event = event
+    engine.broken_event_bytes = sent_bytes
+
+
+def _request_stream(harness):
+    return send_request(
+        harness,
+        'POST',
+        '/draft/x',
+        'id1',
+        body=b'prompt',
+        Model='m',
+        Token_Usage='100,100',
+    )
+
+
+def test_a_stream_may_end_with_its_connection(placed_harness):
+    _head_engine(placed_harness, 'one').body_end = BodyEnd.CLOSE
+    body = _request_stream(placed_harness)[2]
+    assert _event_ids(body) == ALL_EVENTS
+    assert not _head_engine(placed_harness, 'two').received
+
+
+# An answer broken off reached its caller as complete.
+@pytest.mark.parametrize('end', ENDS)
+@pytest.mark.parametrize('event', [1, 10, 20])
+@pytest.mark.parametrize(
+    'sent_bytes', [INSIDE_ID, INSIDE_DATA, BEFORE_EMPTY_LINE]
+)
+def test_a_stream_that_ends_inside_an_event_is_resumed(
+    placed_harness, end, event, sent_bytes
+):
+    _break_off(_head_engine(placed_harness, 'one'), end, event, sent_bytes)
+    body = _request_stream(placed_harness)[2]
+    assert _event_ids(body) == ALL_EVENTS
+    assert body.count(b'\n\n') == len(ALL_EVENTS)
+    resumed = _head_engine(placed_harness, 'two').runs[0]
+    last_event = '' if event == 1 else str(event - 1)
+    assert resumed.headers.get('last-event-id', '') == last_event
+
+
+@pytest.mark.parametrize('end', ENDS)
+def test_a_stream_that_no_chain_completes_does_not_look_complete(
+    placed_harness, end
+):
+    for zone in ('one', 'two'):
+        _break_off(_head_engine(placed_harness, zone), end, 8, INSIDE_DATA)
+    client = Client(placed_harness)
+    client.send('POST', '/draft/x', 'id1', body=b'p')
+    client.read_head()
+    with pytest.raises(AssertionError, match='truncated response'):
+        list(client.read_chunks())
+    client.close()
+
+
+def test_a_stream_that_ends_with_its_connection_before_any_event(
+    placed_harness,
+):
+    _break_off(_head_engine(placed_harness, 'one'), BodyEnd.CLOSE, 1, 0)
+    body = _request_stream(placed_harness)[2]
+    assert _event_ids(body) == ALL_EVENTS
+
+
+# The second engine has nothing to add, although the first one had begun
+# event 8.
+@pytest.mark.parametrize('end', ENDS)
+def test_an_empty_rest_does_not_complete_a_stream_with_a_begun_event(
+    placed_harness, end
+):
+    _break_off(_head_engine(placed_harness, 'one'), end, 8, INSIDE_DATA)
+    _break_off(_head_engine(placed_harness, 'two'), end, 8, 0)
+    client = Client(placed_harness)
+    client.send('POST', '/draft/x', 'id1', body=b'p')
+    client.read_head()
+    with pytest.raises(AssertionError, match='truncated response'):
+        list(client.read_chunks())
+    client.close()
+
+
+@pytest.mark.parametrize(('linger', 'status'), [(False, 200), (True, 502)])
+def test_a_call_that_ends_with_a_reset_is_not_complete(harness, linger, status):
+    def respond(request, connection):
+        connection.write(
+            b'HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n'
+            b'Response-Signature: s\r\nConnection: close\r\n\r\nbody'
+        )
+        if linger:
+            connection.reset()
+        else:
+            connection.sock.close()
+
+    for replica in harness.replicas:
+        replica.server.handle = respond
+    assert send_request(harness, 'POST', '/write/x', 'id1', body=b'b')[0] == (
+        status
+    )
