Treat a stream that ends inside an event as broken off

Cause: `read_body_part` returned None as "regular end" for a length reached, a last chunk and the close of a connection, and the stream handler finished the response at any of them, with the bytes of an incomplete event. The class: an end without proof of completeness taken as completeness.

Why it works: the end of a body is a value that says what marked it, and the stream may end only where no event has begun: not inside one, not empty although an earlier attempt began a further event, not before any event if only the connection ended. Otherwise the attempt fails, so the stream is resumed after its last complete event, or its response ends without its last chunk.

Kept: a stream that ends with its connection after a complete event is complete, since nothing in its framing or its events tells otherwise.

--- a/wigeonspoke/core/outcomes.py
+++ b/wigeonspoke/core/outcomes.py
@@ -32,6 +32,7 @@
     ATTEMPTS_SPENT = 'attempts-spent'
     BODY_MISMATCH = 'body-mismatch'
     BUDGET_SPENT = 'retry-budget-spent'
+    BROKEN_OFF = 'answer-broken-off'
     BUSY = 'endpoint-busy'
     CALLER_GONE = 'caller-gone'
     CLAIM_PENDING = 'claim-in-progress'
--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -22,6 +22,7 @@
 )
 from wigeonspoke.ingress.responses import EndpointResponse, NodeResponse
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.transport import BodyEnd
 
 # The first attempt at a repeatable call may take this multiple of the rule's
 # target latency; the last one may take all the remaining time.
@@ -190,7 +191,7 @@
     size = 0
     while True:
         part = attempt.read_body_part(deadline)
-        if part is None:
+        if isinstance(part, BodyEnd):
             return b''.join(parts)
         size += len(part)
         if size > MAX_BODY_BYTES:
--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -156,14 +156,18 @@
                 self._process_head(event)
                 return event
 
-    def read_body_part(self, deadline: float) -> bytes | None:
-        """Read the next part of the body; None marks its regular end."""
+    def read_body_part(self, deadline: float) -> bytes | BodyEnd:
+        """Read the next part of the body, or what marks its end.
+
+        After :attr:`BodyEnd.CLOSE` only the content can tell whether the body
+        is complete.
+        """
         if self.chunks is not None:
             return self._read_chunks(self.chunks, deadline)
         event = self._next_event(deadline)
         if isinstance(event, h11.Data):
             return bytes(event.data)
-        return None
+        return self.body_end
 
     def abort(self) -> None:
         """Shut the connection down, which also cancels the request."""
@@ -198,14 +202,14 @@
 
     def _read_chunks(
         self, chunks: ChunkedDecoder, deadline: float
-    ) -> bytes | None:
+    ) -> bytes | BodyEnd:
         part = self._decode_chunks(chunks, b'') if chunks.buffer else b''
         while not part and not chunks.is_complete:
             received = self._receive(deadline)
             if not received:
                 raise self._error(Reason.RESET, 'answer')
             part = self._decode_chunks(chunks, received)
-        return part or None
+        return part or BodyEnd.LAST_CHUNK
 
     def _decode_chunks(self, chunks: ChunkedDecoder, received: bytes) -> bytes:
         try:
--- a/wigeonspoke/ingress/event_cursor.py
+++ b/wigeonspoke/ingress/event_cursor.py
@@ -1,6 +1,7 @@
 """Position of a client in an event stream."""
 
 from wigeonspoke.ingress.event_splitter import StreamEvent
+from wigeonspoke.transport import BodyEnd
 
 
 class EventCursor:
@@ -10,12 +11,16 @@
     cannot be resumed at another chain then.
     """
 
-    __slots__ = ('last_number',)
+    __slots__ = ('has_begun_event', 'has_position', 'last_number')
 
     def __init__(self, resumed_after: str) -> None:
         self.last_number: int | None = None
         if resumed_after.isdecimal():
             self.last_number = int(resumed_after)
+        # Whether the client has any event, from this request or before it.
+        self.has_position = bool(resumed_after)
+        # Whether an attempt broke off inside the event after the last one.
+        self.has_begun_event = False
 
     @property
     def is_numbered(self) -> bool:
@@ -39,6 +44,17 @@
                 new_events.append(event.raw)
         return new_events
 
+    def may_end(self, body_end: BodyEnd) -> bool:
+        """Return whether the stream may be complete after the last event.
+
+        It is not if a further event has begun in any attempt.  A body that
+        ends with its connection before any event proves nothing, while one
+        that ends so after a complete event may be complete.
+        """
+        if self.has_begun_event:
+            return False
+        return self.has_position or body_end is not BodyEnd.CLOSE
+
     def _distance(self, event: StreamEvent) -> int:
         """Return the distance from the last event, 1 if unknown."""
         if event.number is None or self.last_number is None:
@@ -46,5 +62,7 @@
         return event.number - self.last_number
 
     def _advance(self, event: StreamEvent) -> None:
+        self.has_position = True
+        self.has_begun_event = False
         if event.number is not None:
             self.last_number = event.number
--- a/wigeonspoke/ingress/event_splitter.py
+++ b/wigeonspoke/ingress/event_splitter.py
@@ -30,6 +30,11 @@
     def __init__(self) -> None:
         self.incomplete = b''
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and its end has not been received."""
+        return bool(self.incomplete.strip(b'\r\n'))
+
     def feed(self, part: bytes) -> list[StreamEvent]:
         """Add received bytes; return the events that they complete."""
         self.incomplete += part
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -207,32 +207,43 @@
         splitter = EventSplitter()
         while True:
             part = self._read_until_silent(attempt.read_body_part, chain)
-            if part is None:
-                self._record_end(attempt, splitter)
+            if isinstance(part, BodyEnd):
                 break
             events = self._take_new_events(splitter.feed(part), chain)
             if events:
                 self.chain_monitor.record_event()
                 self._send_head(headers)
                 yield b''.join(events)
+        self._check_complete(attempt, part, splitter)
         self._send_head(headers)
-        if splitter.incomplete:
-            yield splitter.incomplete
 
-    def _record_end(
-        self, attempt: EndpointAttempt, splitter: EventSplitter
+    def _check_complete(
+        self,
+        attempt: EndpointAttempt,
+        body_end: BodyEnd,
+        splitter: EventSplitter,
     ) -> None:
-        """Count the end of a body; log one that does not prove itself."""
-        self.state.count_event('stream-end', str(attempt.body_end))
-        if attempt.body_end is BodyEnd.CLOSE or splitter.incomplete:
+        """Raise if the body ended before the stream was complete."""
+        if splitter.is_inside_event:
+            self.cursor.has_begun_event = True
+        may_end = self.cursor.may_end(body_end)
+        self.state.count_event('stream-end', str(body_end))
+        if body_end is BodyEnd.CLOSE or not may_end:
             self.note(
                 'stream-end',
                 peer=attempt.peer,
-                end=attempt.body_end,
+                end=body_end,
+                complete=may_end,
                 last=self.cursor.last_number,
                 incomplete_bytes=len(splitter.incomplete),
                 send_failed=attempt.send_failed,
             )
+        if not may_end:
+            raise AttemptError(
+                StepError(
+                    Outcome.UNKNOWN, Reason.BROKEN_OFF, 'answer', attempt.peer
+                )
+            )
 
     def _take_new_events(
         self,
--- a/wigeonspoke/ingress/tests/test_event_cursor.py
+++ b/wigeonspoke/ingress/tests/test_event_cursor.py
@@ -3,7 +3,8 @@
 import pytest
 
 from wigeonspoke.ingress.event_cursor import EventCursor
-from wigeonspoke.ingress.event_splitter import StreamEvent
+from wigeonspoke.ingress.event_splitter import EventSplitter, StreamEvent
+from wigeonspoke.transport import BodyEnd
 
 
 @pytest.mark.parametrize(
@@ -40,3 +41,44 @@
     cursor.take_new([StreamEvent(b'', number) for number in numbers])
     assert cursor.last_event_id == last_event_id
     assert cursor.is_numbered == bool(last_event_id)
+
+
+@pytest.mark.parametrize(
+    ('resumed_after', 'numbers', 'has_begun_event', 'body_end', 'may_end'),
+    [
+        ('', [1, 2], False, BodyEnd.CLOSE, True),
+        ('', [None], False, BodyEnd.CLOSE, True),
+        ('', [], False, BodyEnd.CLOSE, False),
+        ('', [], False, BodyEnd.LAST_CHUNK, True),
+        ('', [], False, BodyEnd.LENGTH, True),
+        ('2', [], False, BodyEnd.CLOSE, True),
+        ('2', [], True, BodyEnd.LAST_CHUNK, False),
+        ('', [1], True, BodyEnd.LAST_CHUNK, True),
+        ('', [], True, BodyEnd.LENGTH, False),
+    ],
+)
+def test_where_a_stream_may_end(
+    resumed_after, numbers, has_begun_event, body_end, may_end
+):
+    cursor = EventCursor(resumed_after)
+    cursor.has_begun_event = has_begun_event
+    cursor.take_new([StreamEvent(b'', number) for number in numbers])
+    assert cursor.may_end(body_end) is may_end
+
+
+@pytest.mark.parametrize(
+    ('received', 'is_inside_event'),
+    [
+        (b'', False),
+        (b'data: a\n\n', False),
+        (b'data: a\r\n\r\n', False),
+        (b'data: a\n\n\n', False),
+        (b'data: a\n\ni', True),
+        (b'data: a\n', True),
+        (b'data: a\r\n', True),
+    ],
+)
+def test_whether_a_stream_is_inside_an_event(received, is_inside_event):
+    splitter = EventSplitter()
+    splitter.feed(received)
+    assert splitter.is_inside_event is is_inside_event
