Do not read a reset or an abort as a regular end

What callers saw: nothing reported; a body without a length or chunks that was reset, or that this node aborted, would count as complete.

Cause: the kernel reports a reset once. If the task that still sends the request receives it, the next read returns a plain end. An abort shuts the socket down, and the read ends in the same way.

Why it works: the sender records that it failed, and a body that ends only by its connection is not complete after that or after an abort.

--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -167,6 +167,8 @@
         event = self._next_event(deadline)
         if isinstance(event, h11.Data):
             return bytes(event.data)
+        if self.body_end is BodyEnd.CLOSE and self._has_lost_end():
+            raise self._error(Reason.RESET, 'answer')
         return self.body_end
 
     def abort(self) -> None:
@@ -217,6 +219,14 @@
         except ChunkError as error:
             raise self._error(Reason.CONTRACT, 'answer') from error
 
+    def _has_lost_end(self) -> bool:
+        """Return whether a read may report an end that was not regular.
+
+        A reset is reported only once, possibly to the task that sends the
+        request, and a shutdown of our own looks like the peer's close.
+        """
+        return self.send_failed or self.is_aborted
+
     def _is_reusable(self) -> bool:
         """Return whether the exchange is complete, with no bytes left."""
         if self.is_aborted or self.sender is not None:
