Show HTTP/1.0 clients that a response was broken off

What callers saw: a client that speaks HTTP/1.0 got events 1 to 7 of a stream that no chain could finish, and then the regular end of its connection, which is how a complete response ends there.

Cause: the listener ends a response that failed by closing the connection. In HTTP/1.1 the missing last chunk shows the break; in HTTP/1.0 nothing does.

Evidence: test_a_client_without_chunks_sees_a_reset fails with the old listener (it reads a regular end) and passes with the new one.

Why it works: an error that ends the body of a response marks the connection, and if its request was HTTP/1.0 it is closed with a reset and without a shutdown before. HTTP/1.1 connections close as before, since a reset could discard events that the client has not read yet. It holds for every listener.

Checks: tests of platform, node, transport and processes pass.

--- a/wigeonspoke/platform/standins/raw_server.py
+++ b/wigeonspoke/platform/standins/raw_server.py
@@ -13,12 +13,9 @@
 import msgspec
 from eventlet.greenio import shutdown_safe
 
-from wigeonspoke.transport import peek
+from wigeonspoke.transport import peek, reset_on_close
 
 READ_BYTES = 65536
-# A ``struct linger`` with ``l_onoff`` 1 and ``l_linger`` 0 makes ``close`` send
-# a reset.
-LINGER_RESET = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 
 
 class RawRequest(msgspec.Struct):
@@ -67,11 +64,7 @@
 
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
-        self.sock.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_LINGER,
-            LINGER_RESET,
-        )
+        reset_on_close(self.sock)
         self.sock.close()
 
 
--- a/wigeonspoke/platform/tests/test_broken_answers.py
+++ b/wigeonspoke/platform/tests/test_broken_answers.py
@@ -3,8 +3,10 @@
 import re
 
 import pytest
+from eventlet.hubs import trampoline
 
 from wigeonspoke.platform.tests.harness import (
+    TIMEOUT_SECONDS,
     Client,
     send_request,
 )
@@ -15,6 +17,7 @@
 INSIDE_ID = 3
 INSIDE_DATA = 14
 BEFORE_EMPTY_LINE = -1
+RECEIVE_BYTES = 65536
 ENDS = (BodyEnd.CLOSE, BodyEnd.LAST_CHUNK)
 
 
@@ -30,6 +33,15 @@
     )
 
 
+def _read_to_end(sock) -> None:
+    """Read until the connection ends; a reset raises."""
+    # The green socket would report a reset as an ordinary end.
+    received = b'-'
+    while received:
+        trampoline(sock.fd, read=True, timeout=TIMEOUT_SECONDS)
+        received = sock.fd.recv(RECEIVE_BYTES)
+
+
 def _break_off(engine, end: BodyEnd, event: int, sent_bytes: int) -> None:
     engine.body_end = end
     engine.breaks_off_at_event = event
@@ -111,6 +123,21 @@
     client.close()
 
 
+# HTTP/1.0 has no chunks: only a reset shows that the response is broken off.
+def test_a_client_without_chunks_sees_a_reset(placed_harness):
+    for zone in ('one', 'two'):
+        _head_engine(placed_harness, zone).reset_at_event = 8
+    client = Client(placed_harness)
+    client.send_raw(
+        b'POST /draft/x HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: id1\r\n'
+        b'Credential: key-of-acme\r\nDeadline-Ms: 3000\r\n'
+        b'Content-Length: 1\r\n\r\np'
+    )
+    with pytest.raises(ConnectionResetError):
+        _read_to_end(client.sock)
+    client.close()
+
+
 @pytest.mark.parametrize(('linger', 'status'), [(False, 200), (True, 502)])
 def test_a_call_that_ends_with_a_reset_is_not_complete(harness, linger, status):
     def respond(request, connection):
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -11,6 +11,7 @@
 from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
 from wigeonspoke.transport.request_body import read_request_body
 from wigeonspoke.transport.request_head import RequestError
+from wigeonspoke.transport.socket_options import reset_on_close
 from wigeonspoke.transport.socket_peek import peek
 
 __all__ = (
@@ -27,4 +28,5 @@
     'peek',
     'read_lines',
     'read_request_body',
+    'reset_on_close',
 )
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -3,7 +3,7 @@
 import errno
 import http
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import eventlet
 import msgspec
@@ -22,10 +22,12 @@
     RequestHead,
     read_request_head,
 )
+from wigeonspoke.transport.socket_options import reset_on_close
 
 WsgiApplication = Callable[..., Iterable[bytes]]
 
 CLOSED_SOCKET_ERRORS = frozenset((errno.EBADF, errno.EINVAL))
+LAST_VERSION_WITHOUT_CHUNKS = 'HTTP/1.0'
 
 
 class ListenerLimits(msgspec.Struct, frozen=True):
@@ -46,6 +48,21 @@
 class _StrictProtocol(HttpProtocol):
     """Parses request heads strictly and rejects invalid ones as JSON."""
 
+    def setup(self) -> None:
+        """Prepare the connection."""
+        super().setup()
+        self.must_reset = False
+
+    def finish(self) -> None:
+        """Close the connection, with a reset if a regular close misleads."""
+        if self.must_reset:
+            reset_on_close(self.connection)
+            self.wfile.close()
+            self.rfile.close()
+            self.connection.close()
+            return
+        super().finish()
+
     def parse_request(self) -> bool:
         try:
             self._apply_head(self._read_head())
@@ -56,9 +73,14 @@
         return True
 
     def get_environ(self) -> dict:
-        """Add a function that closes the connection after the response."""
+        """Add functions that act on the connection of the request.
+
+        One closes it after the response, the other one marks the response as
+        broken off.
+        """
         environ = super().get_environ()
         environ['wigeonspoke.end_connection'] = self._end_connection
+        environ['wigeonspoke.break_response'] = self._break_response
         return environ
 
     def _read_head(self) -> RequestHead:
@@ -86,6 +108,22 @@
     def _end_connection(self) -> None:
         self.close_connection = True
 
+    def _break_response(self) -> None:
+        # A response of HTTP/1.0 ends with its connection, so that a regular
+        # close would make a broken one look complete.
+        self.must_reset = self.request_version == LAST_VERSION_WITHOUT_CHUNKS
+
+
+def _report_break(
+    body: Iterable[bytes], break_response: Callable[[], None]
+) -> Iterator[bytes]:
+    """Pass on the parts of a body; report an error that ends it early."""
+    try:
+        yield from body
+    except (Exception, eventlet.Timeout):
+        break_response()
+        raise
+
 
 def _error_reply(error: RequestError) -> bytes:
     """Return the response to a request whose head cannot be parsed."""
@@ -191,7 +229,11 @@
     ) -> Iterable[bytes]:
         environ['eventlet.posthooks'].append((self._count_finished, (), {}))
         self.active += 1
-        return self.application(environ, start_response)
+        body = self.application(environ, start_response)
+        # The server derives a length from a body that has one.
+        if hasattr(body, '__len__'):
+            return body
+        return _report_break(body, environ['wigeonspoke.break_response'])
 
     def _count_finished(self, _environ: dict) -> None:
         self.active -= 1
