Limit what streams and calls read of a response without end

What callers saw: nothing reported; a trial with a peer that sends as fast as it can and never ends showed that one such endpoint stops a whole node, with all its clients, leases and gossip, for as long as it sends.

Cause: a read that found data neither looked at the deadline nor let other tasks run; informational heads and incomplete events had no limit, and the splitter searched the whole incomplete event again at each part.

Why it works: streams and calls receive at one place, which limits a response in bytes (64 MiB), in time (1 MiB may still be read after the deadline, as this process may have been paused) and in turns (others run after 64 KiB without a wait). Besides, an event has at most 1 MiB, and a response at most 16 informational heads.

--- a/wigeonspoke/core/outcomes.py
+++ b/wigeonspoke/core/outcomes.py
@@ -48,6 +48,7 @@
     STOPPING = 'node-stopping'
     STORE = 'store-unavailable'
     TIMEOUT = 'timeout'
+    TOO_LARGE = 'answer-too-large'
 
 
 class StepError(msgspec.Struct, frozen=True):
--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -9,13 +9,11 @@
 import math
 import re
 import socket
-import time
 from contextlib import suppress
 
 import eventlet
 import h11
 from eventlet.green import socket as green_socket
-from eventlet.hubs import trampoline
 
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.ingress.connection_pool import ConnectionPool
@@ -24,10 +22,12 @@
     BodyEnd,
     ChunkedDecoder,
     ChunkError,
+    ReadTimeout,
+    ResponseReceiver,
+    ResponseTooLarge,
     find_body_end,
 )
 
-RECEIVE_BYTES = 65536
 # A payload of this size fits the peer's receive window and is sent inline;
 # a larger one is sent by a greenlet while the response is awaited.
 INLINE_BODY_BYTES = 16384
@@ -38,6 +38,8 @@
 # reused, so that it is not used just as the endpoint closes it.
 KEEP_ALIVE_FRACTION = 0.5
 MIN_CONNECT_SECONDS = 0.001
+# Heads that may come before the one of the response, such as Early Hints.
+MAX_INFORMATIONAL_HEADS = 16
 
 _KEEP_ALIVE = re.compile(rb'timeout=([0-9]{1,6})')
 
@@ -50,10 +52,6 @@
         self.error = error
 
 
-class ReadTimeout(Exception):
-    """No data arrived before the deadline; reading may continue."""
-
-
 class EndpointAttempt:
     """Sends a request to an endpoint and reads its response.
 
@@ -66,12 +64,12 @@
         'body_end',
         'chunks',
         'is_aborted',
-        'is_drained',
         'keep_alive_seconds',
         'may_have_executed',
         'parser',
         'peer',
         'pool',
+        'receiver',
         'send_failed',
         'sender',
         'sock',
@@ -84,14 +82,13 @@
         self.pool = pool
         # How long the connection may be reused after the response.
         self.keep_alive_seconds = 0
-        # Whether the last read emptied the socket's receive buffer.
-        self.is_drained = True
         self.parser = h11.Connection(h11.CLIENT)
         # What marks the end of the response body, as the head tells.
         self.body_end: BodyEnd | None = None
         # Decoder of a chunked response body, used instead of the h11 parser.
         self.chunks: ChunkedDecoder | None = None
         self.sock: green_socket.socket | None = None
+        self.receiver: ResponseReceiver | None = None
         self.sender: eventlet.greenthread.GreenThread | None = None
         # Whether the connection broke before the request was sent completely.
         self.send_failed = False
@@ -102,22 +99,9 @@
         """Open a connection, or take an idle one from the pool."""
         if self.pool is not None:
             self.sock = self.pool.take(self.peer)
-            if self.sock is not None:
-                return
-        host, _, port = self.peer.rpartition(':')
-        self.sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_MILLISECONDS,
-        )
-        self.sock.settimeout(max(MIN_CONNECT_SECONDS, seconds))
-        try:
-            self.sock.connect((host, int(port)))
-        except OSError as error:
-            raise self._error(Reason.CONNECT, 'connect') from error
-        self.sock.setblocking(True)
+        if self.sock is None:
+            self._open_connection(seconds)
+        self.receiver = ResponseReceiver(self.sock.fd)
 
     def send(
         self,
@@ -150,11 +134,12 @@
         ReadTimeout
             No data arrived before the deadline; the caller may read on.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_HEADS):
             event = self._next_event(deadline)
             if isinstance(event, h11.Response):
                 self._process_head(event)
                 return event
+        raise self._error(Reason.CONTRACT, 'answer')
 
     def read_body_part(self, deadline: float) -> bytes | BodyEnd:
         """Read the next part of the body, or what marks its end.
@@ -191,6 +176,22 @@
             self.sender.kill()
         self.sock.close()
 
+    def _open_connection(self, seconds: float) -> None:
+        host, _, port = self.peer.rpartition(':')
+        self.sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_MILLISECONDS,
+        )
+        self.sock.settimeout(max(MIN_CONNECT_SECONDS, seconds))
+        try:
+            self.sock.connect((host, int(port)))
+        except OSError as error:
+            raise self._error(Reason.CONNECT, 'connect') from error
+        self.sock.setblocking(True)
+
     def _process_head(self, head: h11.Response) -> None:
         self.keep_alive_seconds = _reusable_seconds(head)
         self.body_end = find_body_end(head.headers)
@@ -259,36 +260,15 @@
             raise self._error(Reason.CONTRACT, 'answer') from error
 
     def _receive(self, deadline: float) -> bytes:
-        while True:
-            remaining_seconds = deadline - time.monotonic()
-            if self.is_drained and remaining_seconds > 0:
-                self._wait(remaining_seconds)
-            received = self._receive_available()
-            if received is not None:
-                self.is_drained = len(received) < RECEIVE_BYTES
-                return received
-            self.is_drained = True
-            if remaining_seconds <= 0:
-                raise ReadTimeout
-
-    def _receive_available(self) -> bytes | None:
-        """Return the bytes available: empty at end of stream, None if none."""
         try:
-            return self.sock.fd.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            return None
+            return self.receiver.receive(deadline)
+        except ReadTimeout:
+            raise
+        except ResponseTooLarge as error:
+            raise self._error(Reason.TOO_LARGE, 'answer') from error
         except OSError as error:
             raise self._error(Reason.RESET, 'answer') from error
 
-    def _wait(self, seconds: float) -> None:
-        with suppress(socket.timeout):
-            trampoline(
-                self.sock.fd,
-                read=True,
-                timeout=seconds,
-                timeout_exc=socket.timeout,
-            )
-
     def _send_all(self, payload: bytes) -> None:
         # An endpoint may respond before it has read the body and then reset
         # the connection; its response can still be read.
--- a/wigeonspoke/ingress/event_splitter.py
+++ b/wigeonspoke/ingress/event_splitter.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+# Largest event, and so the most that is held of an incomplete one.
+MAX_EVENT_BYTES = 1048576
+# Bytes of an event's end that may have come with an earlier part.
+END_OVERLAP_BYTES = 3
+
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _EVENT_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?(\d+)')
 
@@ -15,6 +20,10 @@
     number: int | None
 
 
+class EventTooLarge(Exception):
+    """An event is larger than ``MAX_EVENT_BYTES``."""
+
+
 class EventSplitter:
     r"""Splits a stream received in parts into complete events.
 
@@ -36,15 +45,24 @@
         return bool(self.incomplete.strip(b'\r\n'))
 
     def feed(self, part: bytes) -> list[StreamEvent]:
-        """Add received bytes; return the events that they complete."""
+        """Add received bytes; return the events that they complete.
+
+        Raises
+        ------
+        EventTooLarge
+            The incomplete event is too large.
+        """
+        search_from = max(0, len(self.incomplete) - END_OVERLAP_BYTES)
         self.incomplete += part
         events: list[StreamEvent] = []
         start = 0
-        for matched in _EVENT_END.finditer(self.incomplete):
+        for matched in _EVENT_END.finditer(self.incomplete, search_from):
             raw = self.incomplete[start : matched.end()]
             events.append(StreamEvent(raw, _number(raw)))
             start = matched.end()
         self.incomplete = self.incomplete[start:]
+        if len(self.incomplete) > MAX_EVENT_BYTES:
+            raise EventTooLarge
         return events
 
 
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -23,7 +23,11 @@
     ReadTimeout,
 )
 from wigeonspoke.ingress.event_cursor import EventCursor
-from wigeonspoke.ingress.event_splitter import EventSplitter, StreamEvent
+from wigeonspoke.ingress.event_splitter import (
+    EventSplitter,
+    EventTooLarge,
+    StreamEvent,
+)
 from wigeonspoke.ingress.request_handler import (
     RequestContext,
     RequestHandler,
@@ -209,7 +213,9 @@
             part = self._read_until_silent(attempt.read_body_part, chain)
             if isinstance(part, BodyEnd):
                 break
-            events = self._take_new_events(splitter.feed(part), chain)
+            events = self._take_new_events(
+                self._split_events(splitter, part, chain), chain
+            )
             if events:
                 self.chain_monitor.record_event()
                 self._send_head(headers)
@@ -217,6 +223,21 @@
         self._check_complete(attempt, part, splitter)
         self._send_head(headers)
 
+    def _split_events(
+        self, splitter: EventSplitter, part: bytes, chain: Chain
+    ) -> list[StreamEvent]:
+        try:
+            return splitter.feed(part)
+        except EventTooLarge as error:
+            raise AttemptError(
+                StepError(
+                    Outcome.UNKNOWN,
+                    Reason.TOO_LARGE,
+                    'answer',
+                    chain.head.address,
+                )
+            ) from error
+
     def _check_complete(
         self,
         attempt: EndpointAttempt,
--- /dev/null
+++ b/wigeonspoke/ingress/tests/test_endless_responses.py
@@ -0,0 +1,122 @@
+"""A response without end stops neither its reader nor the event loop."""
+
+import time
+
+import eventlet
+import pytest
+
+from wigeonspoke.ingress.call_handler import read_body
+from wigeonspoke.ingress.endpoint_attempt import (
+    AttemptError,
+    EndpointAttempt,
+    ReadTimeout,
+)
+from wigeonspoke.ingress.event_splitter import EventSplitter, EventTooLarge
+from wigeonspoke.transport.tests.endless_sender import EndlessSender
+
+DEADLINE_SECONDS = 0.5
+TICK_SECONDS = 0.01
+# A tenth of the ticks that fit before the deadline.
+MIN_TICKS = 5
+MEGABYTE = 1048576
+# What a reader may take before it gives up, and what the buffers of both
+# sockets hold.
+MAX_SENT_BYTES = 128 * MEGABYTE
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+CHUNKED_HEAD = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+RESPONSES = {
+    'one event': (HEAD + b'\r\n', b'x', MEGABYTE),
+    'events without number': (HEAD + b'\r\n', b'data: x\n\n', 50000),
+    'the same event': (HEAD + b'\r\n', b'id: 1\ndata: x\n\n', 50000),
+    'chunks': (CHUNKED_HEAD, b'4\r\ndata\r\n', 100000),
+    'empty lines': (HEAD + b'\r\n', b'\n', MEGABYTE),
+    'early hints': (b'', b'HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n', 20000),
+    'continue': (b'', b'HTTP/1.1 100 Continue\r\n\r\n', 20000),
+    'header line': (HEAD, b'x', MEGABYTE),
+    'headers': (HEAD, b'a: b\r\n', 100000),
+    'chunk size': (CHUNKED_HEAD, b'0', MEGABYTE),
+    'trailers': (CHUNKED_HEAD + b'0\r\n', b'a: b\r\n', 100000),
+}
+
+
+class _Ticker:
+    """Counts how often the event loop runs another task."""
+
+    def __init__(self) -> None:
+        self.ticks = 0
+        self.greenlet = eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            eventlet.sleep(TICK_SECONDS)
+            self.ticks += 1
+
+
+@pytest.fixture
+def ticker():
+    started = _Ticker()
+    yield started
+    started.greenlet.kill()
+
+
+@pytest.fixture
+def sender(request):
+    started = EndlessSender(*RESPONSES[request.param])
+    yield started
+    started.close()
+
+
+def _begin(address: str) -> tuple[EndpointAttempt, float]:
+    attempt = EndpointAttempt(address)
+    attempt.connect(DEADLINE_SECONDS)
+    attempt.send('POST', '/x', (('Host', 'x'),), b'p')
+    deadline = time.monotonic() + DEADLINE_SECONDS
+    return attempt, deadline
+
+
+def _read_stream(address: str) -> str:
+    attempt, deadline = _begin(address)
+    splitter = EventSplitter()
+    try:
+        attempt.read_head(deadline)
+        part = attempt.read_body_part(deadline)
+        while isinstance(part, bytes):
+            splitter.feed(part)
+            part = attempt.read_body_part(deadline)
+    except (AttemptError, EventTooLarge, ReadTimeout) as error:
+        return type(error).__name__
+    finally:
+        attempt.close()
+    return 'complete'
+
+
+def _read_call(address: str) -> str:
+    attempt, deadline = _begin(address)
+    try:
+        attempt.read_head(deadline)
+        read_body(attempt, deadline)
+    except (AttemptError, EventTooLarge, ReadTimeout) as error:
+        return type(error).__name__
+    finally:
+        attempt.close()
+    return 'complete'
+
+
+# A faulty endpoint stopped a whole node: reading went on past the deadline and
+# let no other task run.
+@pytest.mark.parametrize('sender', RESPONSES, indirect=True)
+@pytest.mark.parametrize('read', [_read_stream, _read_call])
+def test_an_endless_response_ends_with_an_error(sender, read):
+    assert read(sender.address) != 'complete'
+    was_closed, sent_bytes = sender.read_result()
+    assert was_closed
+    assert sent_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize(
+    'sender', ['events without number', 'the same event'], indirect=True
+)
+def test_other_tasks_run_while_an_endless_response_is_read(sender, ticker):
+    _read_stream(sender.address)
+    assert ticker.ticks >= MIN_TICKS
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -11,6 +11,11 @@
 from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
 from wigeonspoke.transport.request_body import read_request_body
 from wigeonspoke.transport.request_head import RequestError
+from wigeonspoke.transport.response_receiver import (
+    ReadTimeout,
+    ResponseReceiver,
+    ResponseTooLarge,
+)
 from wigeonspoke.transport.socket_options import reset_on_close
 from wigeonspoke.transport.socket_peek import peek
 
@@ -23,7 +28,10 @@
     'HttpListener',
     'HttpReply',
     'ListenerLimits',
+    'ReadTimeout',
     'RequestError',
+    'ResponseReceiver',
+    'ResponseTooLarge',
     'find_body_end',
     'peek',
     'read_lines',
--- /dev/null
+++ b/wigeonspoke/transport/response_receiver.py
@@ -0,0 +1,128 @@
+"""Receiving the bytes of a response, within limits.
+
+A faulty peer may send without end.  Every reader of responses receives its
+bytes here, so that no peer can take more than a bounded amount of time and
+memory, or keep the event loop from running other tasks.
+"""
+
+import socket
+import time
+from contextlib import suppress
+
+import eventlet
+from eventlet.hubs import trampoline
+
+# Small enough that parsing what one call returns does not delay other tasks.
+RECEIVE_BYTES = 16384
+# Bytes received without a pause after which other tasks run.
+TURN_BYTES = 65536
+# Bytes that were sent in time may still be read after the deadline, since this
+# process may have been paused.
+MAX_LATE_BYTES = 1048576
+MAX_RESPONSE_BYTES = 67108864
+
+
+class ReadTimeout(TimeoutError):
+    """No data arrived before the deadline; reading may continue."""
+
+
+class ResponseTooLarge(OSError):
+    """The peer sent more bytes than a response may have."""
+
+
+class ResponseReceiver:
+    """Receives the bytes of one response on a non-blocking socket.
+
+    Deadlines are on the monotonic clock.
+    """
+
+    __slots__ = (
+        'is_drained',
+        'late_bytes',
+        'received_bytes',
+        'sock',
+        'turn_bytes',
+    )
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        # Whether the last read emptied the socket's receive buffer.
+        self.is_drained = True
+        # Bytes received after the current deadline.
+        self.late_bytes = 0
+        self.received_bytes = 0
+        # Bytes received since other tasks could last run.
+        self.turn_bytes = 0
+
+    def begin_response(self) -> None:
+        """Count the bytes of another response on the same connection."""
+        self.received_bytes = 0
+
+    def receive(self, deadline: float, max_bytes: int = RECEIVE_BYTES) -> bytes:
+        """Return received bytes, or ``b''`` at the regular end.
+
+        Raises
+        ------
+        ReadTimeout
+            No data arrived before the deadline, or the peer goes on sending
+            after it.
+        ResponseTooLarge
+            The response is larger than ``MAX_RESPONSE_BYTES``.
+        OSError
+            The connection broke.
+        """
+        self._let_others_run()
+        while True:
+            is_late = self._wait_for_bytes(deadline)
+            received = self._receive_available(max_bytes)
+            if received is not None:
+                self._count(received, max_bytes, is_late)
+                return received
+            if is_late:
+                raise ReadTimeout
+
+    def _let_others_run(self) -> None:
+        if self.turn_bytes >= TURN_BYTES:
+            self.turn_bytes = 0
+            eventlet.sleep(0)
+
+    def _receive_available(self, max_bytes: int) -> bytes | None:
+        """Return available bytes: empty at the end, None if there are none."""
+        try:
+            return self.sock.recv(max_bytes)
+        except BlockingIOError:
+            self.is_drained = True
+            return None
+
+    def _count(self, received: bytes, max_bytes: int, is_late: bool) -> None:
+        size = len(received)
+        self.is_drained = size < max_bytes
+        self.received_bytes += size
+        self.turn_bytes += size
+        if self.received_bytes > MAX_RESPONSE_BYTES:
+            raise ResponseTooLarge(f'{self.received_bytes} bytes')
+        if not is_late:
+            return
+        self.late_bytes += size
+        if self.late_bytes > MAX_LATE_BYTES:
+            raise ReadTimeout
+
+    def _wait_for_bytes(self, deadline: float) -> bool:
+        """Wait if none are known to be there; return whether it is too late."""
+        remaining_seconds = deadline - time.monotonic()
+        if remaining_seconds <= 0:
+            return True
+        self.late_bytes = 0
+        if self.is_drained:
+            self._wait(remaining_seconds)
+        return False
+
+    def _wait(self, seconds: float) -> None:
+        self.turn_bytes = 0
+        with suppress(socket.timeout):
+            trampoline(
+                self.sock,
+                read=True,
+                timeout=seconds,
+                timeout_exc=socket.timeout,
+            )
