Limit the replies of the HTTP client, and report resets as errors

What callers saw: nothing reported. Probes, orders, calls to the store, to peers and to engines of the own protocol read replies through this client.

Why it works: connections receive at the same place as streams and calls, with its limits in bytes, time and turns, and an error is never an end. Bodies have at most 16 MiB and lines 1 MiB, unpacking is off, informational heads are passed over, and lines must end with a line feed.

Ruled out: dropping urllib3 for a parser of our own; its hooks for connections and responses suffice.

--- a/wigeonspoke/ingress/tests/test_endless_responses.py
+++ b/wigeonspoke/ingress/tests/test_endless_responses.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import pytest
+from returns.result import Success
 
 from wigeonspoke.ingress.call_handler import read_body
 from wigeonspoke.ingress.endpoint_attempt import (
@@ -12,6 +13,8 @@
     ReadTimeout,
 )
 from wigeonspoke.ingress.event_splitter import EventSplitter, EventTooLarge
+from wigeonspoke.platform.standins.raw_server import RawServer
+from wigeonspoke.transport import HttpClient
 from wigeonspoke.transport.tests.endless_sender import EndlessSender
 
 DEADLINE_SECONDS = 0.5
@@ -103,10 +106,24 @@
     return 'complete'
 
 
+def _read_reply(address: str) -> str:
+    result = HttpClient().get(address, '/v1/report', DEADLINE_SECONDS)
+    return 'complete' if isinstance(result, Success) else 'failed'
+
+
+def _read_reply_lines(address: str) -> str:
+    result = HttpClient().post_and_stream_lines(
+        address, '/', b'', DEADLINE_SECONDS, lambda line: None
+    )
+    return 'complete' if isinstance(result, Success) else 'failed'
+
+
 # A faulty endpoint stopped a whole node: reading went on past the deadline and
 # let no other task run.
 @pytest.mark.parametrize('sender', RESPONSES, indirect=True)
-@pytest.mark.parametrize('read', [_read_stream, _read_call])
+@pytest.mark.parametrize(
+    'read', [_read_stream, _read_call, _read_reply, _read_reply_lines]
+)
 def test_an_endless_response_ends_with_an_error(sender, read):
     assert read(sender.address) != 'complete'
     was_closed, sent_bytes = sender.read_result()
@@ -120,3 +137,25 @@
 def test_other_tasks_run_while_an_endless_response_is_read(sender, ticker):
     _read_stream(sender.address)
     assert ticker.ticks >= MIN_TICKS
+
+
+@pytest.mark.parametrize(
+    'informational',
+    [
+        b'',
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+        b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n',
+    ],
+)
+def test_an_informational_response_is_not_the_reply(informational):
+    def respond(_request, connection):
+        connection.write(
+            informational + b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        )
+
+    server = RawServer(respond)
+    result = HttpClient().get(server.address, '/', DEADLINE_SECONDS)
+    server.close()
+    assert result.map(lambda reply: (reply.status, reply.body)) == Success(
+        (200, b'ok')
+    )
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -17,6 +17,11 @@
 from returns.result import Failure, Result, Success
 
 from wigeonspoke.core.outcomes import Outcome, Reason
+from wigeonspoke.transport.http_connection import ConnectionPools
+from wigeonspoke.transport.response_receiver import (
+    RECEIVE_BYTES,
+    ResponseTooLarge,
+)
 
 # A peer behind a network partition sends no error.  These options make the
 # kernel close a connection after about three seconds of silence.
@@ -31,6 +36,8 @@
 MAX_POOLED_HOSTS = 4096
 CONNECTIONS_PER_HOST = 64
 CONNECT_TIMEOUT_SECONDS = 1.0
+MAX_REPLY_BYTES = 16777216
+MAX_LINE_BYTES = 1048576
 
 Reply = TypeVar('Reply')
 
@@ -64,6 +71,10 @@
     peer: str
 
 
+class ReplyTooLarge(Exception):
+    """A reply, or a line of it, is larger than its limit."""
+
+
 class HttpClient:
     """Sends requests to peers, whose addresses have the form ``host:port``.
 
@@ -75,7 +86,7 @@
 
     def __init__(self, headers: dict[str, str] | None = None) -> None:
         self.headers = headers or {}
-        self.pool = urllib3.PoolManager(
+        self.pool = ConnectionPools(
             num_pools=MAX_POOLED_HOSTS,
             maxsize=CONNECTIONS_PER_HOST,
             retries=False,
@@ -114,7 +125,9 @@
         A status other than 200 is an error with the outcome unknown, since it
         does not tell what was run.
         """
-        exchange = partial(self._exchange_lines, peer, path, body, on_line)
+        exchange = partial(
+            self._exchange_lines, peer, path, body, timeout, on_line
+        )
         return self._call_with_timeout(peer, timeout, exchange)
 
     def send(
@@ -135,7 +148,13 @@
         url = f'http://{peer}{path}'
         all_headers = {**self.headers, **(headers or {})}
         exchange = partial(
-            self._exchange, method, url, body, all_headers, fresh_connection
+            self._exchange,
+            method,
+            url,
+            body,
+            all_headers,
+            timeout,
+            fresh_connection,
         )
         return self._call_with_timeout(peer, timeout, exchange)
 
@@ -154,8 +173,9 @@
             return Failure(HttpError(Outcome.UNKNOWN, Reason.TIMEOUT, peer))
         except _CONNECT_ERRORS:
             return Failure(HttpError(Outcome.NOT_RUN, Reason.CONNECT, peer))
-        except (urllib3.exceptions.HTTPError, OSError):
-            return Failure(HttpError(Outcome.UNKNOWN, Reason.RESET, peer))
+        except (ReplyTooLarge, urllib3.exceptions.HTTPError, OSError) as error:
+            reason = _find_reason(error)
+            return Failure(HttpError(Outcome.UNKNOWN, reason, peer))
         finally:
             timer.cancel()
 
@@ -164,6 +184,7 @@
         peer: str,
         path: str,
         body: bytes,
+        timeout: float,
         on_line: Callable[[bytes], None],
     ) -> None:
         response = self.pool.request(
@@ -173,7 +194,7 @@
             headers=self.headers,
             preload_content=False,
             redirect=False,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=None),
+            timeout=_limit_phases(timeout),
         )
         complete = False
         try:
@@ -195,6 +216,7 @@
         url: str,
         body: bytes | None,
         headers: dict[str, str],
+        timeout: float,
         fresh_connection: bool,
     ) -> HttpReply:
         pool = _create_pool() if fresh_connection else self.pool
@@ -205,30 +227,74 @@
                 body=body,
                 headers=headers,
                 redirect=False,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS, read=None
-                ),
+                preload_content=False,
+                timeout=_limit_phases(timeout),
+            )
+            return HttpReply(
+                status=response.status,
+                content_type=response.headers.get('Content-Type', ''),
+                body=_read_body(response),
             )
         finally:
             if fresh_connection:
                 pool.clear()
-        return HttpReply(
-            status=response.status,
-            content_type=response.headers.get('Content-Type', ''),
-            body=response.data,
-        )
+
+
+def _find_reason(error: Exception) -> Reason:
+    """Return why a response was not received completely."""
+    if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+        return Reason.TIMEOUT
+    is_too_large = isinstance(error, ReplyTooLarge) or isinstance(
+        error.__cause__, ResponseTooLarge
+    )
+    return Reason.TOO_LARGE if is_too_large else Reason.RESET
+
+
+def _limit_phases(seconds: float) -> urllib3.Timeout:
+    """Return the timeouts for connecting and for reading a response."""
+    return urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=seconds)
+
+
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Read a complete body, as the peer sent it, up to the size limit."""
+    parts: list[bytes] = []
+    size = 0
+    is_complete = False
+    try:
+        for part in response.stream(RECEIVE_BYTES, decode_content=False):
+            size += len(part)
+            if size > MAX_REPLY_BYTES:
+                raise ReplyTooLarge
+            parts.append(part)
+        is_complete = True
+    finally:
+        if is_complete:
+            response.release_conn()
+        else:
+            # A connection with an unread response must not be reused.
+            response.close()
+    return b''.join(parts)
 
 
 def _create_pool() -> urllib3.PoolManager:
-    return urllib3.PoolManager(retries=False, socket_options=SOCKET_OPTIONS)
+    return ConnectionPools(retries=False, socket_options=SOCKET_OPTIONS)
 
 
 def read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yield the lines of a response as they arrive.
 
-    Data after the last line feed is discarded.
+    Raises
+    ------
+    urllib3.exceptions.ProtocolError
+        The response ends inside a line, so it has been broken off.
+    ReplyTooLarge
+        A line is larger than ``MAX_LINE_BYTES``.
     """
     buffer = b''
-    for chunk in response.stream(amt=None):
+    for chunk in response.stream(amt=None, decode_content=False):
         *lines, buffer = (buffer + chunk).split(b'\n')
         yield from lines
+        if len(buffer) > MAX_LINE_BYTES:
+            raise ReplyTooLarge
+    if buffer:
+        raise urllib3.exceptions.ProtocolError('ended inside a line')
