Lose no bytes at a timeout after the deadline

What callers saw: nothing; found while reading the change before it landed.

Cause: the limit on bytes read after the deadline was checked after the read, and the bytes of that read were lost. A stream whose silence is checked reads on after a timeout, so a part of it would have been missing.

Evidence: test_a_sender_that_goes_on_after_the_deadline_is_left fails with the check after the read and passes with the check before it.

Checks: tests of ingress and transport pass, linter clean.

--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -10,7 +10,6 @@
 from wigeonspoke.ingress.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
-    ReadTimeout,
 )
 from wigeonspoke.ingress.protocols import ResponseMarkers
 from wigeonspoke.ingress.request_handler import (
@@ -22,7 +21,7 @@
 )
 from wigeonspoke.ingress.responses import EndpointResponse, NodeResponse
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.transport import BodyEnd
+from wigeonspoke.transport import BodyEnd, ReadTimeout
 
 # The first attempt at a repeatable call may take this multiple of the rule's
 # target latency; the last one may take all the remaining time.
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -20,7 +20,6 @@
 from wigeonspoke.ingress.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
-    ReadTimeout,
 )
 from wigeonspoke.ingress.event_cursor import EventCursor
 from wigeonspoke.ingress.event_splitter import (
@@ -43,7 +42,7 @@
     status_line,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.transport import BodyEnd
+from wigeonspoke.transport import BodyEnd, ReadTimeout
 
 SILENCE_RECHECK_SECONDS = 0.03
 # How long a request waits for a complete chain, as a fraction of the rule's
--- a/wigeonspoke/ingress/tests/test_endless_responses.py
+++ b/wigeonspoke/ingress/tests/test_endless_responses.py
@@ -10,11 +10,10 @@
 from wigeonspoke.ingress.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
-    ReadTimeout,
 )
 from wigeonspoke.ingress.event_splitter import EventSplitter, EventTooLarge
 from wigeonspoke.platform.standins.raw_server import RawServer
-from wigeonspoke.transport import HttpClient
+from wigeonspoke.transport import HttpClient, ReadTimeout
 from wigeonspoke.transport.tests.endless_sender import EndlessSender
 
 DEADLINE_SECONDS = 0.5
--- a/wigeonspoke/transport/response_receiver.py
+++ b/wigeonspoke/transport/response_receiver.py
@@ -101,16 +101,15 @@
         self.turn_bytes += size
         if self.received_bytes > MAX_RESPONSE_BYTES:
             raise ResponseTooLarge(f'{self.received_bytes} bytes')
-        if not is_late:
-            return
-        self.late_bytes += size
-        if self.late_bytes > MAX_LATE_BYTES:
-            raise ReadTimeout
+        if is_late:
+            self.late_bytes += size
 
     def _wait_for_bytes(self, deadline: float) -> bool:
         """Wait if none are known to be there; return whether it is too late."""
         remaining_seconds = deadline - time.monotonic()
         if remaining_seconds <= 0:
+            if self.late_bytes >= MAX_LATE_BYTES:
+                raise ReadTimeout
             return True
         self.late_bytes = 0
         if self.is_drained:
