--- a/wigeonspoke/platform/tests/test_broken_answers.py
+++ b/wigeonspoke/platform/tests/test_broken_answers.py
@@ -5,12 +5,14 @@
 import pytest
 from eventlet.hubs import trampoline
 
+from wigeonspoke.ingress.event_splitter import MAX_EVENT_BYTES
 from wigeonspoke.platform.tests.harness import (
     TIMEOUT_SECONDS,
     Client,
     send_request,
 )
 from wigeonspoke.transport import BodyEnd
+from wigeonspoke.transport.tests.endless_sender import EndlessSender
 
 ALL_EVENTS = list(range(1, 21))
 # Bytes of an event that are sent before its body ends; -1 for all but one.
@@ -155,3 +157,48 @@
     assert send_request(harness, 'POST', '/write/x', 'id1', body=b'b')[0] == (
         status
     )
+
+
+def _redirect(harness, endpoint, address: str) -> None:
+    """Register an endpoint at another address; wait until the node knows."""
+    entry = {**endpoint.registry_entry(), 'address': address}
+    harness.store.put('servers', endpoint.endpoint_id, entry)
+    endpoints = harness.node.state.fleet.endpoints
+    harness.wait_until(
+        lambda: endpoints[endpoint.endpoint_id].address == address
+    )
+
+
+@pytest.fixture
+def sender():
+    """Yield an endpoint that sends an answer without end."""
+    head = b'\r\n'.join(
+        (
+            b'HTTP/1.1 200 OK',
+            b'Request-Id: id1',
+            b'Response-Signature: s',
+            b'Content-Type: text/event-stream',
+            b'\r\n',
+        )
+    )
+    started = EndlessSender(head, b'x', MAX_EVENT_BYTES)
+    yield started
+    started.close()
+
+
+def test_a_call_leaves_a_replica_that_sends_without_end(harness, sender):
+    _redirect(harness, harness.replicas[0], sender.address)
+    status, headers, _ = send_request(harness, 'GET', '/read/x', 'id1')
+    assert (status, headers['response-signature']) == (200, 'stamp.r-two')
+    assert sender.read_result()[0]
+
+
+def test_a_stream_leaves_an_engine_that_sends_without_end(
+    placed_harness, sender
+):
+    head = _head_engine(placed_harness, 'one')
+    _redirect(placed_harness, head, sender.address)
+    placed_harness.wait_until(lambda: len(placed_harness.chains()) == 2)
+    body = _request_stream(placed_harness)[2]
+    assert _event_ids(body) == ALL_EVENTS
+    assert sender.read_result()[0]
