--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -19,6 +19,7 @@
 from wigeonspoke.ingress.connection_pool import ConnectionPool
 from wigeonspoke.ingress.protocols import HeaderList
 from wigeonspoke.transport import (
+    MAX_INFORMATIONAL_HEADS,
     BodyEnd,
     ChunkedDecoder,
     ChunkError,
@@ -38,8 +39,6 @@
 # reused, so that it is not used just as the endpoint closes it.
 KEEP_ALIVE_FRACTION = 0.5
 MIN_CONNECT_SECONDS = 0.001
-# Heads that may come before the one of the response, such as Early Hints.
-MAX_INFORMATIONAL_HEADS = 16
 
 _KEEP_ALIVE = re.compile(rb'timeout=([0-9]{1,6})')
 
--- a/wigeonspoke/platform/tests/test_broken_answers.py
+++ b/wigeonspoke/platform/tests/test_broken_answers.py
@@ -1,7 +1,5 @@
 """An answer that is broken off does not reach its client as complete."""
 
-import re
-
 import pytest
 from eventlet.hubs import trampoline
 
@@ -11,10 +9,16 @@
     Client,
     send_request,
 )
+from wigeonspoke.platform.tests.stream_requests import (
+    ALL_EVENTS,
+    event_ids,
+    expect_truncated_stream,
+    head_engine,
+    request_stream,
+)
 from wigeonspoke.transport import BodyEnd
 from wigeonspoke.transport.tests.endless_sender import EndlessSender
 
-ALL_EVENTS = list(range(1, 21))
 # Bytes of an event that are sent before its body ends; -1 for all but one.
 INSIDE_ID = 3
 INSIDE_DATA = 14
@@ -23,18 +27,6 @@
 ENDS = (BodyEnd.CLOSE, BodyEnd.LAST_CHUNK)
 
 
-def _event_ids(body: bytes) -> list[int]:
-    return [int(found) for found in re.findall(rb'^id: (\d+)$', body, re.M)]
-
-
-def _head_engine(harness, zone: str):
-    return next(
-        engine
-        for engine in harness.engines
-        if engine.zone == zone and engine.layers[0] == 0
-    )
-
-
 def _read_to_end(sock) -> None:
     """Read until the connection ends; a reset raises."""
     # The green socket would report a reset as an ordinary end.
@@ -50,23 +42,11 @@
     engine.broken_event_bytes = sent_bytes
 
 
-def _request_stream(harness):
-    return send_request(
-        harness,
-        'POST',
-        '/draft/x',
-        'id1',
-        body=b'prompt',
-        Model='m',
-        Token_Usage='100,100',
-    )
-
-
 def test_a_stream_may_end_with_its_connection(placed_harness):
-    _head_engine(placed_harness, 'one').body_end = BodyEnd.CLOSE
-    body = _request_stream(placed_harness)[2]
-    assert _event_ids(body) == ALL_EVENTS
-    assert not _head_engine(placed_harness, 'two').received
+    head_engine(placed_harness, 'one').body_end = BodyEnd.CLOSE
+    body = request_stream(placed_harness)[2]
+    assert event_ids(body) == ALL_EVENTS
+    assert not head_engine(placed_harness, 'two').received
 
 
 # An answer broken off reached its caller as complete.
@@ -78,11 +58,11 @@
 def test_a_stream_that_ends_inside_an_event_is_resumed(
     placed_harness, end, event, sent_bytes
 ):
-    _break_off(_head_engine(placed_harness, 'one'), end, event, sent_bytes)
-    body = _request_stream(placed_harness)[2]
-    assert _event_ids(body) == ALL_EVENTS
+    _break_off(head_engine(placed_harness, 'one'), end, event, sent_bytes)
+    body = request_stream(placed_harness)[2]
+    assert event_ids(body) == ALL_EVENTS
     assert body.count(b'\n\n') == len(ALL_EVENTS)
-    resumed = _head_engine(placed_harness, 'two').runs[0]
+    resumed = head_engine(placed_harness, 'two').runs[0]
     last_event = '' if event == 1 else str(event - 1)
     assert resumed.headers.get('last-event-id', '') == last_event
 
@@ -92,21 +72,16 @@
     placed_harness, end
 ):
     for zone in ('one', 'two'):
-        _break_off(_head_engine(placed_harness, zone), end, 8, INSIDE_DATA)
-    client = Client(placed_harness)
-    client.send('POST', '/draft/x', 'id1', body=b'p')
-    client.read_head()
-    with pytest.raises(AssertionError, match='truncated response'):
-        list(client.read_chunks())
-    client.close()
+        _break_off(head_engine(placed_harness, zone), end, 8, INSIDE_DATA)
+    expect_truncated_stream(placed_harness)
 
 
 def test_a_stream_that_ends_with_its_connection_before_any_event(
     placed_harness,
 ):
-    _break_off(_head_engine(placed_harness, 'one'), BodyEnd.CLOSE, 1, 0)
-    body = _request_stream(placed_harness)[2]
-    assert _event_ids(body) == ALL_EVENTS
+    _break_off(head_engine(placed_harness, 'one'), BodyEnd.CLOSE, 1, 0)
+    body = request_stream(placed_harness)[2]
+    assert event_ids(body) == ALL_EVENTS
 
 
 # The second engine has nothing to add, although the first one had begun
@@ -115,20 +90,15 @@
 def test_an_empty_rest_does_not_complete_a_stream_with_a_begun_event(
     placed_harness, end
 ):
-    _break_off(_head_engine(placed_harness, 'one'), end, 8, INSIDE_DATA)
-    _break_off(_head_engine(placed_harness, 'two'), end, 8, 0)
-    client = Client(placed_harness)
-    client.send('POST', '/draft/x', 'id1', body=b'p')
-    client.read_head()
-    with pytest.raises(AssertionError, match='truncated response'):
-        list(client.read_chunks())
-    client.close()
+    _break_off(head_engine(placed_harness, 'one'), end, 8, INSIDE_DATA)
+    _break_off(head_engine(placed_harness, 'two'), end, 8, 0)
+    expect_truncated_stream(placed_harness)
 
 
 # HTTP/1.0 has no chunks: only a reset shows that the response is broken off.
 def test_a_client_without_chunks_sees_a_reset(placed_harness):
     for zone in ('one', 'two'):
-        _head_engine(placed_harness, zone).reset_at_event = 8
+        head_engine(placed_harness, zone).reset_at_event = 8
     client = Client(placed_harness)
     client.send_raw(
         b'POST /draft/x HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: id1\r\n'
@@ -196,9 +166,9 @@
 def test_a_stream_leaves_an_engine_that_sends_without_end(
     placed_harness, sender
 ):
-    head = _head_engine(placed_harness, 'one')
+    head = head_engine(placed_harness, 'one')
     _redirect(placed_harness, head, sender.address)
     placed_harness.wait_until(lambda: len(placed_harness.chains()) == 2)
-    body = _request_stream(placed_harness)[2]
-    assert _event_ids(body) == ALL_EVENTS
+    body = request_stream(placed_harness)[2]
+    assert event_ids(body) == ALL_EVENTS
     assert sender.read_result()[0]
--- a/wigeonspoke/platform/tests/test_streams.py
+++ b/wigeonspoke/platform/tests/test_streams.py
@@ -1,40 +1,19 @@
 """Streams deliver every event once and in order despite failures."""
 
-import re
 import time
 
 import eventlet
 import pytest
 
 from wigeonspoke.platform.standins import StoreFault
-from wigeonspoke.platform.tests.harness import Client, send_request
-
-ALL_EVENTS = list(range(1, 21))
-
-
-def _event_ids(body: bytes) -> list[int]:
-    return [int(found) for found in re.findall(rb'^id: (\d+)$', body, re.M)]
-
-
-def _request_stream(harness, request_id: str = 'id1', **headers: str):
-    return send_request(
-        harness,
-        'POST',
-        '/draft/x',
-        request_id,
-        body=b'prompt',
-        Model='m',
-        Token_Usage='100,100',
-        **headers,
-    )
-
-
-def _head_engine(harness, zone: str):
-    return next(
-        engine
-        for engine in harness.engines
-        if engine.zone == zone and engine.layers[0] == 0
-    )
+from wigeonspoke.platform.tests.harness import Client
+from wigeonspoke.platform.tests.stream_requests import (
+    ALL_EVENTS,
+    event_ids,
+    expect_truncated_stream,
+    head_engine,
+    request_stream,
+)
 
 
 def _inner_engine(harness, zone: str):
@@ -46,12 +25,12 @@
 
 
 def test_a_stream_uses_the_chain_of_the_nodes_own_domain(placed_harness):
-    status, headers, body = _request_stream(placed_harness)
+    status, headers, body = request_stream(placed_harness)
     assert status == 200
-    assert _event_ids(body) == ALL_EVENTS
-    assert len(_head_engine(placed_harness, 'one').runs) == 1
+    assert event_ids(body) == ALL_EVENTS
+    assert len(head_engine(placed_harness, 'one').runs) == 1
     hops = (
-        _head_engine(placed_harness, 'one')
+        head_engine(placed_harness, 'one')
         .runs[0]
         .headers['hop-count']
         .split(',')
@@ -76,15 +55,15 @@
 
 
 def test_a_client_can_resume_a_stream(placed_harness):
-    body = _request_stream(placed_harness, Last_Event_Id='15')[2]
-    assert _event_ids(body) == [16, 17, 18, 19, 20]
+    body = request_stream(placed_harness, Last_Event_Id='15')[2]
+    assert event_ids(body) == [16, 17, 18, 19, 20]
 
 
 @pytest.mark.parametrize('failure', ['reset', 'dead head', 'dead stage'])
 def test_a_broken_stream_resumes_on_another_chain_in_the_same_response(
     placed_harness, failure
 ):
-    head = _head_engine(placed_harness, 'one')
+    head = head_engine(placed_harness, 'one')
     if failure == 'reset':
         head.reset_at_event = 8
     client = Client(placed_harness)
@@ -98,22 +77,17 @@
         if len(chunks) == 5 and failure == 'dead head':
             head.is_dead = True
             head.server.close()
-    assert _event_ids(b''.join(chunks)) == ALL_EVENTS
-    assert len(_head_engine(placed_harness, 'two').runs) == 1
-    resumed = _head_engine(placed_harness, 'two').runs[0]
+    assert event_ids(b''.join(chunks)) == ALL_EVENTS
+    assert len(head_engine(placed_harness, 'two').runs) == 1
+    resumed = head_engine(placed_harness, 'two').runs[0]
     assert int(resumed.headers['last-event-id']) >= 5
     client.close()
 
 
 def test_a_stream_that_no_chain_can_finish_ends_as_truncated(placed_harness):
     for zone in ('one', 'two'):
-        _head_engine(placed_harness, zone).reset_at_event = 8
-    client = Client(placed_harness)
-    client.send('POST', '/draft/x', 'id1', body=b'p')
-    client.read_head()
-    with pytest.raises(AssertionError, match='truncated response'):
-        list(client.read_chunks())
-    client.close()
+        head_engine(placed_harness, zone).reset_at_event = 8
+    expect_truncated_stream(placed_harness)
 
 
 def test_the_layers_of_a_dead_stage_are_placed_on_another_engine(
@@ -121,8 +95,8 @@
 ):
     inner_engine = _inner_engine(placed_harness, 'one')
     inner_engine.is_dead = True
-    body = _request_stream(placed_harness, 'id1')[2]
-    assert _event_ids(body) == ALL_EVENTS
+    body = request_stream(placed_harness, 'id1')[2]
+    assert event_ids(body) == ALL_EVENTS
     placed_harness.wait_until(
         lambda: (
             inner_engine.endpoint_id
@@ -134,21 +108,21 @@
         inner_engine.endpoint_id not in chain.endpoint_ids
         for chain in placed_harness.chains()
     )
-    assert _event_ids(_request_stream(placed_harness, 'id2')[2]) == ALL_EVENTS
+    assert event_ids(request_stream(placed_harness, 'id2')[2]) == ALL_EVENTS
 
 
 def test_a_stage_that_lost_its_layers_is_placed_again(placed_harness):
     inner_engine = _inner_engine(placed_harness, 'one')
     inner_engine.layers = None
-    assert _event_ids(_request_stream(placed_harness, 'id1')[2]) == ALL_EVENTS
+    assert event_ids(request_stream(placed_harness, 'id1')[2]) == ALL_EVENTS
     placed_harness.wait_until(lambda: len(placed_harness.chains()) == 2)
-    assert _event_ids(_request_stream(placed_harness, 'id2')[2]) == ALL_EVENTS
+    assert event_ids(request_stream(placed_harness, 'id2')[2]) == ALL_EVENTS
 
 
 # Multiplied health checks by nodes and engines: a head without a free slot was
 # treated as a faulty chain.
 def test_a_full_head_causes_no_probes_of_other_engines(placed_harness):
-    head = _head_engine(placed_harness, 'one')
+    head = head_engine(placed_harness, 'one')
     head.is_full = True
     others = [
         engine
@@ -156,14 +130,14 @@
         if engine.zone == 'one' and engine is not head
     ]
     reports_before = sum(engine.reports for engine in others)
-    assert _event_ids(_request_stream(placed_harness)[2]) == ALL_EVENTS
-    assert len(_head_engine(placed_harness, 'two').runs) == 1
+    assert event_ids(request_stream(placed_harness)[2]) == ALL_EVENTS
+    assert len(head_engine(placed_harness, 'two').runs) == 1
     eventlet.sleep(0.3)
     assert sum(engine.reports for engine in others) == reports_before
 
 
 def test_a_stream_is_cancelled_when_the_client_disconnects(placed_harness):
-    head = _head_engine(placed_harness, 'one')
+    head = head_engine(placed_harness, 'one')
     head.events = 500
     client = Client(placed_harness)
     client.send('POST', '/draft/x', 'id1', body=b'p')
@@ -172,13 +146,13 @@
     client.close()
     placed_harness.wait_until(lambda: head.runs[0].was_cancelled)
     eventlet.sleep(0.2)
-    assert len(_head_engine(placed_harness, 'two').received) == 0
+    assert len(head_engine(placed_harness, 'two').received) == 0
 
 
 def test_a_request_without_any_chain_is_refused(harness):
     for engine in harness.engines:
         engine.ignores_orders = True
-    status, headers, _ = _request_stream(harness)
+    status, headers, _ = request_stream(harness)
     assert status == 503
     assert float(headers['retry-after']) > 0
     assert not any(engine.runs for engine in harness.engines)
@@ -192,14 +166,14 @@
     for engine in harness.engines:
         engine.ignores_orders = False
     harness.place_layers()
-    assert _event_ids(_request_stream(harness)[2]) == ALL_EVENTS
+    assert event_ids(request_stream(harness)[2]) == ALL_EVENTS
 
 
 def test_an_engine_that_drains_during_a_store_outage_is_removed(placed_harness):
     placed_harness.store.fault = StoreFault.UNAVAILABLE
     inner_engine = _inner_engine(placed_harness, 'one')
     inner_engine.is_draining = True
-    assert _event_ids(_request_stream(placed_harness, 'id1')[2]) == ALL_EVENTS
+    assert event_ids(request_stream(placed_harness, 'id1')[2]) == ALL_EVENTS
     suspicions = placed_harness.node.state.suspects.suspicions
     placed_harness.wait_until(
         lambda: inner_engine.endpoint_id in suspicions, seconds=3
@@ -210,12 +184,12 @@
     assert inner_engine.endpoint_id in suspicions
     received_before = len(
         inner_engine.engines[
-            _head_engine(placed_harness, 'one').address
+            head_engine(placed_harness, 'one').address
         ].received
     )
-    assert _event_ids(_request_stream(placed_harness, 'id2')[2]) == ALL_EVENTS
+    assert event_ids(request_stream(placed_harness, 'id2')[2]) == ALL_EVENTS
     assert (
-        len(_head_engine(placed_harness, 'one').received) == received_before + 1
+        len(head_engine(placed_harness, 'one').received) == received_before + 1
     )
     inner_engine.is_draining = False
     placed_harness.wait_until(
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -12,6 +12,7 @@
 from wigeonspoke.transport.request_body import read_request_body
 from wigeonspoke.transport.request_head import RequestError
 from wigeonspoke.transport.response_receiver import (
+    MAX_INFORMATIONAL_HEADS,
     ReadTimeout,
     ResponseReceiver,
     ResponseTooLarge,
@@ -20,6 +21,7 @@
 from wigeonspoke.transport.socket_peek import peek
 
 __all__ = (
+    'MAX_INFORMATIONAL_HEADS',
     'BodyEnd',
     'ChunkError',
     'ChunkedDecoder',
--- a/wigeonspoke/transport/http_connection.py
+++ b/wigeonspoke/transport/http_connection.py
@@ -8,10 +8,10 @@
 import urllib3
 from eventlet.greenio import GreenSocket
 
-from wigeonspoke.transport.response_receiver import ResponseReceiver
-
-# Heads that may come before the one of the reply, such as Early Hints.
-MAX_INFORMATIONAL_HEADS = 16
+from wigeonspoke.transport.response_receiver import (
+    MAX_INFORMATIONAL_HEADS,
+    ResponseReceiver,
+)
 
 
 class _ResponseSocket(GreenSocket):
--- a/wigeonspoke/transport/response_receiver.py
+++ b/wigeonspoke/transport/response_receiver.py
@@ -20,6 +20,8 @@
 # process may have been paused.
 MAX_LATE_BYTES = 1048576
 MAX_RESPONSE_BYTES = 67108864
+# Heads that may come before the one of the response, such as Early Hints.
+MAX_INFORMATIONAL_HEADS = 16
 
 
 class ReadTimeout(TimeoutError):
