One place each for unread replies, the load tool's limits, the chunk check

Found while reading the change once more; no decision of a node changes.

- Two readers of the HTTP client closed the connection of an unread reply with the same lines; one context manager serves both.
- The head of a response was searched for chunks twice; the second check uses the end that was found first.
- The load tool had plain connections, although the page of the package says that all readers have the limits, and an oversized line would have raised an error that it does not handle.
It uses the same connections now, and the error is one of the library's, as its handlers expect.
- A parameter of a test is named for what it does.

Tests of transport, ingress, load, node, endpoints and broken answers pass, linter clean.

--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -194,11 +194,8 @@
     def _process_head(self, head: h11.Response) -> None:
         self.keep_alive_seconds = _reusable_seconds(head)
         self.body_end = find_body_end(head.headers)
-        codings = [
-            text for name, text in head.headers if name == b'transfer-encoding'
-        ]
-        # h11 rejects transfer codings other than chunked, so this is chunked.
-        if codings:
+        # h11 rejects transfer codings other than chunked.
+        if self.body_end is BodyEnd.LAST_CHUNK:
             self.chunks = ChunkedDecoder()
             self.chunks.buffer = self.parser.trailing_data[0]
 
--- a/wigeonspoke/load/caller.py
+++ b/wigeonspoke/load/caller.py
@@ -10,7 +10,7 @@
 from wigeonspoke.load.records import AnswerRecord, AnswerResult, CallRecord
 from wigeonspoke.node.outcome_replies import OUTCOME_HEADER, REQUEST_ID_HEADER
 from wigeonspoke.standins.model import expected_answer
-from wigeonspoke.transport import HttpClient, read_lines
+from wigeonspoke.transport import ConnectionPools, HttpClient, read_lines
 
 ANSWER_TIMEOUT_SECONDS = 120.0
 CONNECTION_POOL_SIZE = 256
@@ -85,9 +85,7 @@
 
     def __init__(self, key: str) -> None:
         self.headers = {'Authorization': f'Bearer {key}'}
-        self.pool = urllib3.PoolManager(
-            maxsize=CONNECTION_POOL_SIZE, retries=False
-        )
+        self.pool = ConnectionPools(maxsize=CONNECTION_POOL_SIZE, retries=False)
         self.http = HttpClient(self.headers)
 
     def request_answer(
--- a/wigeonspoke/platform/tests/test_broken_answers.py
+++ b/wigeonspoke/platform/tests/test_broken_answers.py
@@ -110,14 +110,16 @@
     client.close()
 
 
-@pytest.mark.parametrize(('linger', 'status'), [(False, 200), (True, 502)])
-def test_a_call_that_ends_with_a_reset_is_not_complete(harness, linger, status):
+@pytest.mark.parametrize(('must_reset', 'status'), [(False, 200), (True, 502)])
+def test_a_call_that_ends_with_a_reset_is_not_complete(
+    harness, must_reset, status
+):
     def respond(request, connection):
         connection.write(
             b'HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n'
             b'Response-Signature: s\r\nConnection: close\r\n\r\nbody'
         )
-        if linger:
+        if must_reset:
             connection.reset()
         else:
             connection.sock.close()
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -8,6 +8,7 @@
     HttpReply,
     read_lines,
 )
+from wigeonspoke.transport.http_connection import ConnectionPools
 from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
 from wigeonspoke.transport.request_body import read_request_body
 from wigeonspoke.transport.request_head import RequestError
@@ -25,6 +26,7 @@
     'BodyEnd',
     'ChunkError',
     'ChunkedDecoder',
+    'ConnectionPools',
     'HttpClient',
     'HttpError',
     'HttpListener',
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -8,6 +8,7 @@
 import http
 import socket
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from typing import TypeVar
 
@@ -71,7 +72,7 @@
     peer: str
 
 
-class ReplyTooLarge(Exception):
+class ReplyTooLarge(urllib3.exceptions.HTTPError):
     """A reply, or a line of it, is larger than its limit."""
 
 
@@ -173,7 +174,7 @@
             return Failure(HttpError(Outcome.UNKNOWN, Reason.TIMEOUT, peer))
         except _CONNECT_ERRORS:
             return Failure(HttpError(Outcome.NOT_RUN, Reason.CONNECT, peer))
-        except (ReplyTooLarge, urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             reason = _find_reason(error)
             return Failure(HttpError(Outcome.UNKNOWN, reason, peer))
         finally:
@@ -196,19 +197,11 @@
             redirect=False,
             timeout=_limit_phases(timeout),
         )
-        complete = False
-        try:
+        with _reusing_if_read(response):
             if response.status != http.HTTPStatus.OK:
                 raise urllib3.exceptions.ResponseError(str(response.status))
             for line in read_lines(response):
                 on_line(line)
-            complete = True
-        finally:
-            # A connection with an unread response must not be reused.
-            if complete:
-                response.release_conn()
-            else:
-                response.close()
 
     def _exchange(
         self,
@@ -255,24 +248,33 @@
     return urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=seconds)
 
 
+@contextmanager
+def _reusing_if_read(response: urllib3.BaseHTTPResponse) -> Iterator[None]:
+    """Release the connection of a response that was read, else close it.
+
+    A connection with an unread response must not be reused.
+    """
+    is_read = False
+    try:
+        yield
+        is_read = True
+    finally:
+        if is_read:
+            response.release_conn()
+        else:
+            response.close()
+
+
 def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
     """Read a complete body, as the peer sent it, up to the size limit."""
     parts: list[bytes] = []
     size = 0
-    is_complete = False
-    try:
+    with _reusing_if_read(response):
         for part in response.stream(RECEIVE_BYTES, decode_content=False):
             size += len(part)
             if size > MAX_REPLY_BYTES:
                 raise ReplyTooLarge
             parts.append(part)
-        is_complete = True
-    finally:
-        if is_complete:
-            response.release_conn()
-        else:
-            # A connection with an unread response must not be reused.
-            response.close()
     return b''.join(parts)
 
 
