Tell which parts a broken stream had, how far it was and how its engine ended

Cause: the logs of the incident cannot tell a request that ends its engine from streams that overload the next one. They say neither what a request shares with others nor how far its answer was, and 'suspected' covers silent, cut-off and ended engines alike.

Change: the parts of a prompt are decoded once, without the last one, which is the request's own. 'try-failed' of a stream has the engine's start, the parts, and the time since the request was sent and since its first event. A new line 'engine-ended' is written when an engine refuses connections or has started again; an engine that is only silent may still run. No decision changes.

Ruled out: taking any failed probe for the end of an engine, since partitioned and frozen ones fail probes, too.

--- a/wigeonspoke/ingress/placement_loop.py
+++ b/wigeonspoke/ingress/placement_loop.py
@@ -158,7 +158,7 @@
         result = self.control.fetch_state(address, STATE_TIMEOUT_SECONDS)
         if isinstance(result, Success):
             return result.unwrap()
-        self._log_order('order-unsent', placement, result.failure())
+        self._log_order('order-unsent', placement, result.failure().problem)
         return None
 
     def _process_reply(
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -7,7 +7,11 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import Endpoint
-from wigeonspoke.ingress.protocols import EngineControl, EngineState
+from wigeonspoke.ingress.protocols import (
+    EngineControl,
+    EngineFailure,
+    EngineState,
+)
 from wigeonspoke.ingress.state import IngressState
 
 PROBE_TIMEOUT_SECONDS = 0.25
@@ -62,7 +66,7 @@
     def _probe(self, endpoint: Endpoint, reason: str) -> None:
         """Probe an engine; suspect it only after two failures."""
         self.state.count_event('probe', reason)
-        problem = ''
+        failure = EngineFailure('')
         for _ in range(PROBE_ATTEMPTS):
             result = self.control.fetch_state(
                 endpoint.address, PROBE_TIMEOUT_SECONDS
@@ -70,8 +74,25 @@
             if isinstance(result, Success):
                 self._process_state(endpoint, result.unwrap(), reason)
                 return
-            problem = result.failure()
-        self._suspect(endpoint, f'{reason}: {problem}')
+            failure = result.failure()
+        if failure.refuses_connections:
+            self._record_end(endpoint, 'refuses connections')
+        self._suspect(endpoint, f'{reason}: {failure.problem}')
+
+    def _record_end(self, endpoint: Endpoint, evidence: str) -> None:
+        """Record that this start of an engine has ended.
+
+        An engine that is only silent, or whose connections break, may still
+        run.
+        """
+        self.state.count_event('engine-ended', evidence)
+        self.state.log.write(
+            'engine-ended',
+            endpoint=endpoint.endpoint_id,
+            address=endpoint.address,
+            born=endpoint.born,
+            evidence=evidence,
+        )
 
     def _process_state(
         self,
@@ -81,6 +102,7 @@
     ) -> None:
         """Suspect or trust an engine according to its reported state."""
         if engine_state.born != endpoint.born and endpoint.born:
+            self._record_end(endpoint, 'started again')
             self._suspect(endpoint, f'{reason}: engine restarted')
         elif reason == REFUSED and self._refuses_work(endpoint, engine_state):
             self._suspect(
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -20,7 +20,9 @@
     ``target`` is the raw path with its query string.  ``headers`` holds only
     the headers that may be forwarded.  ``remaining_seconds`` is how long the
     client waits, counted from the arrival of the request.  ``key`` is the
-    credential that identifies the client account.
+    credential that identifies the client account.  ``shared_parts`` are the
+    ids of the parts of its prompt that other requests may have, too, which
+    are all but the last one.
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     remaining_seconds: float | None
     last_event_id: str
     tokens: int
+    shared_parts: tuple[str, ...] = ()
     body: bytes = b''
 
 
@@ -80,6 +83,16 @@
     free_memory_fraction: float
 
 
+class EngineFailure(msgspec.Struct, frozen=True):
+    """Why an engine did not report its state.
+
+    ``refuses_connections`` means that no process listens at its address.
+    """
+
+    problem: str
+    refuses_connections: bool = False
+
+
 class OrderReply(msgspec.Struct, frozen=True):
     """An engine's reply to a placement order.
 
@@ -136,8 +149,8 @@
         self,
         address: str,
         timeout: float,
-    ) -> Result[EngineState, str]:
-        """Fetch an engine's state; a failure describes the problem."""
+    ) -> Result[EngineState, EngineFailure]:
+        """Fetch an engine's state."""
 
     def check_health(self, address: str, path: str, timeout: float) -> bool:
         """Return whether an engine's health check accepts new work."""
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -463,7 +463,14 @@
             # The attempt was aborted here, so its connection error is not
             # the engine's fault.
             error = msgspec.structs.replace(error, reason=Reason.CALLER_GONE)
-        self.record_failure(chain.head, error, last=self.cursor.last_number)
+        self.record_failure(
+            chain.head,
+            error,
+            last=self.cursor.last_number,
+            born=chain.head.born,
+            parts=self.context.request.shared_parts,
+            **self.chain_monitor.describe_progress(time.monotonic()),
+        )
         if not is_disconnected and error.reason is not Reason.TIMEOUT:
             now = time.monotonic()
             self.state.suspects.deprioritize(chain.head.endpoint_id, now)
--- a/wigeonspoke/platform/engine_control.py
+++ b/wigeonspoke/platform/engine_control.py
@@ -6,7 +6,11 @@
 from returns.result import Failure, Result, Success
 
 from wigeonspoke.core.placement import Placement
-from wigeonspoke.ingress.protocols import EngineState, OrderReply
+from wigeonspoke.ingress.protocols import (
+    EngineFailure,
+    EngineState,
+    OrderReply,
+)
 from wigeonspoke.platform.records import decode_report
 from wigeonspoke.transport import HttpClient, HttpError
 
@@ -25,15 +29,18 @@
         self,
         address: str,
         timeout: float,
-    ) -> Result[EngineState, str]:
-        """Fetch an engine's state; a failure describes the problem."""
+    ) -> Result[EngineState, EngineFailure]:
+        """Fetch an engine's state."""
         result = self.client.get(address, '/v1/report', timeout)
         if not isinstance(result, Success):
-            return Failure(_describe_error(result.failure()))
+            error = result.failure()
+            return Failure(
+                EngineFailure(_describe_error(error), error.is_refused)
+            )
         reply = result.unwrap()
         if not reply.is_ok:
-            return Failure(f'status {reply.status}')
-        return decode_report(reply.body)
+            return Failure(EngineFailure(f'status {reply.status}'))
+        return decode_report(reply.body).alt(EngineFailure)
 
     def check_health(self, address: str, path: str, timeout: float) -> bool:
         """Return whether an engine's health check accepts new work."""
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -1,5 +1,7 @@
 """Request and response headers of the platform's wire format."""
 
+import hashlib
+
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
@@ -20,12 +22,18 @@
 INSTANCE_HEADER = 'Expect-Instance'
 CHAIN_HEADER = 'Hop-Count'
 TOKEN_USAGE_HEADER = 'Token-Usage'
+PROMPT_PARTS_HEADER = 'Prompt-Prefix'
 NOT_EXECUTED_HEADER = 'Not-Executed'
 SIGNATURE_HEADER = 'Response-Signature'
 FAULT_ADDRESS_HEADER = 'At-Server'
 
 MISDIRECTED_REQUEST = 421
 
+# Clients choose the ids of the parts of their prompts, and the node keeps
+# some of them, so that both length and number are limited.
+MAX_PART_ID_LENGTH = 32
+MAX_SHARED_PARTS = 16
+
 # Headers that are not copied from a client's request to an endpoint:
 # hop-by-hop headers, those that the node sets itself, and ``Expect``, which
 # the listener has already handled.
@@ -76,6 +84,9 @@
         tokens=_sum_token_counts(
             header_values.get(TOKEN_USAGE_HEADER.lower(), '')
         ),
+        shared_parts=_parse_shared_parts(
+            header_values.get(PROMPT_PARTS_HEADER.lower(), '')
+        ),
     )
 
 
@@ -138,6 +149,29 @@
     return int(header_value) / MILLISECONDS_PER_SECOND
 
 
+def _parse_shared_parts(header_value: str) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt except the last one.
+
+    The last part belongs to the request or its session alone.  A part that
+    occurs twice is listed once.
+    """
+    entries = header_value.split(',')[:-1]
+    ids = dict.fromkeys(
+        entry.partition(':')[0].strip().lower() for entry in entries
+    )
+    ids.pop('', None)
+    return tuple(map(_limit_length, ids))[:MAX_SHARED_PARTS]
+
+
+def _limit_length(part_id: str) -> str:
+    if len(part_id) <= MAX_PART_ID_LENGTH:
+        return part_id
+    digest = hashlib.blake2b(
+        part_id.encode(), digest_size=MAX_PART_ID_LENGTH // 2
+    )
+    return digest.hexdigest()
+
+
 def _sum_token_counts(header_value: str) -> int:
     counts = [
         part for part in header_value.split(',') if part.strip().isdecimal()
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -64,12 +64,14 @@
 class HttpError(msgspec.Struct, frozen=True):
     """A request without a response: the reason, and whether it may have run.
 
-    ``peer`` is the address, as ``host:port``.
+    ``peer`` is the address, as ``host:port``.  ``is_refused`` means that its
+    host answers and that no process listens there.
     """
 
     outcome: Outcome
     reason: Reason
     peer: str
+    is_refused: bool = False
 
 
 class ReplyTooLarge(urllib3.exceptions.HTTPError):
@@ -172,8 +174,11 @@
             if error is not timer:
                 raise
             return Failure(HttpError(Outcome.UNKNOWN, Reason.TIMEOUT, peer))
-        except _CONNECT_ERRORS:
-            return Failure(HttpError(Outcome.NOT_RUN, Reason.CONNECT, peer))
+        except _CONNECT_ERRORS as error:
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return Failure(
+                HttpError(Outcome.NOT_RUN, Reason.CONNECT, peer, is_refused)
+            )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             reason = _find_reason(error)
             return Failure(HttpError(Outcome.UNKNOWN, reason, peer))
