--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -38,6 +38,8 @@
         'born',
         'breaks_off_at_event',
         'broken_event_bytes',
+        'crash_part',
+        'crashes',
         'endpoint_id',
         'engines',
         'events',
@@ -46,6 +48,7 @@
         'is_dead',
         'is_draining',
         'is_full',
+        'is_up',
         'kind',
         'layers',
         'load_seconds',
@@ -54,6 +57,7 @@
         'received',
         'reports',
         'reset_at_event',
+        'restart_seconds',
         'runs',
         'server',
         'service',
@@ -88,6 +92,12 @@
         self.reports = 0
         self.ignores_orders = False
         self.reset_at_event: int | None = None
+        # Part of a prompt on which the engine ends after the first event.
+        self.crash_part: str | None = None
+        self.restart_seconds = 0.5
+        self.is_up = True
+        # When the engine ended, on the monotonic clock.
+        self.crashes: list[float] = []
         # What marks the end of the body of a stream.
         self.body_end = BodyEnd.LAST_CHUNK
         # Event at which the body ends as if it were complete, after
@@ -121,11 +131,28 @@
             'layers': self._encode_layers(),
         }
 
+    def crash(self) -> None:
+        """End at once, and start again later with nothing of before."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.crashes.append(time.monotonic())
+        self.server.close()
+        eventlet.spawn_after(self.restart_seconds, self._start_again)
+
     def _encode_layers(self) -> dict[str, int] | None:
         if self.layers is None:
             return None
         return {'from': self.layers[0], 'to': self.layers[1], 'version': 1}
 
+    def _start_again(self) -> None:
+        self.layers = None
+        self.orders = 0
+        self.fence = 0
+        self.born += 1
+        self.is_up = True
+        self.server.restart()
+
     def _handle(self, request: RawRequest, connection: RawConnection) -> None:
         if self.is_dead:
             eventlet.sleep(HANG_SECONDS)
@@ -227,14 +254,12 @@
         first = int(received.headers.get('last-event-id', '0')) + 1
         for number in range(first, self.events + 1):
             eventlet.sleep(EVENT_INTERVAL_SECONDS)
-            if connection.is_closed_by_peer():
-                received.was_cancelled = True
-                return
             if number == self.reset_at_event:
                 connection.write(b'18\r\nid: 99\nda')
                 connection.reset()
                 return
-            if not self._wait_for_hops(received, hops, connection):
+            goes_on = self._wait_for_hops(received, hops, connection)
+            if not goes_on or self._ends_under(received, number - first):
                 return
             event = f'id: {number}\ndata: {self._format_token(number)}\n\n'
             if number == self.breaks_off_at_event:
@@ -263,6 +288,12 @@
         head = '\r\n'.join(lines)
         connection.write(f'{head}\r\n\r\n'.encode())
 
+    def _ends_under(self, received: ReceivedRequest, written: int) -> bool:
+        """End after the first event on a part that does so."""
+        if written and _has_part(received, self.crash_part):
+            self.crash()
+        return not self.is_up
+
     def _write_part(self, part: bytes, connection: RawConnection) -> None:
         if self.body_end is BodyEnd.CLOSE:
             connection.write(part)
@@ -277,15 +308,15 @@
     ) -> bool:
         """Stall while a hop is dead; return whether the stream continues."""
         deadline = time.monotonic() + STALL_SECONDS
-        while self._find_dead_hop(hops) is not None:
-            eventlet.sleep(POLL_SECONDS)
-            if connection.is_closed_by_peer():
-                received.was_cancelled = True
-                return False
+        while not connection.is_closed_by_peer():
+            if self._find_dead_hop(hops) is None:
+                return True
             if time.monotonic() >= deadline:
                 connection.reset()
                 return False
-        return True
+            eventlet.sleep(POLL_SECONDS)
+        received.was_cancelled = True
+        return False
 
     def _find_hop_without_layers(
         self, hops: dict[str, tuple[int, int]]
@@ -293,7 +324,7 @@
         """Return the address of a live hop that lacks the layers it needs."""
         for address, (first, end) in hops.items():
             engine = self.engines[address]
-            if engine.is_dead:
+            if engine.is_dead or not engine.is_up:
                 continue
             held_layers = engine.layers or (0, 0)
             if first < held_layers[0] or end > held_layers[1]:
@@ -310,7 +341,8 @@
 
     def _find_dead_hop(self, hops: dict[str, tuple[int, int]]) -> str | None:
         for address in hops:
-            if self.engines[address].is_dead:
+            engine = self.engines[address]
+            if engine.is_dead or not engine.is_up:
                 return address
         return None
 
@@ -318,6 +350,11 @@
         return f'token-{number}'
 
 
+def _has_part(received: ReceivedRequest, part_id: str | None) -> bool:
+    parts = received.headers.get('prompt-prefix', '').split(',')
+    return part_id in {part.partition(':')[0] for part in parts}
+
+
 def _parse_hops(header: str) -> dict[str, tuple[int, int]]:
     hops: dict[str, tuple[int, int]] = {}
     for hop in header.split(','):
--- a/wigeonspoke/platform/standins/raw_server.py
+++ b/wigeonspoke/platform/standins/raw_server.py
@@ -84,7 +84,8 @@
     )
 
     def __init__(
-        self, handle: Callable[[RawRequest, RawConnection], None]
+        self,
+        handle: Callable[[RawRequest, RawConnection], None],
     ) -> None:
         self.handle = handle
         self.accepted = 0
@@ -94,6 +95,12 @@
         self.open_connections: set[socket.socket] = set()
         self.greenlet = eventlet.spawn(self._accept)
 
+    def restart(self) -> None:
+        """Listen at the same address again after :meth:`close`."""
+        port = int(self.address.rpartition(':')[2])
+        self.sock = eventlet.listen(('127.0.0.1', port))
+        self.greenlet = eventlet.spawn(self._accept)
+
     def close(self) -> None:
         """Stop listening and shut down all connections."""
         self.greenlet.kill()
--- a/wigeonspoke/platform/tests/harness.py
+++ b/wigeonspoke/platform/tests/harness.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 import eventlet
+import msgspec
 
-from wigeonspoke.ingress import IngressSettings
+from wigeonspoke.ingress import IngressNode, IngressSettings
 from wigeonspoke.platform.program import build_node
 from wigeonspoke.platform.standins import (
     EngineStandin,
@@ -18,6 +19,7 @@
 API_KEY = 'key-of-acme'
 ZONES = ('one', 'two')
 TIMEOUT_SECONDS = 10.0
+REGISTRY_SECONDS = 0.1
 OTHER_DOMAIN_LAYERS = ((0, 14), (14, 28), (28, 40))
 
 
@@ -122,6 +124,19 @@
                 'servers', endpoint.endpoint_id, endpoint.registry_entry()
             )
 
+    def follow_engines(self) -> None:
+        """Keep the engines' registry entries as they are; never returns.
+
+        The entry of an engine that has ended stays until it starts again.
+        """
+        while True:
+            for engine in self.engines:
+                known = self.store.rows.get(('servers', engine.endpoint_id))
+                entry = msgspec.json.encode(engine.registry_entry())
+                if engine.is_up and (known is None or known.content != entry):
+                    self.store.put_bytes('servers', engine.endpoint_id, entry)
+            eventlet.sleep(REGISTRY_SECONDS)
+
     def place_layers(self) -> None:
         """Wait until both domains have a complete chain.
 
@@ -156,12 +171,7 @@
 
     def close(self) -> None:
         """Stop the node and all test doubles."""
-        for greenlet in self.node.greenlets:
-            greenlet.kill()
-        self.node.front.abort()
-        self.node.ready.abort()
-        self.node.metrics.abort()
-        self.node.peers.abort()
+        stop_node(self.node)
         for standin in (self.store, *self.replicas, *self.engines):
             standin.server.close()
 
@@ -185,11 +195,41 @@
         )
 
 
+def start_node(harness: Harness, name: str, **overrides: Any) -> IngressNode:
+    """Start a further node, whose settings are those of the first but these.
+
+    It has the first node as its seed.
+    """
+    settings = msgspec.structs.replace(
+        harness.node.state.settings,
+        name=name,
+        seeds=(harness.node.peers.address,),
+        **overrides,
+    )
+    node = build_node(settings)
+    node.start()
+    return node
+
+
+def stop_node(node: IngressNode) -> None:
+    """End a node at once, as a kill does."""
+    for greenlet in node.greenlets:
+        greenlet.kill()
+    for listener in (node.front, node.ready, node.metrics, node.peers):
+        listener.abort()
+
+
 class Client:
-    """A client connection that sends and reads raw HTTP."""
+    """A client connection that sends and reads raw HTTP.
 
-    def __init__(self, harness: Harness) -> None:
-        host, _, port = harness.node.front.address.rpartition(':')
+    The connection is to ``node``, or to the first node of the harness.
+    """
+
+    def __init__(
+        self, harness: Harness, node: IngressNode | None = None
+    ) -> None:
+        front = (node or harness.node).front
+        host, _, port = front.address.rpartition(':')
         self.sock = socket.create_connection((host, int(port)))
         self.sock.settimeout(TIMEOUT_SECONDS)
         self.reader = self.sock.makefile('rb')
@@ -275,10 +315,15 @@
 
 
 def send_request(
-    harness: Harness, method: str, path: str, request_id: str, **options: Any
+    harness: Harness,
+    method: str,
+    path: str,
+    request_id: str,
+    node: IngressNode | None = None,
+    **options: Any,
 ):
     """Send a request on a new connection and return the response."""
-    client = Client(harness)
+    client = Client(harness, node)
     client.send(method, path, request_id, **options)
     response = client.read_response()
     client.close()
--- a/wigeonspoke/platform/tests/stream_requests.py
+++ b/wigeonspoke/platform/tests/stream_requests.py
@@ -1,6 +1,7 @@
 """Requests for streams, shared by the tests of streams."""
 
 import re
+from typing import Any
 
 import pytest
 
@@ -15,7 +16,7 @@
     return [int(found) for found in re.findall(rb'^id: (\d+)$', body, re.M)]
 
 
-def request_stream(harness: Harness, request_id: str = 'id1', **headers: str):
+def request_stream(harness: Harness, request_id: str = 'id1', **headers: Any):
     """Request a stream on a new connection and return the response."""
     return send_request(
         harness,
--- a/wigeonspoke/platform/tests/test_table_relay.py
+++ b/wigeonspoke/platform/tests/test_table_relay.py
@@ -1,32 +1,14 @@
 """Nodes get the store's tables, and each other's state, from peers."""
 
 import eventlet
-import msgspec
 import pytest
 
-from wigeonspoke.platform.program import build_node
 from wigeonspoke.platform.standins import StoreFault, StoreStandin
-from wigeonspoke.platform.tests.harness import make_configuration
-
-
-def _start_node(harness, store, **overrides):
-    settings = msgspec.structs.replace(
-        harness.node.state.settings,
-        name='node-2',
-        store=store.address,
-        seeds=(harness.node.peers.address,),
-        **overrides,
-    )
-    node = build_node(settings)
-    node.start()
-    return node
-
-
-def _stop_node(node):
-    for greenlet in node.greenlets:
-        greenlet.kill()
-    for listener in (node.front, node.ready, node.metrics, node.peers):
-        listener.abort()
+from wigeonspoke.platform.tests.harness import (
+    make_configuration,
+    start_node,
+    stop_node,
+)
 
 
 @pytest.fixture
@@ -34,20 +16,20 @@
     """Yield a second node whose store refuses every request."""
     store = StoreStandin()
     store.fault = StoreFault.UNAVAILABLE
-    node = _start_node(harness, store)
+    node = start_node(harness, 'node-2', store=store.address)
     yield node
-    _stop_node(node)
+    stop_node(node)
     store.server.close()
 
 
 @pytest.fixture
 def second_node(harness):
     """Yield a second node at the same store, peered with the first."""
-    node = _start_node(harness, harness.store)
+    node = start_node(harness, 'node-2')
     harness.node.state.peer_addresses.add(node.peers.address)
     harness.wait_until(lambda: node.is_ready)
     yield node
-    _stop_node(node)
+    stop_node(node)
 
 
 def test_tables_are_reread_from_the_store_after_its_history_expired(
@@ -132,7 +114,7 @@
 def test_a_hanging_store_poll_does_not_hide_a_change(harness):
     store = StoreStandin()
     store.put('op', 'config', make_configuration())
-    node = _start_node(harness, store)
+    node = start_node(harness, 'node-2', store=store.address)
     state = node.state
     harness.wait_until(
         lambda: state.routing_table.version == 1 and not state.must_watch_store
@@ -145,7 +127,7 @@
     harness.store.put('op', 'config', changed)
     harness.wait_until(lambda: state.routing_table.version == 8, seconds=2)
     assert state.routing_table.find_account('key-of-bond') is None
-    _stop_node(node)
+    stop_node(node)
     store.server.close()
 
 
@@ -167,14 +149,14 @@
     harness, domain, seconds
 ):
     harness.wait_until(lambda: harness.node.state.holds_lease)
-    node = _start_node(harness, harness.store, failure_domain=domain)
+    node = start_node(harness, 'node-2', failure_domain=domain)
     harness.wait_until(lambda: node.state.live_peer_names == {'node-1'})
     eventlet.sleep(1.0)
     lease = _lease_keepers(node)['one']
     assert not lease.is_held
-    _stop_node(harness.node)
+    stop_node(harness.node)
     harness.wait_until(lambda: lease.is_held, seconds=seconds)
-    _stop_node(node)
+    stop_node(node)
 
 
 def test_a_live_holder_keeps_its_lease(harness, second_node):
@@ -195,7 +177,7 @@
     harness.wait_until(lambda: not state.hears_all_peers, seconds=2)
     assert not state.is_node_gone('never-heard', state.live_peer_names)
     assert not state.is_node_gone('node-1', state.live_peer_names)
-    _stop_node(harness.node)
+    stop_node(harness.node)
     harness.wait_until(
         lambda: state.is_node_gone('node-1', state.live_peer_names), seconds=8
     )
@@ -210,7 +192,7 @@
     harness.wait_until(lambda: not second_chains.streams_at(head))
     harness.node.state.chains.in_flight[head] = 5
     harness.wait_until(lambda: second_chains.streams_at(head) == 5)
-    _stop_node(harness.node)
+    stop_node(harness.node)
     harness.wait_until(lambda: not second_chains.streams_at(head), seconds=5)
 
 
