Quarantine a part of a prompt under which engines end

What callers saw: engines ended one after the other under requests with one part in their prompts; each crash broke all streams of a chain, and for whole seconds no domain had one.

Cause: a crash that a request causes was held against the endpoint alone. The request was sent to the next engine (both attempts of each), and nothing of what one node saw of a request reached the next request or another node. No node sees more than one or two of the crashes, and no request is like another; what they share is a part of their prompts.

Change: - core/quarantine keeps the evidence by part. Against a part: distinct starts of engines that ended while an answer with it was in its beginning. For it: an answer that went on for half a second at an engine that lived. Three engines, not all at one moment, quarantine a part; five one that was served well before. If other parts stood beside it in every crash, only requests with all of them are refused. - The end of an engine is a refused connection or a new start; a broken connection to an engine that answers its probe is no evidence. - A request that broke as it began, and has a part that was never served well, waits for the probe of its engine and is not sent to another one if that has ended. - Evidence and its refutation travel by gossip, news at once. A quarantine is a row in the platform's store: it outlasts all nodes and decides which node sends the one request of a trial: after 2 to 4 s, then after 1, 4, 16 minutes while engines end under it. - A refused request gets 503 with the time to the next trial; it has not run. New log lines part-suspected, part-quarantined, part-refused, part-trial, part-row, part-cleared.

Ruled out: refusing at the first crash (a popular part stands in each crash); counting requests (one crash breaks many); quarantine of a caller, key or first part (they are shared by sound requests); a quarantine without an early trial (a part beside the cause in each crash would be refused for a minute).

Tests of core, platform and ingress pass.

--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -6,8 +6,10 @@
 from typing import Any
 
 from wigeonspoke.core.routing import ClientAccount, RequestKind, Rule
+from wigeonspoke.ingress.answer_watch import ClaimTrial
 from wigeonspoke.ingress.call_handler import CallHandler
 from wigeonspoke.ingress.disconnect_monitor import DisconnectMonitor
+from wigeonspoke.ingress.prober import Prober
 from wigeonspoke.ingress.protocols import ClientRequest
 from wigeonspoke.ingress.request_handler import RequestContext
 from wigeonspoke.ingress.responses import (
@@ -27,15 +29,17 @@
 class FrontApp:
     """Admits a request, runs it and returns the response."""
 
-    __slots__ = ('check_chain', 'state')
+    __slots__ = ('claim_trial', 'prober', 'state')
 
     def __init__(
         self,
         state: IngressState,
-        check_chain: Callable[..., None],
+        prober: Prober,
+        claim_trial: ClaimTrial,
     ) -> None:
         self.state = state
-        self.check_chain = check_chain
+        self.prober = prober
+        self.claim_trial = claim_trial
 
     def __call__(
         self,
@@ -147,7 +151,7 @@
         try:
             if context.rule.kind is RequestKind.STREAM:
                 stream_handler = StreamHandler(
-                    self.state, context, self.check_chain
+                    self.state, context, self.prober, self.claim_trial
                 )
                 yield from stream_handler.serve(start_response)
             else:
--- a/wigeonspoke/ingress/lease_loop.py
+++ b/wigeonspoke/ingress/lease_loop.py
@@ -94,6 +94,12 @@
             self.state.leases = self._held_leases()
             eventlet.sleep(ROUND_SECONDS)
 
+    def store_seconds(self) -> float | None:
+        """Return the time of the store's clock, None if it is not known."""
+        if not self.last_read_at or not self.store_clock_offset:
+            return None
+        return lease_clock() + self.store_clock_offset
+
     def may_order(self, keeper: LeaseKeeper) -> bool:
         """Return whether orders may be sent under a lease now."""
         return keeper.may_order(lease_clock())
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -14,6 +14,10 @@
 from wigeonspoke.ingress.front_app import FrontApp
 from wigeonspoke.ingress.lease_loop import LeaseLoop
 from wigeonspoke.ingress.metrics_page import render_counters
+from wigeonspoke.ingress.part_table import (
+    PartConsumer,
+    PartPublisher,
+)
 from wigeonspoke.ingress.peer_gossip import PeerGossip
 from wigeonspoke.ingress.placement_loop import PlacementLoop
 from wigeonspoke.ingress.prober import Prober
@@ -71,6 +75,7 @@
         'lease_loop',
         'loops',
         'metrics',
+        'part_publisher',
         'peers',
         'placement_loop',
         'prober',
@@ -113,6 +118,19 @@
             TableFollower(self.state, store, consumer, client, peer_versions)
             for consumer in consumers
         ]
+        store_clock = self.lease_loop.store_seconds
+        part_follower = TableFollower(
+            self.state,
+            store,
+            PartConsumer(self.state, store_clock),
+            client,
+            peer_versions,
+            watches_closely=False,
+        )
+        followers.append(part_follower)
+        self.part_publisher = PartPublisher(
+            self.state, store, part_follower.copy, store_clock
+        )
         self.copies = {
             follower.consumer.table: follower.copy for follower in followers
         }
@@ -127,6 +145,7 @@
                 for keeper in self.lease_loop.keepers.values()
             ),
             self.gossip.run,
+            self.part_publisher.run,
             self.state.connection_pool.run,
             ChainReporter(self.state).run,
             self._sync_limits,
@@ -136,7 +155,7 @@
         """Open the listeners and start the background loops."""
         settings = self.state.settings
         self.front = _listen(
-            FrontApp(self.state, self.prober.check_chain),
+            FrontApp(self.state, self.prober, self.part_publisher.claim_trial),
             settings.front,
             ListenerLimits(connections=FRONT_CONNECTIONS),
         )
--- /dev/null
+++ b/wigeonspoke/ingress/part_watch.py
@@ -0,0 +1,119 @@
+"""What this node sees of the parts under which engines end."""
+
+import time
+from collections.abc import Callable
+
+from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.core.quarantine import (
+    Answer,
+    BeginningTracker,
+    PartRegistry,
+    PartReport,
+    PartSuspicion,
+)
+from wigeonspoke.decisions import DecisionLog
+
+
+class PartWatch:
+    """Records how answers begin, and logs what follows for their parts.
+
+    ``on_news`` is called when peers should hear of new evidence at once.
+    """
+
+    __slots__ = ('beginnings', 'log', 'on_news', 'registry')
+
+    def __init__(self, log: DecisionLog) -> None:
+        self.log = log
+        self.registry = PartRegistry()
+        self.beginnings = BeginningTracker(self._record_crash, self._clear)
+        self.on_news: Callable[[], None] = _ignore
+
+    def record_engine_end(self, endpoint: Endpoint, evidence: str) -> None:
+        """Record that this start of an engine has ended."""
+        start = engine_start(endpoint)
+        if self.beginnings.has_ended(start):
+            return
+        broken = self.beginnings.record_engine_end(start, time.monotonic())
+        self.log.write(
+            'engine-ended',
+            endpoint=endpoint.endpoint_id,
+            address=endpoint.address,
+            born=endpoint.born,
+            evidence=evidence,
+            beginnings=len(broken),
+        )
+
+    def has_ended(self, endpoint: Endpoint) -> bool:
+        """Return whether this start of an engine is known to have ended."""
+        return self.beginnings.has_ended(engine_start(endpoint))
+
+    def record_engine_alive(self, endpoint: Endpoint, asked_at: float) -> None:
+        """Record that this start of an engine answered a probe."""
+        start = engine_start(endpoint)
+        self.beginnings.record_engine_alive(start, asked_at)
+
+    def merge(self, report: PartReport, source: str) -> bool:
+        """Merge what another node knows; return whether it was news."""
+        now = time.monotonic()
+        registry = self.registry
+        known = registry.suspicions.get(report.part)
+        was_confirmed = known is not None and known.is_confirmed
+        if not registry.merge(report, now):
+            return False
+        suspicion = registry.suspicions.get(report.part)
+        if suspicion is None:
+            return True
+        if was_confirmed and not suspicion.is_confirmed:
+            self._log(suspicion, 'part-cleared', source)
+        else:
+            self._log_evidence(suspicion, source, was_confirmed)
+        return True
+
+    def _record_crash(self, answer: Answer, engine: str, at: float) -> None:
+        changed = self.registry.record_crash(answer.parts, engine, at)
+        for suspicion in changed:
+            self._log_evidence(suspicion, 'own', suspicion.is_confirmed)
+        if changed:
+            self.on_news()
+
+    def _clear(self, answer: Answer, now: float) -> None:
+        cleared = self.registry.record_sound(answer.parts, now)
+        for suspicion in cleared:
+            self._log(suspicion, 'part-cleared', 'own')
+        if cleared:
+            self.on_news()
+
+    def _log_evidence(
+        self, suspicion: PartSuspicion, source: str, was_confirmed: bool
+    ) -> None:
+        now = time.monotonic()
+        is_quarantined = self.registry.is_quarantined(suspicion, now)
+        kind = 'part-suspected'
+        if is_quarantined and not was_confirmed:
+            kind = 'part-quarantined'
+        self._log(suspicion, kind, source)
+
+    def _log(self, suspicion: PartSuspicion, kind: str, source: str) -> None:
+        now = time.monotonic()
+        self.log.write(
+            kind,
+            part=suspicion.part,
+            source=source,
+            engines={
+                engine: round(now - crash.at, 3)
+                for engine, crash in suspicion.crashes.items()
+            },
+            beside=sorted(suspicion.companions),
+            next_trial=round(suspicion.next_trial_at - now, 3)
+            if suspicion.crashes
+            else None,
+        )
+
+
+def engine_start(endpoint: Endpoint) -> str:
+    """Return the name of one start of an engine."""
+    return f'{endpoint.endpoint_id}@{endpoint.born}'
+
+
+def _ignore() -> None:
+    """Do nothing until the gossip is connected."""
--- a/wigeonspoke/ingress/peer_gossip.py
+++ b/wigeonspoke/ingress/peer_gossip.py
@@ -1,9 +1,11 @@
 """Gossip between ingress nodes.
 
-It has three purposes.  A node that the store refuses, or whose long poll was
+It has four purposes.  A node that the store refuses, or whose long poll was
 never answered, learns from its peers that a table has changed.  A dead holder
 is noticed within two seconds instead of when its lease expires.  The requests
-that one node has in flight at a chain are counted by all nodes.
+that one node has in flight at a chain are counted by all nodes.  The evidence
+of parts of prompts under which engines ended reaches all nodes, also without
+the store.
 """
 
 import random
@@ -22,6 +24,7 @@
     PeerReport,
 )
 from wigeonspoke.core.outcomes import Outcome
+from wigeonspoke.core.quarantine import PartReport
 from wigeonspoke.ingress.state import IngressState, node_name
 from wigeonspoke.ingress.table_relay import PeerVersions, TableCopy
 from wigeonspoke.transport import HttpClient, HttpError
@@ -31,6 +34,10 @@
 ROUND_JITTER = 0.2
 REQUEST_TIMEOUT_SECONDS = 0.5
 TAG_LENGTH = 8
+# Time between extra rounds, which news of parts cause.  In a large deployment
+# a node passes on what it hears, and each node does so.
+NEWS_INTERVAL_SECONDS = 0.1
+NEWS_INTERVAL_IN_LARGE_SECONDS = 0.5
 
 
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -40,13 +47,17 @@
     expiry, in seconds of the store's monotonic clock.  ``tables`` maps names
     of store tables to the version of the newest change that the node has
     read.  ``streams`` maps the endpoint ids of chain heads to the number of
-    streams that the node has there.
+    streams that the node has there.  ``parts`` is evidence of parts under
+    which engines ended, and ``served_parts`` are parts with which answers
+    went well for the first time.
     """
 
     gossip: GossipMessage
     leases: dict[str, float]
     tables: dict[str, int]
     streams: dict[str, int]
+    parts: tuple[PartReport, ...] = ()
+    served_parts: tuple[str, ...] = ()
 
 
 class PeerGossip:
@@ -62,6 +73,7 @@
         'exchange',
         'instance_id',
         'last_heard_at',
+        'news_round_at',
         'peer_versions',
         'sequence',
         'state',
@@ -79,6 +91,9 @@
         self.copies = copies
         self.peer_versions = peer_versions
         self.sequence = 0
+        # When the next extra round begins, if it is in the future.
+        self.news_round_at = 0
+        state.part_watch.on_news = self.tell_news
         # When each peer last sent a request to this node, by address.
         self.last_heard_at: dict[str, float] = {}
         tag = uuid.uuid4().hex[:TAG_LENGTH]
@@ -113,6 +128,18 @@
             lost = self.state.peers.remove_stale(time.monotonic())
             self._handle_lost(lost, 'silent')
 
+    def tell_news(self) -> None:
+        """Start an extra round soon, unless one is about to start."""
+        now = time.monotonic()
+        if self.news_round_at > now:
+            return
+        interval = NEWS_INTERVAL_SECONDS
+        if not self.state.hears_all_peers:
+            interval = NEWS_INTERVAL_IN_LARGE_SECONDS
+        wait_seconds = max(0, self.news_round_at + interval - now)
+        self.news_round_at = now + wait_seconds
+        eventlet.spawn_after(wait_seconds, self._run_news_round)
+
     def build_update(self, address: str) -> PeerUpdate:
         """Build the next update for a peer."""
         self.sequence += 1
@@ -125,11 +152,15 @@
             loads=(),
             round_seconds=ROUND_SECONDS,
         )
+        now = time.monotonic()
+        parts = self.state.part_watch.registry
         return PeerUpdate(
             self.exchange.message_to(address, report),
             self.state.leases,
             {name: copy.newest_change for name, copy in self.copies.items()},
             dict(self.state.chains.in_flight),
+            parts.reports(now),
+            parts.sound.recent_news(now),
         )
 
     def apply_update(self, update: PeerUpdate) -> None:
@@ -165,6 +196,10 @@
         self.last_heard_at[update.gossip.address] = time.monotonic()
         return msgspec.json.encode(self.build_update(update.gossip.address))
 
+    def _run_news_round(self) -> None:
+        for peer in self.exchange.choose_peers():
+            eventlet.spawn(self._exchange_with, peer)
+
     def _apply_facts(self, update: PeerUpdate, now: float) -> None:
         instance_id = update.gossip.report.node
         self.state.chains.peer_load.update(instance_id, update.streams)
@@ -173,9 +208,18 @@
             self.state.lease_holding_peers.add(instance_id)
         for domain, until in update.leases.items():
             self.state.record_peer_lease(domain, node_name(instance_id), until)
+        self._apply_part_news(update, now)
         for name, changed in update.tables.items():
             self.peer_versions.record(name, changed, update.gossip.address, now)
 
+    def _apply_part_news(self, update: PeerUpdate, now: float) -> None:
+        part_watch = self.state.part_watch
+        part_watch.registry.sound.record_parts(update.served_parts, now)
+        source = node_name(update.gossip.report.node)
+        merged = [part_watch.merge(report, source) for report in update.parts]
+        if any(merged) and not self.state.hears_all_peers:
+            self.tell_news()
+
     def _exchange_with(self, peer: str) -> None:
         body = msgspec.json.encode(self.build_update(peer))
         reply = self.client.post(
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -16,6 +16,7 @@
 
 PROBE_TIMEOUT_SECONDS = 0.25
 PROBE_ATTEMPTS = 2
+PROBE_POLL_SECONDS = 0.005
 MIN_PROBE_INTERVAL_SECONDS = 0.5
 ROUND_SECONDS = 0.25
 # An engine with a smaller fraction of free memory than this refuses work for
@@ -27,12 +28,14 @@
 class Prober:
     """Probes the engines of failing chains, and suspected engines again."""
 
-    __slots__ = ('control', 'probed_at', 'state')
+    __slots__ = ('control', 'probed_at', 'probes', 'state')
 
     def __init__(self, state: IngressState, control: EngineControl) -> None:
         self.state = state
         self.control = control
         self.probed_at: dict[str, float] = {}
+        # The last probe of each engine, by endpoint id.
+        self.probes: dict[str, eventlet.greenthread.GreenThread] = {}
 
     def check_chain(
         self,
@@ -52,7 +55,15 @@
             last = self.probed_at.get(endpoint.endpoint_id, 0)
             if now - last >= MIN_PROBE_INTERVAL_SECONDS:
                 self.probed_at[endpoint.endpoint_id] = now
-                eventlet.spawn(self._probe, endpoint, reason)
+                self.probes[endpoint.endpoint_id] = eventlet.spawn(
+                    self._probe, endpoint, reason
+                )
+
+    def wait_for_probe(self, endpoint: Endpoint) -> None:
+        """Wait until the last probe of an engine has ended."""
+        probe = self.probes.get(endpoint.endpoint_id)
+        while probe is not None and not probe.dead:
+            eventlet.sleep(PROBE_POLL_SECONDS)
 
     def run(self) -> None:
         """Probe suspected engines periodically; never returns."""
@@ -67,12 +78,13 @@
         """Probe an engine; suspect it only after two failures."""
         self.state.count_event('probe', reason)
         failure = EngineFailure('')
+        asked_at = time.monotonic()
         for _ in range(PROBE_ATTEMPTS):
             result = self.control.fetch_state(
                 endpoint.address, PROBE_TIMEOUT_SECONDS
             )
             if isinstance(result, Success):
-                self._process_state(endpoint, result.unwrap(), reason)
+                self._process_state(endpoint, result.unwrap(), reason, asked_at)
                 return
             failure = result.failure()
         if failure.refuses_connections:
@@ -86,25 +98,22 @@
         run.
         """
         self.state.count_event('engine-ended', evidence)
-        self.state.log.write(
-            'engine-ended',
-            endpoint=endpoint.endpoint_id,
-            address=endpoint.address,
-            born=endpoint.born,
-            evidence=evidence,
-        )
+        self.state.part_watch.record_engine_end(endpoint, evidence)
 
     def _process_state(
         self,
         endpoint: Endpoint,
         engine_state: EngineState,
         reason: str,
+        asked_at: float,
     ) -> None:
         """Suspect or trust an engine according to its reported state."""
         if engine_state.born != endpoint.born and endpoint.born:
             self._record_end(endpoint, 'started again')
             self._suspect(endpoint, f'{reason}: engine restarted')
-        elif reason == REFUSED and self._refuses_work(endpoint, engine_state):
+            return
+        self.state.part_watch.record_engine_alive(endpoint, asked_at)
+        if reason == REFUSED and self._refuses_work(endpoint, engine_state):
             self._suspect(
                 endpoint, 'health check refuses new work', refuses=True
             )
@@ -177,6 +186,8 @@
     def _forget_unlisted(self) -> None:
         """Remove suspicions of endpoint starts that are no longer listed."""
         listed = self.state.fleet.endpoints
+        for endpoint_id in self.probes.keys() - listed.keys():
+            self.probes.pop(endpoint_id)
         for suspicion in self.state.suspects.all():
             endpoint = suspicion.endpoint
             known = listed.get(endpoint.endpoint_id)
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -17,6 +17,7 @@
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.connection_pool import ConnectionPool
+from wigeonspoke.ingress.part_watch import PartWatch
 from wigeonspoke.ingress.protocols import WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
 
@@ -41,6 +42,7 @@
         'lease_holding_peers',
         'leases',
         'log',
+        'part_watch',
         'peer_addresses',
         'peer_leases',
         'peers',
@@ -82,6 +84,7 @@
         self.routing_table = RoutingTable()
         self.fleet = Fleet()
         self.suspects = SuspectRegistry()
+        self.part_watch = PartWatch(log)
         self.activity = ChainActivity()
         domain = settings.failure_domain
         self.chains = ChainSelector(self.fleet, self.suspects, domain)
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -15,7 +15,9 @@
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import EngineProfile
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.core.quarantine import Refusal
 from wigeonspoke.ingress.call_handler import decode_headers, read_body
+from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.chain_monitor import ChainMonitor
 from wigeonspoke.ingress.endpoint_attempt import (
     AttemptError,
@@ -27,6 +29,7 @@
     EventTooLarge,
     StreamEvent,
 )
+from wigeonspoke.ingress.prober import Prober
 from wigeonspoke.ingress.request_handler import (
     RequestContext,
     RequestHandler,
@@ -57,6 +60,7 @@
 NO_CHAIN_RETRY_AFTER_SECONDS = 1.2
 RETRY_AFTER_JITTER_SECONDS = 1.2
 MAX_ATTEMPTS = 5
+MIN_RETRY_AFTER_SECONDS = 1.0
 DEADLINE_MARGIN_SECONDS = 0.05
 
 
@@ -64,11 +68,14 @@
     """Serves a stream and resumes it at another chain if one fails."""
 
     __slots__ = (
+        'answer_watch',
         'chain_monitor',
-        'check_chain',
         'cursor',
         'excluded',
         'fallback',
+        'has_ended_engine',
+        'prober',
+        'refusal',
         'response_started',
         'start_response',
     )
@@ -77,10 +84,21 @@
         self,
         state: IngressState,
         context: RequestContext,
-        check_chain: Callable[[Chain, str], None],
+        prober: Prober,
+        claim_trial: ClaimTrial,
     ) -> None:
         super().__init__(state, context)
-        self.check_chain = check_chain
+        self.prober = prober
+        self.answer_watch = AnswerWatch(
+            state.part_watch,
+            claim_trial,
+            self.service,
+            context.request.shared_parts,
+        )
+        # Why the request is not sent to any engine, None if it may be.
+        self.refusal: Refusal | None = None
+        # Whether the request may be what ended the engine that it was sent to.
+        self.has_ended_engine = False
         # Endpoint ids of all engines of the chains that failed.
         self.excluded: set[str] = set()
         self.cursor = EventCursor(context.request.last_event_id)
@@ -109,11 +127,32 @@
         return None if service is None else service.engine
 
     def may_repeat(self) -> bool:
-        """Also require that a started stream can be resumed."""
+        """Also require that a started stream can be resumed.
+
+        A request that may have ended its engine is not sent to another one,
+        and neither is the trial of a quarantined part.
+        """
+        if self.has_ended_engine or self.answer_watch.is_trial:
+            return False
         can_resume = not self.response_started or self.cursor.is_numbered
         return can_resume and super().may_repeat()
 
+    def _is_refused(self) -> bool:
+        """Return whether the request has a quarantined part."""
+        self.refusal = self.answer_watch.find_refusal()
+        return self.refusal is not None
+
     def _choose_chain(self) -> Chain | None:
+        """Return a chain to send the request to, None if it must not be sent.
+
+        A part of it may have been quarantined while it waited for a chain.
+        """
+        if self._is_refused():
+            return None
+        chain = self._wait_for_chain()
+        return None if self._is_refused() else chain
+
+    def _wait_for_chain(self) -> Chain | None:
         """Choose a chain, waiting for a limited time for one with room."""
         profile = self.profile
         if profile is None:
@@ -172,6 +211,7 @@
         chain: Chain,
     ) -> Iterator[bytes]:
         deadline = self.context.deadline
+        self.answer_watch.begin(chain)
         self.send(
             attempt, chain.head, deadline, chain, self.cursor.last_event_id
         )
@@ -217,9 +257,11 @@
             )
             if events:
                 self.chain_monitor.record_event()
+                self.answer_watch.record_event()
                 self._send_head(headers)
                 yield b''.join(events)
         self._check_complete(attempt, part, splitter)
+        self.answer_watch.record_complete()
         self._send_head(headers)
 
     def _split_events(
@@ -339,7 +381,7 @@
             waited=round(now - self.chain_monitor.waiting_since, 3),
             **self._head_load(chain),
         )
-        self.check_chain(chain, 'silent')
+        self.prober.check_chain(chain, 'silent')
 
     def _send_head(self, headers: tuple[tuple[str, str], ...]) -> None:
         if not self.response_started:
@@ -385,6 +427,8 @@
             client_left=self.context.disconnect_monitor.is_disconnected,
             last=self.cursor.last_number,
         )
+        if self.refusal is not None:
+            self._note_refusal(self.refusal)
         if self.response_started:
             self.state.count_event('stream-cut', self._reason)
             raise ResponseAborted(self._reason)
@@ -397,8 +441,19 @@
             response, node_response_headers, self.start_response
         )
 
+    def _note_refusal(self, refusal: Refusal) -> None:
+        self.note(
+            'part-refused',
+            part=refusal.part,
+            engines=refusal.engines,
+            last_crash_ago=round(refusal.last_crash_age, 3),
+            retry_after=round(refusal.retry_after, 3),
+        )
+
     @property
     def _reason(self) -> str:
+        if self.refusal is not None:
+            return 'quarantined-part'
         return str(self.last_error.reason) if self.last_error else 'no-chain'
 
     def _node_response(self) -> NodeResponse:
@@ -413,6 +468,8 @@
         return NodeResponse(http.HTTPStatus.BAD_GATEWAY, self._reason)
 
     def _retry_after(self) -> float:
+        if self.refusal is not None:
+            return max(MIN_RETRY_AFTER_SECONDS, self.refusal.retry_after)
         jitter = RETRY_AFTER_JITTER_SECONDS * self.state.rng.random()
         return NO_CHAIN_RETRY_AFTER_SECONDS + jitter
 
@@ -437,7 +494,7 @@
         self.state.suspects.deprioritize(chain.head.endpoint_id, now)
         is_full = status == http.HTTPStatus.SERVICE_UNAVAILABLE
         if fault_address or not is_full:
-            self.check_chain(
+            self.prober.check_chain(
                 chain, 'refused', fault_address or chain.head.address
             )
         if is_full:
@@ -474,4 +531,17 @@
         if not is_disconnected and error.reason is not Reason.TIMEOUT:
             now = time.monotonic()
             self.state.suspects.deprioritize(chain.head.endpoint_id, now)
-            self.check_chain(chain, str(error.reason))
+            self.prober.check_chain(chain, str(error.reason))
+            self._check_beginning(chain, error)
+
+    def _check_beginning(self, chain: Chain, error: StepError) -> None:
+        """Find out whether the request may have ended its engine.
+
+        A connection also breaks for other reasons, so that the probe of the
+        engine is awaited before the request is sent to another one.
+        """
+        if error.outcome is Outcome.NOT_RUN:
+            return
+        if self.answer_watch.record_broken():
+            self.prober.wait_for_probe(chain.head)
+            self.has_ended_engine = self.state.part_watch.has_ended(chain.head)
--- a/wigeonspoke/ingress/table_followers.py
+++ b/wigeonspoke/ingress/table_followers.py
@@ -136,6 +136,9 @@
             return
         endpoint = decoded.unwrap()
         self.missing.discard(endpoint.endpoint_id)
+        known = self.state.fleet.endpoints.get(endpoint.endpoint_id)
+        if known is not None and endpoint.born > known.born:
+            self.state.part_watch.record_engine_end(known, 'started again')
         if self.state.fleet.put(endpoint):
             self.state.log.write(
                 'endpoint',
@@ -182,6 +185,9 @@
 
     A change that a peer has read and the store has not yet sent to this node
     is fetched from the peer, whether or not the store is reachable.
+
+    ``watches_closely`` is whether lease holders use short polls, for tables
+    whose changes have to be in force everywhere within a time limit.
     """
 
     __slots__ = (
@@ -195,6 +201,7 @@
         'peer_versions',
         'state',
         'store',
+        'watches_closely',
     )
 
     def __init__(
@@ -204,10 +211,13 @@
         consumer: TableConsumer,
         client: HttpClient,
         peer_versions: PeerVersions,
+        *,
+        watches_closely: bool = True,
     ) -> None:
         self.state = state
         self.store = store
         self.consumer = consumer
+        self.watches_closely = watches_closely
         self.client = client
         self.peer_versions = peer_versions
         self.copy = TableCopy()
@@ -265,7 +275,7 @@
         if not self.is_reachable:
             # A short poll detects the return of the store at once.
             return RECONNECT_WAIT_SECONDS
-        if self.state.must_watch_store:
+        if self.watches_closely and self.state.must_watch_store:
             return WATCHER_WAIT_SECONDS
         return WAIT_SECONDS
 
--- a/wigeonspoke/platform/standins/store.py
+++ b/wigeonspoke/platform/standins/store.py
@@ -200,6 +200,8 @@
         for put in transaction['puts']:
             content = base64.b64decode(put['value'])
             self._put_row(put['table'], put['key'], content)
+        for removed in transaction['remove']:
+            self.remove(removed['table'], removed['key'])
         if self.fault is StoreFault.LOST_RESPONSE:
             connection.reset()
             return
--- a/wigeonspoke/platform/store_client.py
+++ b/wigeonspoke/platform/store_client.py
@@ -110,10 +110,18 @@
                     for write in writes
                 ],
                 'puts': [
-                    {**_row_key(table, write), 'value': _encode_content(write)}
+                    {
+                        **_row_key(table, write),
+                        'value': base64.b64encode(write.content).decode(),
+                    }
                     for write in writes
+                    if write.content is not None
+                ],
+                'remove': [
+                    _row_key(table, write)
+                    for write in writes
+                    if write.content is None
                 ],
-                'remove': [],
             },
         )
         reply = self.client.post(
@@ -205,7 +213,3 @@
 
 def _row_key(table: str, write: RowWrite) -> dict[str, str]:
     return {'table': table, 'part': '', 'key': write.key}
-
-
-def _encode_content(write: RowWrite) -> str:
-    return base64.b64encode(write.content).decode()
--- a/wigeonspoke/store/protocols.py
+++ b/wigeonspoke/store/protocols.py
@@ -79,10 +79,13 @@
 
 
 class RowWrite(msgspec.Struct, frozen=True):
-    """A row to write if its version is ``expected``; 0 means no row."""
+    """A row to write if its version is ``expected``; 0 means no row.
+
+    The row is removed if ``content`` is None.
+    """
 
     key: str
-    content: bytes
+    content: bytes | None
     expected: int
 
 
