Tell in the log that an endpoint names a limit

Cause: the logs of the incident cannot show whether a named limit was read. The limit is decoded with the other markers of a response, refusals included, and each answer that names one writes a line 'limit-named' with the endpoint's start and the request, within the log's rate limit, and counts. No decision changes.

Tests of calls and wire names pass.

--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -87,9 +87,7 @@
         self.send(attempt, replica, deadline)
         head = attempt.read_head(deadline)
         headers = decode_headers(head)
-        markers = self.state.wire.read_response_markers(
-            head.status_code, headers
-        )
+        markers = self.read_markers(replica, head.status_code, headers)
         self._check_request_id(markers, replica)
         body = read_body(attempt, deadline)
         return EndpointResponse(head.status_code, headers, body), markers
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -54,7 +54,8 @@
 
     ``not_executed`` means that the request did not run and will not run.
     ``fault_address`` is the address of the engine that caused a chain's
-    failure.
+    failure.  ``requests_per_second`` is the limit that the endpoint names for
+    the requests of all nodes together, None if it names none.
     """
 
     request_id: str
@@ -63,6 +64,7 @@
     is_event_stream: bool
     not_executed: bool
     fault_address: str
+    requests_per_second: float | None = None
 
 
 class EngineState(msgspec.Struct, frozen=True):
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -11,7 +11,12 @@
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.disconnect_monitor import DisconnectMonitor
 from wigeonspoke.ingress.endpoint_attempt import EndpointAttempt
-from wigeonspoke.ingress.protocols import ClientRequest, ForwardContext
+from wigeonspoke.ingress.protocols import (
+    ClientRequest,
+    ForwardContext,
+    HeaderList,
+    ResponseMarkers,
+)
 from wigeonspoke.ingress.state import IngressState
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -146,6 +151,21 @@
             **facts,
         )
 
+    def read_markers(
+        self, endpoint: Endpoint, status: int, headers: HeaderList
+    ) -> ResponseMarkers:
+        """Read the markers of an endpoint's response and note its limit."""
+        markers = self.state.wire.read_response_markers(status, headers)
+        if markers.requests_per_second is not None:
+            self.state.count_event('limit-named')
+            self.note(
+                'limit-named',
+                endpoint=endpoint.endpoint_id,
+                born=endpoint.born,
+                limit=markers.requests_per_second,
+            )
+        return markers
+
     def is_allowed(self) -> bool:
         """Return whether the current configuration still allows the request."""
         context = self.context
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -218,9 +218,7 @@
         self.chain_monitor.begin(chain)
         head = self._read_until_silent(attempt.read_head, chain)
         headers = decode_headers(head)
-        markers = self.state.wire.read_response_markers(
-            head.status_code, headers
-        )
+        markers = self.read_markers(chain.head, head.status_code, headers)
         if markers.not_executed:
             self._record_refusal(chain, head.status_code, markers.fault_address)
             return False
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -1,6 +1,7 @@
 """Request and response headers of the platform's wire format."""
 
 import hashlib
+import re
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.ingress.protocols import (
@@ -26,9 +27,12 @@
 NOT_EXECUTED_HEADER = 'Not-Executed'
 SIGNATURE_HEADER = 'Response-Signature'
 FAULT_ADDRESS_HEADER = 'At-Server'
+LIMIT_HEADER = 'Server-Limit'
 
 MISDIRECTED_REQUEST = 421
 
+_DECIMAL = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
+
 # Clients choose the ids of the parts of their prompts, and the node keeps
 # some of them, so that both length and number are limited.
 MAX_PART_ID_LENGTH = 32
@@ -140,9 +144,19 @@
         not_executed=NOT_EXECUTED_HEADER.lower() in header_values
         or status == MISDIRECTED_REQUEST,
         fault_address=header_values.get(FAULT_ADDRESS_HEADER.lower(), ''),
+        requests_per_second=parse_limit(
+            header_values.get(LIMIT_HEADER.lower(), '')
+        ),
     )
 
 
+def parse_limit(header_value: str) -> float | None:
+    """Return a limit in requests a second, None if there is no valid one."""
+    if not _DECIMAL.fullmatch(header_value):
+        return None
+    return float(header_value)
+
+
 def _parse_milliseconds(header_value: str) -> float | None:
     if not header_value.isdecimal():
         return None
--- a/wigeonspoke/platform/tests/test_wire_names.py
+++ b/wigeonspoke/platform/tests/test_wire_names.py
@@ -10,7 +10,7 @@
     'Hop-Count|Expect-Instance|Not-Executed|Response-Signature|At-Server|'
     'Token-Usage|Prompt-Prefix|Deadline-Ms|rows-tx|rows-feed|rows-get|'
     '(?<!-)Request-Id|Credential|Weight-Versions|Request-Urgency|Length-Hint|'
-    'path-prefix|target-latency-ms|WIGEONSPOKE_CONFIG|drain-mode',
+    'Server-Limit|path-prefix|target-latency-ms|WIGEONSPOKE_CONFIG|drain-mode',
 )
 SOURCE_FILES = sorted(
     source
