--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -53,6 +53,7 @@
         'layers',
         'load_seconds',
         'max_layers',
+        'named_limit',
         'orders',
         'received',
         'reports',
@@ -96,6 +97,8 @@
         self.crash_part: str | None = None
         self.restart_seconds = 0.5
         self.is_up = True
+        # Requests a second that its answers name as its limit.
+        self.named_limit: float | None = None
         # When the engine ended, on the monotonic clock.
         self.crashes: list[float] = []
         # What marks the end of the body of a stream.
@@ -218,7 +221,8 @@
             eventlet.sleep(STALL_SECONDS)
         refusal = self._find_refusal(expected, hops)
         if refusal is not None:
-            connection.respond(*refusal)
+            status, headers = refusal
+            connection.respond(status, headers | self._limit_headers())
             return
         self.runs.append(received)
         self._write_events(received, hops, connection)
@@ -285,7 +289,10 @@
             f'Request-Id: {received.request_id}',
             f'Response-Signature: s.{self.endpoint_id}',
         )
-        head = '\r\n'.join(lines)
+        limit_lines = (
+            f'{name}: {limit}' for name, limit in self._limit_headers().items()
+        )
+        head = '\r\n'.join((*lines, *limit_lines))
         connection.write(f'{head}\r\n\r\n'.encode())
 
     def _ends_under(self, received: ReceivedRequest, written: int) -> bool:
@@ -294,6 +301,11 @@
             self.crash()
         return not self.is_up
 
+    def _limit_headers(self) -> dict[str, str]:
+        if self.named_limit is None:
+            return {}
+        return {'Server-Limit': str(self.named_limit)}
+
     def _write_part(self, part: bytes, connection: RawConnection) -> None:
         if self.body_end is BodyEnd.CLOSE:
             connection.write(part)
--- a/wigeonspoke/platform/standins/replica.py
+++ b/wigeonspoke/platform/standins/replica.py
@@ -62,6 +62,7 @@
     __slots__ = (
         'endpoint_id',
         'fault',
+        'named_limit',
         'received',
         'run_seconds',
         'runs',
@@ -82,6 +83,8 @@
         self.zone = zone
         self.run_seconds = run_seconds
         self.fault = ReplicaFault.NONE
+        # Requests a second that its answers name as its limit.
+        self.named_limit: float | None = None
         self.received: list[ReceivedRequest] = []
         self.runs: list[ReceivedRequest] = []
         self.server = RawServer(self._handle)
@@ -106,10 +109,13 @@
 
     def headers(self, request_id: str) -> dict[str, str]:
         """Return the headers of a response of this replica."""
-        return {
+        headers = {
             'Request-Id': request_id,
             'Response-Signature': f'stamp.{self.endpoint_id}',
         }
+        if self.named_limit is not None:
+            headers['Server-Limit'] = str(self.named_limit)
+        return headers
 
     def _handle(self, request: RawRequest, connection: RawConnection) -> None:
         received = record_request(request)
--- a/wigeonspoke/platform/tests/test_crashing_parts.py
+++ b/wigeonspoke/platform/tests/test_crashing_parts.py
@@ -13,8 +13,8 @@
     StoreFault,
     StoreStandin,
 )
+from wigeonspoke.platform.tests.deployment import Deployment
 from wigeonspoke.platform.tests.harness import (
-    ZONES,
     Harness,
     start_node,
     stop_node,
@@ -37,27 +37,15 @@
 QUARANTINE_REQUESTS = 12
 
 
-class Deployment:
-    """Several nodes at one store, whose engines end under ``BAD_PART``."""
+class CrashingDeployment(Deployment):
+    """A deployment whose engines end under ``BAD_PART``."""
 
     def __init__(self, harness: Harness, node_count: int) -> None:
-        self.harness = harness
-        self.nodes = [harness.node]
-        for number in range(1, node_count):
-            domain = ZONES[number % len(ZONES)]
-            name = f'node-{number + 1}'
-            node = start_node(harness, name, failure_domain=domain)
-            self.nodes.append(node)
+        super().__init__(harness, node_count)
         for engine in harness.engines:
             engine.crash_part = BAD_PART
             # A stream that is well under way takes longer than a crash.
             engine.events = 100
-        self.registry = eventlet.spawn(harness.follow_engines)
-
-    def wait_until_served(self) -> None:
-        """Wait until each node knows the chains of both domains."""
-        for node in self.nodes:
-            self.harness.wait_until(partial(_knows_all_chains, node))
 
     def crashes(self) -> list[float]:
         """Return when engines ended, in order."""
@@ -78,25 +66,11 @@
             for received in engine.received
         )
 
-    def close(self) -> None:
-        """Stop all nodes but the first."""
-        self.registry.kill()
-        for node in self.nodes[1:]:
-            stop_node(node)
-
-
-def _knows_all_chains(node: IngressNode) -> bool:
-    service = node.state.routing_table.services.get('drafting')
-    if service is None:
-        return False
-    chains = node.state.chains.chains('drafting', service.engine)
-    return len(chains) == len(ZONES)
-
 
 @pytest.fixture
-def deployment(harness, request) -> Iterator[Deployment]:
+def deployment(harness, request) -> Iterator[CrashingDeployment]:
     """Yield a deployment with as many nodes as the test's parameter says."""
-    started = Deployment(harness, request.param)
+    started = CrashingDeployment(harness, request.param)
     started.wait_until_served()
     yield started
     started.close()
@@ -105,7 +79,7 @@
 class Traffic:
     """Requests with the part, and sound ones of the same caller."""
 
-    def __init__(self, deployment: Deployment, place: str) -> None:
+    def __init__(self, deployment: CrashingDeployment, place: str) -> None:
         self.deployment = deployment
         self.place = place
         # Whether each sound request was served, in the order of their start.
@@ -162,7 +136,7 @@
     assert sum(later_sound) * 2 >= len(later_sound)
 
 
-def _send_bad(deployment: Deployment, number: int, node: IngressNode):
+def _send_bad(deployment: CrashingDeployment, number: int, node: IngressNode):
     """Send a request with the part; return its status, None if it was cut."""
     parts = f'{CALLER_PART}:40,{BAD_PART}:30,{number:06x}:9'
     try:
@@ -173,7 +147,7 @@
         return (None, {}, b'')
 
 
-def _quarantine(deployment: Deployment) -> None:
+def _quarantine(deployment: CrashingDeployment) -> None:
     """Send requests with the part until a node refuses one."""
     for number in range(QUARANTINE_REQUESTS):
         node = deployment.nodes[number % len(deployment.nodes)]
@@ -241,7 +215,7 @@
     store.server.close()
 
 
-def _running_heads(deployment: Deployment) -> list[EngineStandin]:
+def _running_heads(deployment: CrashingDeployment) -> list[EngineStandin]:
     return [
         engine
         for engine in deployment.harness.engines
