Name one run of an endpoint at one place

The id and birth of an endpoint identify one run of it; the record itself says so now, for further users. No decision changes.

--- a/wigeonspoke/core/fleet/records.py
+++ b/wigeonspoke/core/fleet/records.py
@@ -28,6 +28,11 @@
     layers: LayerRange | None = None
     orders: int = 0
 
+    @property
+    def start_id(self) -> str:
+        """The id of this run among all runs of all endpoints."""
+        return f'{self.endpoint_id}@{self.born}'
+
 
 class Accelerator(msgspec.Struct, frozen=True):
     """A kind of accelerator: its memory and its relative speed.
--- a/wigeonspoke/ingress/answer_watch.py
+++ b/wigeonspoke/ingress/answer_watch.py
@@ -5,7 +5,7 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.quarantine import Answer, Refusal
-from wigeonspoke.ingress.part_watch import PartWatch, engine_start
+from wigeonspoke.ingress.part_watch import PartWatch
 
 # May one request with this part be sent now, as a trial for all nodes?
 ClaimTrial = Callable[[str], bool]
@@ -54,7 +54,7 @@
 
     def begin(self, chain: Chain) -> None:
         """Begin to watch an attempt at a chain."""
-        engines = frozenset(engine_start(hop.endpoint) for hop in chain.hops)
+        engines = frozenset(hop.endpoint.start_id for hop in chain.hops)
         self.answer = Answer(self.parts, engines)
 
     def record_event(self) -> None:
--- a/wigeonspoke/ingress/part_watch.py
+++ b/wigeonspoke/ingress/part_watch.py
@@ -30,7 +30,7 @@
 
     def record_engine_end(self, endpoint: Endpoint, evidence: str) -> None:
         """Record that this start of an engine has ended."""
-        start = engine_start(endpoint)
+        start = endpoint.start_id
         if self.beginnings.has_ended(start):
             return
         broken = self.beginnings.record_engine_end(start, time.monotonic())
@@ -45,11 +45,11 @@
 
     def has_ended(self, endpoint: Endpoint) -> bool:
         """Return whether this start of an engine is known to have ended."""
-        return self.beginnings.has_ended(engine_start(endpoint))
+        return self.beginnings.has_ended(endpoint.start_id)
 
     def record_engine_alive(self, endpoint: Endpoint, asked_at: float) -> None:
         """Record that this start of an engine answered a probe."""
-        start = engine_start(endpoint)
+        start = endpoint.start_id
         self.beginnings.record_engine_alive(start, asked_at)
 
     def merge(self, report: PartReport, source: str) -> bool:
@@ -110,10 +110,5 @@
         )
 
 
-def engine_start(endpoint: Endpoint) -> str:
-    """Return the name of one start of an engine."""
-    return f'{endpoint.endpoint_id}@{endpoint.born}'
-
-
 def _ignore() -> None:
     """Do nothing until the gossip is connected."""
