Keep a named limit over all nodes together

Cause: the limit was not read, and had it been, each node would have kept it by itself. A limit of a shared endpoint counts the requests of all nodes, while a node sees its own.

Change: - core/limits holds the limit by run of the endpoint. The newest answer of any node counts, refusals included; an answer without a limit ends it, unless it may come from elsewhere; reports may set it. Changes travel by gossip at once. - Only some nodes of the endpoint's own domain send to it, at most the limit and two of them, chosen by rendezvous hashing among the nodes heard from within a minute. Each sends an equal share and saves up one request, so that in 4 s no more than five times the limit and two requests arrive; six times and five are allowed. A node that is cut off keeps its share, one that has just started sends nothing for 5 s. - Chains and replicas whose limit is spent here count as full: the request goes to another one. Repeats and refused requests count.

Ruled out: equal shares of all nodes (with a dozen nodes the requests saved up alone exceed the limit at 2 a second); one granting node (it would be asked for each request); ordering another head (its loads cost more than a request every half second, and as a later part of the chain the engine has the same work).

--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -24,6 +24,7 @@
 from wigeonspoke.core.chains.peer_load import PeerLoad
 from wigeonspoke.core.chains.suspicion import SuspectRegistry
 from wigeonspoke.core.fleet import Endpoint, EngineProfile, Fleet
+from wigeonspoke.core.limits import NamedLimits
 
 
 class CachedChains(msgspec.Struct):
@@ -52,6 +53,7 @@
         'failure_domain',
         'fleet',
         'in_flight',
+        'limits',
         'peer_load',
         'suspects',
     )
@@ -61,9 +63,12 @@
         fleet: Fleet,
         suspects: SuspectRegistry,
         failure_domain: str,
+        limits: NamedLimits | None = None,
     ) -> None:
         self.fleet = fleet
         self.suspects = suspects
+        # Limits that the heads of chains name, if nodes share them.
+        self.limits = limits
         self.failure_domain = failure_domain
         self.in_flight: Counter[str] = Counter()
         self.peer_load = PeerLoad()
@@ -129,7 +134,14 @@
         )
 
     def has_capacity(self, chain: Chain, now: float) -> bool:
-        """Return whether a chain is expected to accept one more request."""
+        """Return whether a chain is expected to accept one more request.
+
+        This node may also have spent its share of a limit that the head names.
+        """
+        if self.limits is not None and not self.limits.may_send(
+            chain.head, now
+        ):
+            return False
         head_id = chain.head.endpoint_id
         return self.concurrency_limits.has_capacity(
             head_id, self.streams_at(head_id), now
--- a/wigeonspoke/core/forwarding/replicas.py
+++ b/wigeonspoke/core/forwarding/replicas.py
@@ -11,6 +11,7 @@
 
 from wigeonspoke.core.fleet import Endpoint, Fleet
 from wigeonspoke.core.health import EndpointHealth
+from wigeonspoke.core.limits import NamedLimits
 
 INITIAL_LATENCY_SECONDS = 0.05
 # The cost of a replica is the used fraction of its slots, plus these where
@@ -33,10 +34,18 @@
         'fleet',
         'health',
         'in_flight',
+        'limits',
     )
 
-    def __init__(self, fleet: Fleet, failure_domain: str) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        failure_domain: str,
+        limits: NamedLimits | None = None,
+    ) -> None:
         self.fleet = fleet
+        # Limits that replicas name, if nodes share them.
+        self.limits = limits
         self.failure_domain = failure_domain
         self.in_flight: Counter[str] = Counter()
         self.health: dict[str, EndpointHealth] = {}
@@ -53,6 +62,7 @@
             replica
             for replica in self.fleet.of_service(service)
             if replica.endpoint_id not in excluded_ids
+            and self._is_within_limit(replica, now)
         ]
         if not usable:
             return None
@@ -103,6 +113,9 @@
             return False
         return health.record_failure(reason, now)
 
+    def _is_within_limit(self, replica: Endpoint, now: float) -> bool:
+        return self.limits is None or self.limits.may_send(replica, now)
+
     def _cost(self, replica: Endpoint, now: float) -> float:
         cost = self.in_flight[replica.endpoint_id] / max(1, replica.slots)
         if replica.failure_domain != self.failure_domain:
--- a/wigeonspoke/ingress/part_watch.py
+++ b/wigeonspoke/ingress/part_watch.py
@@ -22,11 +22,11 @@
 
     __slots__ = ('beginnings', 'log', 'on_news', 'registry')
 
-    def __init__(self, log: DecisionLog) -> None:
+    def __init__(self, log: DecisionLog, on_news: Callable[[], None]) -> None:
         self.log = log
+        self.on_news = on_news
         self.registry = PartRegistry()
         self.beginnings = BeginningTracker(self._record_crash, self._clear)
-        self.on_news: Callable[[], None] = _ignore
 
     def record_engine_end(self, endpoint: Endpoint, evidence: str) -> None:
         """Record that this start of an engine has ended."""
@@ -108,7 +108,3 @@
             if suspicion.crashes
             else None,
         )
-
-
-def _ignore() -> None:
-    """Do nothing until the gossip is connected."""
--- a/wigeonspoke/ingress/peer_gossip.py
+++ b/wigeonspoke/ingress/peer_gossip.py
@@ -1,11 +1,11 @@
 """Gossip between ingress nodes.
 
-It has four purposes.  A node that the store refuses, or whose long poll was
+It has several purposes.  A node that the store refuses, or whose long poll was
 never answered, learns from its peers that a table has changed.  A dead holder
 is noticed within two seconds instead of when its lease expires.  The requests
 that one node has in flight at a chain are counted by all nodes.  The evidence
-of parts of prompts under which engines ended reaches all nodes, also without
-the store.
+of parts of prompts under which engines ended, and the limits that endpoints
+name, reach all nodes, also without the store.
 """
 
 import random
@@ -17,6 +17,7 @@
 import msgspec
 from returns.result import Success
 
+from wigeonspoke.core.limits import LimitReport
 from wigeonspoke.core.membership import (
     GossipMessage,
     GossipState,
@@ -49,7 +50,8 @@
     read.  ``streams`` maps the endpoint ids of chain heads to the number of
     streams that the node has there.  ``parts`` is evidence of parts under
     which engines ended, and ``served_parts`` are parts with which answers
-    went well for the first time.
+    went well for the first time.  ``limits`` are limits that endpoints named
+    or ended in their answers.
     """
 
     gossip: GossipMessage
@@ -58,6 +60,7 @@
     streams: dict[str, int]
     parts: tuple[PartReport, ...] = ()
     served_parts: tuple[str, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class PeerGossip:
@@ -93,7 +96,7 @@
         self.sequence = 0
         # When the next extra round begins, if it is in the future.
         self.news_round_at = 0
-        state.part_watch.on_news = self.tell_news
+        state.tell_news = self.tell_news
         # When each peer last sent a request to this node, by address.
         self.last_heard_at: dict[str, float] = {}
         tag = uuid.uuid4().hex[:TAG_LENGTH]
@@ -161,6 +164,7 @@
             dict(self.state.chains.in_flight),
             parts.reports(now),
             parts.sound.recent_news(now),
+            self.state.limits.reports(now),
         )
 
     def apply_update(self, update: PeerUpdate) -> None:
@@ -208,17 +212,23 @@
             self.state.lease_holding_peers.add(instance_id)
         for domain, until in update.leases.items():
             self.state.record_peer_lease(domain, node_name(instance_id), until)
-        self._apply_part_news(update, now)
+        limits = self.state.limits
+        limits.senders.record(
+            node_name(instance_id), update.gossip.report.failure_domain, now
+        )
+        has_news = any([limits.merge(one, now) for one in update.limits])
+        has_news = self._apply_part_news(update, now) or has_news
+        if has_news and not self.state.hears_all_peers:
+            self.tell_news()
         for name, changed in update.tables.items():
             self.peer_versions.record(name, changed, update.gossip.address, now)
 
-    def _apply_part_news(self, update: PeerUpdate, now: float) -> None:
+    def _apply_part_news(self, update: PeerUpdate, now: float) -> bool:
         part_watch = self.state.part_watch
         part_watch.registry.sound.record_parts(update.served_parts, now)
         source = node_name(update.gossip.report.node)
         merged = [part_watch.merge(report, source) for report in update.parts]
-        if any(merged) and not self.state.hears_all_peers:
-            self.tell_news()
+        return any(merged)
 
     def _exchange_with(self, peer: str) -> None:
         body = msgspec.json.encode(self.build_update(peer))
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -145,6 +145,10 @@
             engine_state.layers,
         )
         now = time.monotonic()
+        limit = engine_state.requests_per_second
+        # Reports need not name the limit, so that one without ends none.
+        if limit is not None:
+            self.state.limits.record_answer(endpoint.start_id, limit, now)
         if self.state.suspects.record_slowdown(
             endpoint, engine_state.slowdown, now
         ):
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -72,7 +72,8 @@
 
     ``born`` identifies the start of the engine process.  ``orders`` counts
     the placement orders accepted since then; a new order may require this
-    count as a precondition.  ``slowdown`` is the time a step takes relative to
+    count as a precondition.  ``requests_per_second`` is the limit that the
+    report named, if any.  ``slowdown`` is the time a step takes relative to
     the engine's kind, 1 being normal.  ``free_memory_fraction`` is the free
     fraction of the memory reserved for requests.
     """
@@ -83,6 +84,7 @@
     is_busy: bool
     slowdown: float
     free_memory_fraction: float
+    requests_per_second: float | None = None
 
 
 class EngineFailure(msgspec.Struct, frozen=True):
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -98,9 +98,9 @@
         """Connect to an endpoint and send the request."""
         context = self.context
         request = context.request
-        attempt.connect(
-            min(CONNECT_TIMEOUT_SECONDS, deadline - time.monotonic())
-        )
+        now = time.monotonic()
+        self.state.limits.record_sent(endpoint, now)
+        attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
         forward_context = ForwardContext(
             endpoint=endpoint,
             remaining_seconds=context.deadline - time.monotonic(),
@@ -154,16 +154,21 @@
     def read_markers(
         self, endpoint: Endpoint, status: int, headers: HeaderList
     ) -> ResponseMarkers:
-        """Read the markers of an endpoint's response and note its limit."""
+        """Read the markers of an endpoint's response, and its limit.
+
+        A response without a limit ends the one named before, unless it may
+        come from elsewhere.
+        """
         markers = self.state.wire.read_response_markers(status, headers)
-        if markers.requests_per_second is not None:
+        limit = markers.requests_per_second
+        if limit is not None:
             self.state.count_event('limit-named')
-            self.note(
-                'limit-named',
-                endpoint=endpoint.endpoint_id,
-                born=endpoint.born,
-                limit=markers.requests_per_second,
-            )
+        elif markers.request_id != self.context.request.request_id:
+            return markers
+        now = time.monotonic()
+        if self.state.limits.record_answer(endpoint.start_id, limit, now):
+            self.note('limit-changed', endpoint=endpoint.start_id, limit=limit)
+            self.state.tell_news()
         return markers
 
     def is_allowed(self) -> bool:
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from wigeonspoke.core.chains import (
     ChainActivity,
@@ -13,6 +14,7 @@
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.forwarding import ReplicaSelector, RetryWindowBudget
 from wigeonspoke.core.leases import LeaseRow
+from wigeonspoke.core.limits import NamedLimits, SenderRegistry
 from wigeonspoke.core.membership import PeerRegistry
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
@@ -41,6 +43,7 @@
         'hears_all_peers',
         'lease_holding_peers',
         'leases',
+        'limits',
         'log',
         'part_watch',
         'peer_addresses',
@@ -54,6 +57,7 @@
         'started_at',
         'store_failed_at',
         'suspects',
+        'tell_news',
         'wire',
     )
 
@@ -84,11 +88,18 @@
         self.routing_table = RoutingTable()
         self.fleet = Fleet()
         self.suspects = SuspectRegistry()
-        self.part_watch = PartWatch(log)
+        # Called when peers should hear of news at once.
+        self.tell_news: Callable[[], None] = _ignore
+        self.part_watch = PartWatch(log, lambda: self.tell_news())
         self.activity = ChainActivity()
         domain = settings.failure_domain
-        self.chains = ChainSelector(self.fleet, self.suspects, domain)
-        self.replicas = ReplicaSelector(self.fleet, domain)
+        self.limits = NamedLimits(
+            SenderRegistry(settings.name, domain, self.started_at)
+        )
+        self.chains = ChainSelector(
+            self.fleet, self.suspects, domain, self.limits
+        )
+        self.replicas = ReplicaSelector(self.fleet, domain, self.limits)
         self.connection_pool = ConnectionPool()
         self.budgets: dict[str, RetryWindowBudget] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
@@ -171,6 +182,10 @@
         }
 
 
+def _ignore() -> None:
+    """Do nothing until the gossip is connected."""
+
+
 def node_name(instance_id: str) -> str:
     """Return the node name in an instance id of the form ``NAME#TAG``."""
     return instance_id.partition('#')[0]
--- a/wigeonspoke/platform/engine_control.py
+++ b/wigeonspoke/platform/engine_control.py
@@ -1,6 +1,7 @@
 """HTTP client for the state reports and placement orders of engines."""
 
 import http
+from functools import partial
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -11,6 +12,7 @@
     EngineState,
     OrderReply,
 )
+from wigeonspoke.platform.headers import LIMIT_HEADER, parse_limit
 from wigeonspoke.platform.records import decode_report
 from wigeonspoke.transport import HttpClient, HttpError
 
@@ -40,7 +42,12 @@
         reply = result.unwrap()
         if not reply.is_ok:
             return Failure(EngineFailure(f'status {reply.status}'))
-        return decode_report(reply.body).alt(EngineFailure)
+        limit = parse_limit(reply.headers.get(LIMIT_HEADER.lower(), ''))
+        return (
+            decode_report(reply.body)
+            .map(partial(msgspec.structs.replace, requests_per_second=limit))
+            .alt(EngineFailure)
+        )
 
     def check_health(self, address: str, path: str, timeout: float) -> bool:
         """Return whether an engine's health check accepts new work."""
--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -181,7 +181,11 @@
             'kv-used': 0,
             'kv-total': 100000,
         }
-        connection.respond(http.HTTPStatus.OK, {}, msgspec.json.encode(report))
+        connection.respond(
+            http.HTTPStatus.OK,
+            self._limit_headers(),
+            msgspec.json.encode(report),
+        )
 
     def _send_health(self, connection: RawConnection) -> None:
         status = http.HTTPStatus.OK
--- a/wigeonspoke/platform/tests/test_named_limits.py
+++ b/wigeonspoke/platform/tests/test_named_limits.py
@@ -128,6 +128,35 @@
     most = _most_in_span(head, named_at + ADAPTATION_SECONDS)
     assert most <= _allowed(limit)
     assert set(traffic.statuses) == {200}
+    if spread == 'even':
+        later = named_at + ADAPTATION_SECONDS
+        used = sum(request.received_at >= later for request in head.received)
+        assert used >= (RUN_SECONDS - ADAPTATION_SECONDS) * limit / 2
+
+
+def test_an_engine_is_used_again_when_it_names_no_limit(deployment):
+    head = head_engine(deployment.harness, 'one')
+    head.named_limit = 2.0
+    traffic = Traffic(deployment.nodes, _stream_sender(deployment))
+    traffic.run(4.0)
+    head.named_limit = None
+    # The next answers tell one node, and it tells the others.
+    traffic.run(3.0)
+    received_before = len(head.received)
+    traffic.run(2.0)
+    requests = 2.0 / REQUEST_INTERVAL_SECONDS
+    assert len(head.received) - received_before >= requests / 4
+
+
+def test_a_limit_in_refusals_is_kept(deployment):
+    head = head_engine(deployment.harness, 'one')
+    head.named_limit = 2.0
+    head.is_full = True
+    named_at = time.monotonic()
+    traffic = Traffic(deployment.nodes, _stream_sender(deployment))
+    traffic.run(RUN_SECONDS)
+    most = _most_in_span(head, named_at + ADAPTATION_SECONDS)
+    assert most <= _allowed(2.0)
 
 
 def test_a_replica_gets_no_more_than_the_limit_it_names(deployment):
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -49,11 +49,12 @@
 
 
 class HttpReply(msgspec.Struct, frozen=True):
-    """A complete HTTP response."""
+    """A complete HTTP response; names of ``headers`` are in lower case."""
 
     status: int
     content_type: str
     body: bytes
+    headers: dict[str, str] = {}
 
     @property
     def is_ok(self) -> bool:
@@ -232,6 +233,10 @@
                 status=response.status,
                 content_type=response.headers.get('Content-Type', ''),
                 body=_read_body(response),
+                headers={
+                    name.lower(): text
+                    for name, text in response.headers.items()
+                },
             )
         finally:
             if fresh_connection:
