Ask for quarantined parts seldom while the store is away

Cause: a third table that each node follows makes half as many calls again while the store fails, and failed calls have a price, too. Evidence of parts also travels by gossip, so that the table can wait.

Change: a table that is not watched closely is asked for again after 2 to 4 s instead of 0.1 to 1.6 s. The numbers of suspected and quarantined parts are gauges of the metrics page.

Ruled out: no table of its own (a quarantine has to outlast all nodes).

--- a/wigeonspoke/ingress/metrics_page.py
+++ b/wigeonspoke/ingress/metrics_page.py
@@ -1,5 +1,6 @@
 """Metrics of an ingress node in the Prometheus text format."""
 
+import time
 from typing import TYPE_CHECKING
 
 from wigeonspoke.ingress.state import IngressState
@@ -18,6 +19,8 @@
 
     from wigeonspoke.observe.metrics import RenderedMetrics
 
+    now = time.monotonic()
+    parts = state.part_watch.registry
     registry = Registry()
     events = Counter(
         f'{PREFIX}_events_total',
@@ -30,6 +33,8 @@
         'configuration_version': state.routing_table.version,
         'endpoints': len(state.fleet.endpoints),
         'suspects': len(state.suspects.suspicions),
+        'suspected_parts': len(parts.suspicions),
+        'quarantined_parts': len(parts.quarantined(now)),
     }
     for name, reading in gauges.items():
         gauge = Gauge(f'{PREFIX}_{name}', name, registry=registry)
--- a/wigeonspoke/ingress/table_followers.py
+++ b/wigeonspoke/ingress/table_followers.py
@@ -38,6 +38,8 @@
 PEER_CHECK_SECONDS = 0.1
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.8
+# Each call to the store has a price, also one that fails.
+SELDOM_BACKOFF_SECONDS = 2.0
 BACKOFF_FACTOR = 2
 
 
@@ -186,8 +188,9 @@
     A change that a peer has read and the store has not yet sent to this node
     is fetched from the peer, whether or not the store is reachable.
 
-    ``watches_closely`` is whether lease holders use short polls, for tables
-    whose changes have to be in force everywhere within a time limit.
+    ``watches_closely`` is whether lease holders use short polls, and all nodes
+    ask again soon after an error.  It is meant for tables whose changes have to
+    be in force everywhere within a time limit, and reach nodes in no other way.
     """
 
     __slots__ = (
@@ -228,14 +231,17 @@
 
     def run(self) -> None:
         """Follow the table; never returns."""
-        backoff = MIN_BACKOFF_SECONDS
+        shortest, longest = MIN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS
+        if not self.watches_closely:
+            shortest, longest = SELDOM_BACKOFF_SECONDS, SELDOM_BACKOFF_SECONDS
+        backoff = shortest
         while True:
             if self._follow_once():
-                backoff = MIN_BACKOFF_SECONDS
+                backoff = shortest
                 eventlet.sleep(self._batch_seconds())
                 continue
             eventlet.sleep(backoff * (1 + self.state.rng.random()))
-            backoff = min(MAX_BACKOFF_SECONDS, backoff * BACKOFF_FACTOR)
+            backoff = min(longest, backoff * BACKOFF_FACTOR)
 
     def run_peer_sync(self) -> None:
         """Fetch the table from peers that are ahead; never returns."""
