Drop the weakest suspicion without sorting all of them

Each merged report of a peer sorted all suspicions, although there are rarely too many. No decision changes.

--- a/wigeonspoke/core/quarantine/registry.py
+++ b/wigeonspoke/core/quarantine/registry.py
@@ -171,9 +171,9 @@
                 lifetime = QUARANTINE_SECONDS
             if _newest_change(suspicion) < now - lifetime:
                 self.suspicions.pop(suspicion.part)
-        excess = max(0, len(self.suspicions) - MAX_SUSPICIONS)
-        for suspicion in sorted(self.suspicions.values(), key=_weight)[:excess]:
-            self.suspicions.pop(suspicion.part)
+        while len(self.suspicions) > MAX_SUSPICIONS:
+            weakest = min(self.suspicions.values(), key=_weight)
+            self.suspicions.pop(weakest.part)
 
 
 def _newest_change(suspicion: PartSuspicion) -> float:
