Let hours pass between later trials of a quarantined part

Cause: with waits of 1, 4 and 16 minutes, a part that has ended five engines when it is quarantined reaches a ninth within 21 minutes; three more are the most that is allowed.

The first trial, after 2 to 4 s, releases a sound part as before.

Ruled out: no trial at all (a part that a new version mends would stay refused).

--- a/wigeonspoke/core/quarantine/suspicion.py
+++ b/wigeonspoke/core/quarantine/suspicion.py
@@ -24,7 +24,7 @@
 # The same after an engine has ended under a trial, and what it grows by with
 # each further one.
 NEXT_TRIAL_SECONDS = 60.0
-TRIAL_FACTOR = 4.0
+TRIAL_FACTOR = 15.0
 MAX_TRIAL_SECONDS = 86400.0
 # An engine that ends within this time after a trial has ended under it.
 TRIAL_RESULT_SECONDS = 10.0
--- a/wigeonspoke/core/tests/test_quarantine.py
+++ b/wigeonspoke/core/tests/test_quarantine.py
@@ -144,7 +144,7 @@
         registry.record_crash((BAD,), f'trial-{number}', now + 0.1)
         now += 0.1
     assert 2 <= waits[0] <= 4
-    assert waits[1:] == pytest.approx([60, 240, 960, 3840, 15360])
+    assert waits[1:] == pytest.approx([60, 900, 13500, 86400, 86400])
 
 
 def test_a_sound_trial_ends_the_quarantine():
