Move the choice of a stream's chains out of its handler

Waiting for a chain and looking for another one depend only on the request, its service and the chains that failed; they are a class of their own now. No decision changes.

--- /dev/null
+++ b/wigeonspoke/ingress/chain_choice.py
@@ -0,0 +1,87 @@
+"""Choice of the chains that one stream is sent to."""
+
+import time
+
+import eventlet
+
+from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.fleet import EngineProfile
+from wigeonspoke.ingress.request_handler import RequestContext
+from wigeonspoke.ingress.state import IngressState
+
+# How long a request waits for a complete chain, as a fraction of the rule's
+# target latency.  Up to an eighth of it makes no difference to users.
+INCOMPLETE_CHAIN_WAIT_FRACTION = 0.12
+# The same if there are complete chains, but all are full: streams end
+# continuously, so a full chain soon has room.
+FULL_CHAIN_WAIT_FRACTION = 0.6
+CHAIN_POLL_SECONDS = 0.02
+
+
+class ChainChoice:
+    """Waits for a chain with room, and tells whether there is another one.
+
+    ``excluded`` holds the endpoint ids of all engines of the chains that
+    failed.
+    """
+
+    __slots__ = ('context', 'excluded', 'service', 'state')
+
+    def __init__(
+        self, state: IngressState, context: RequestContext, service: str
+    ) -> None:
+        self.state = state
+        self.context = context
+        self.service = service
+        self.excluded: set[str] = set()
+
+    @property
+    def profile(self) -> EngineProfile | None:
+        """Engine profile of the service, or None if it has no engines."""
+        service = self.state.routing_table.services.get(self.service)
+        return None if service is None else service.engine
+
+    def wait(self) -> Chain | None:
+        """Choose a chain, waiting for a limited time for one with room."""
+        wait_since = time.monotonic()
+        while self.profile is not None:
+            now = time.monotonic()
+            chain = self._select(now)
+            if (
+                chain is not None
+                or self.context.disconnect_monitor.is_disconnected
+            ):
+                return chain
+            if now >= min(self.context.deadline, wait_since + self._max_wait()):
+                return None
+            eventlet.sleep(CHAIN_POLL_SECONDS)
+        return None
+
+    def has_alternative(self, now: float) -> bool:
+        """Return whether a further chain is worth a failover."""
+        alternative = self._select(now)
+        return (
+            alternative is not None
+            and not self.state.suspects.is_deprioritized(
+                alternative.head.endpoint_id,
+                now,
+            )
+        )
+
+    def _select(self, now: float) -> Chain | None:
+        return self.state.chains.select(
+            self.service,
+            self.profile,
+            self.excluded,
+            now,
+        )
+
+    def _max_wait(self) -> float:
+        """Return for how long to wait for a chain."""
+        chains = self.state.chains.chains(self.service, self.profile)
+        fraction = (
+            FULL_CHAIN_WAIT_FRACTION
+            if chains
+            else INCOMPLETE_CHAIN_WAIT_FRACTION
+        )
+        return fraction * self.context.rule.target_latency_seconds
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -9,15 +9,14 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-import eventlet
 import msgspec
 
 from wigeonspoke.core.chains import Chain
-from wigeonspoke.core.fleet import EngineProfile
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.quarantine import Refusal
 from wigeonspoke.ingress.call_handler import decode_headers, read_body
 from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
+from wigeonspoke.ingress.chain_choice import ChainChoice
 from wigeonspoke.ingress.chain_monitor import ChainMonitor
 from wigeonspoke.ingress.endpoint_attempt import (
     AttemptError,
@@ -48,13 +47,6 @@
 from wigeonspoke.transport import BodyEnd, ReadTimeout
 
 SILENCE_RECHECK_SECONDS = 0.03
-# How long a request waits for a complete chain, as a fraction of the rule's
-# target latency.  Up to an eighth of it makes no difference to users.
-INCOMPLETE_CHAIN_WAIT_FRACTION = 0.12
-# The same if there are complete chains, but all are full: streams end
-# continuously, so a full chain soon has room.
-FULL_CHAIN_WAIT_FRACTION = 0.6
-CHAIN_POLL_SECONDS = 0.02
 # A broken chain takes some seconds to become complete again.  The random
 # part keeps clients from all returning at once and filling it.
 NO_CHAIN_RETRY_AFTER_SECONDS = 1.2
@@ -69,9 +61,9 @@
 
     __slots__ = (
         'answer_watch',
+        'chain_choice',
         'chain_monitor',
         'cursor',
-        'excluded',
         'fallback',
         'has_ended_engine',
         'prober',
@@ -99,8 +91,7 @@
         self.refusal: Refusal | None = None
         # Whether the request may be what ended the engine that it was sent to.
         self.has_ended_engine = False
-        # Endpoint ids of all engines of the chains that failed.
-        self.excluded: set[str] = set()
+        self.chain_choice = ChainChoice(state, context, self.service)
         self.cursor = EventCursor(context.request.last_event_id)
         self.response_started = False
         self.chain_monitor = ChainMonitor(state, context.rule)
@@ -120,12 +111,6 @@
                 return
         yield from self._finish_unserved()
 
-    @property
-    def profile(self) -> EngineProfile | None:
-        """Engine profile of the service, or None if it has no engines."""
-        service = self.state.routing_table.services.get(self.service)
-        return None if service is None else service.engine
-
     def may_repeat(self) -> bool:
         """Also require that a started stream can be resumed.
 
@@ -149,47 +134,12 @@
         """
         if self._is_refused():
             return None
-        chain = self._wait_for_chain()
+        chain = self.chain_choice.wait()
         return None if self._is_refused() else chain
 
-    def _wait_for_chain(self) -> Chain | None:
-        """Choose a chain, waiting for a limited time for one with room."""
-        profile = self.profile
-        if profile is None:
-            return None
-        wait_since = time.monotonic()
-        while True:
-            now = time.monotonic()
-            chain = self.state.chains.select(
-                self.service,
-                profile,
-                self.excluded,
-                now,
-            )
-            if (
-                chain is not None
-                or self.context.disconnect_monitor.is_disconnected
-            ):
-                return chain
-            if now >= min(
-                self.context.deadline, wait_since + self._max_chain_wait()
-            ):
-                return None
-            eventlet.sleep(CHAIN_POLL_SECONDS)
-
-    def _max_chain_wait(self) -> float:
-        """Return for how long to wait for a chain."""
-        chains = self.state.chains.chains(self.service, self.profile)
-        fraction = (
-            FULL_CHAIN_WAIT_FRACTION
-            if chains
-            else INCOMPLETE_CHAIN_WAIT_FRACTION
-        )
-        return fraction * self.context.rule.target_latency_seconds
-
     def _attempt(self, chain: Chain) -> Iterator[bytes]:
         """Try a chain; the generator returns whether it served the stream."""
-        self.excluded.update(chain.endpoint_ids)
+        self.chain_choice.excluded.update(chain.endpoint_ids)
         attempt = self.begin_attempt(chain.head.address)
         self.state.chains.begin(chain)
         try:
@@ -354,19 +304,7 @@
             return False
         if not self.is_allowed() or not self.budget.has_remaining(now):
             return False
-        alternative = self.state.chains.select(
-            self.service,
-            self.profile,
-            self.excluded,
-            now,
-        )
-        return (
-            alternative is not None
-            and not self.state.suspects.is_deprioritized(
-                alternative.head.endpoint_id,
-                now,
-            )
-        )
+        return self.chain_choice.has_alternative(now)
 
     def _record_silence(self, chain: Chain, now: float) -> None:
         head = chain.head
@@ -500,7 +438,7 @@
             # The request has not run there, and may be admitted when other
             # requests have ended.
             self.state.chains.record_refusal(chain, now)
-            self.excluded.difference_update(chain.endpoint_ids)
+            self.chain_choice.excluded.difference_update(chain.endpoint_ids)
 
     def _head_load(self, chain: Chain) -> dict[str, int]:
         """Return the load of a chain's head, as far as this node knows it."""
