--- a/wigeonspoke/core/quarantine/beginnings.py
+++ b/wigeonspoke/core/quarantine/beginnings.py
@@ -30,7 +30,6 @@
     engines: frozenset[str]
     first_event_at: float | None = None
     ended_at: float | None = None
-    is_complete: bool = False
     has_begun_well: bool = False
 
     def is_past_beginning(self, now: float) -> bool:
@@ -77,7 +76,6 @@
         ended right after it.
         """
         answer.ended_at = now
-        answer.is_complete = True
         if not answer.has_begun_well and answer.parts:
             self.complete = [*self.complete, answer][-MAX_ANSWERS:]
 
@@ -112,7 +110,10 @@
         return found
 
     def record_engine_alive(self, engine: str, asked_at: float) -> None:
-        """Drop the answers that broke before an engine was found alive."""
+        """Drop the answers that broke before an engine was found alive.
+
+        Those of a chain are kept, because another engine of it may have ended.
+        """
         self.broken = [
             answer
             for answer in self.broken
--- a/wigeonspoke/core/quarantine/registry.py
+++ b/wigeonspoke/core/quarantine/registry.py
@@ -45,9 +45,9 @@
     ) -> tuple[PartSuspicion, ...]:
         """Record that an engine ended as it began to answer a request.
 
-        Each of the request's parts may be the cause.  Those with which
-        answers went well recently are no excuse for the others.  Return the
-        suspicions with new evidence.
+        Each of the request's parts may be the cause.  Parts with which
+        answers went well recently do not count as companions of the others.
+        Return the suspicions with new evidence.
         """
         unproven = frozenset(
             part for part in parts if not self.sound.was_served(part, now)
--- a/wigeonspoke/core/quarantine/suspicion.py
+++ b/wigeonspoke/core/quarantine/suspicion.py
@@ -39,7 +39,7 @@
 
 
 class PartCrash(msgspec.Struct):
-    """The end of an engine that had begun to answer a request with a part.
+    """The end of an engine under an answer that was in its beginning.
 
     ``companions`` are the other parts that may be the cause: those of all
     requests with the part that were in their beginning at the engine.
