Track the progress of an answer once, for the log and the quarantine

Found on reading the whole change again:

- The monitor of chains and the record of an answer both held the time of the first event.
After a failed connection 'sent_ago' was that of an earlier attempt; it is that of the failed one now.
- Rows of quarantined parts were decoded in each round although most are still needed, which needs no decoding.
- Parts that are passed through twice are a tuple by type.
Comments say what stays after a quarantine and what the time of confirmation counts from.

Ruled out: one selector of endpoints within their limits for chains and replicas, since each has one line of it. No decision changes.

--- a/wigeonspoke/core/quarantine/beginnings.py
+++ b/wigeonspoke/core/quarantine/beginnings.py
@@ -13,7 +13,7 @@
 # An answer has begun well when it has gone on for this long after its first
 # event.
 BEGINNING_SECONDS = 0.5
-# How long after a stream broke, or before, the end of its engine may be found.
+# How long after a stream broke the end of its engine may be found.
 CONFIRMATION_SECONDS = 6.0
 MAX_ANSWERS = 512
 MAX_ENDED_ENGINES = 256
@@ -22,12 +22,13 @@
 class Answer(msgspec.Struct, eq=False):
     """An attempt of a request at the engines of a chain.
 
-    ``engines`` are their starts.  ``ended_at`` is set when the stream is
-    complete or broken.
+    ``engines`` are their starts.  ``sent_at`` is when the request was sent,
+    and ``ended_at`` is set when the stream is complete or broken.
     """
 
     parts: tuple[str, ...]
     engines: frozenset[str]
+    sent_at: float = 0
     first_event_at: float | None = None
     ended_at: float | None = None
     has_begun_well: bool = False
--- a/wigeonspoke/core/quarantine/registry.py
+++ b/wigeonspoke/core/quarantine/registry.py
@@ -41,7 +41,7 @@
         self.sound = SoundParts()
 
     def record_crash(
-        self, parts: Iterable[str], engine: str, now: float
+        self, parts: tuple[str, ...], engine: str, now: float
     ) -> tuple[PartSuspicion, ...]:
         """Record that an engine ended as it began to answer a request.
 
@@ -121,7 +121,11 @@
         return None
 
     def is_quarantined(self, suspicion: PartSuspicion, now: float) -> bool:
-        """Return whether requests with a part are refused."""
+        """Return whether requests with a part are refused.
+
+        Once the evidence was sufficient, it stays so until an answer with the
+        part goes well.
+        """
         if not suspicion.is_confirmed:
             was_sound = self.sound.was_served(suspicion.part, now)
             suspicion.is_confirmed = suspicion.has_enough_crashes(
--- a/wigeonspoke/ingress/answer_watch.py
+++ b/wigeonspoke/ingress/answer_watch.py
@@ -55,7 +55,7 @@
     def begin(self, chain: Chain) -> None:
         """Begin to watch an attempt at a chain."""
         engines = frozenset(hop.endpoint.start_id for hop in chain.hops)
-        self.answer = Answer(self.parts, engines)
+        self.answer = Answer(self.parts, engines, sent_at=time.monotonic())
 
     def record_event(self) -> None:
         """Record an event of the answer."""
@@ -66,6 +66,18 @@
         now = time.monotonic()
         self.part_watch.beginnings.record_complete(self.answer, now)
 
+    def describe_progress(self) -> dict[str, float | None]:
+        """Return for the log how far the answer is, in seconds."""
+        now = time.monotonic()
+        first_event_at = self.answer.first_event_at
+        first_event_age = None
+        if first_event_at is not None:
+            first_event_age = round(now - first_event_at, 3)
+        return {
+            'sent_ago': round(now - self.answer.sent_at, 3),
+            'first_event_ago': first_event_age,
+        }
+
     def record_broken(self) -> bool:
         """Record that the answer broke.
 
--- a/wigeonspoke/ingress/chain_monitor.py
+++ b/wigeonspoke/ingress/chain_monitor.py
@@ -25,15 +25,13 @@
 
     ``waiting_since`` is when the last event arrived or, before the first
     event, when the request was sent.  ``silent_at`` is when to check the
-    chain if no event arrives.  ``sent_at`` and ``first_event_at`` tell how far
-    the answer is.
+    chain if no event arrives.
     """
 
     __slots__ = (
-        'first_event_at',
+        'has_event',
         'head_id',
         'rule',
-        'sent_at',
         'silent_at',
         'state',
         'waiting_since',
@@ -43,28 +41,25 @@
         self.state = state
         self.rule = rule
         self.head_id = ''
-        self.sent_at = 0
-        self.first_event_at: float | None = None
+        self.has_event = False
         self.waiting_since = 0
         self.silent_at = 0
 
     def begin(self, chain: Chain) -> None:
         """Start monitoring a chain to which the stream was sent."""
         self.head_id = chain.head.endpoint_id
-        self.sent_at = time.monotonic()
-        self.first_event_at = None
-        self.waiting_since = self.sent_at
+        self.has_event = False
+        self.waiting_since = time.monotonic()
         silence_limit = FIRST_EVENT_FRACTION * self.rule.target_latency_seconds
         self.silent_at = self.waiting_since + silence_limit
 
     def record_event(self) -> None:
         """Record that an event arrived, which shows that the chain works."""
         now = time.monotonic()
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            gap = now - self.waiting_since
+        gap = now - self.waiting_since if self.has_event else 0
+        if gap:
             self.state.activity.record_event(self.head_id, gap, now)
+        self.has_event = True
         self.waiting_since = now
         self.silent_at = now + self.state.activity.silence_timeout_seconds(
             self.head_id,
@@ -87,16 +82,6 @@
             )
         return now < self.waiting_since + silence_limit
 
-    def describe_progress(self, now: float) -> dict[str, float | None]:
-        """Return for the log how long ago the answer began, in seconds."""
-        first_event_age = None
-        if self.first_event_at is not None:
-            first_event_age = round(now - self.first_event_at, 3)
-        return {
-            'sent_ago': round(now - self.sent_at, 3),
-            'first_event_ago': first_event_age,
-        }
-
     @property
     def _active_streams(self) -> int:
         return self.state.chains.in_flight[self.head_id]
--- a/wigeonspoke/ingress/part_table.py
+++ b/wigeonspoke/ingress/part_table.py
@@ -176,7 +176,7 @@
             if self._needs_row(suspicion)
         }
         for part, row in self.copy.rows.items():
-            if _decode_crashes(row) and self._is_over(part):
+            if self._is_over(part) and _decode_crashes(row):
                 writes[part] = None
         return writes
 
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -14,8 +14,8 @@
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.quarantine import Refusal
-from wigeonspoke.ingress.call_handler import decode_headers, read_body
 from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
+from wigeonspoke.ingress.call_handler import decode_headers, read_body
 from wigeonspoke.ingress.chain_choice import ChainChoice
 from wigeonspoke.ingress.chain_monitor import ChainMonitor
 from wigeonspoke.ingress.endpoint_attempt import (
@@ -462,7 +462,7 @@
             last=self.cursor.last_number,
             born=chain.head.born,
             parts=self.context.request.shared_parts,
-            **self.chain_monitor.describe_progress(time.monotonic()),
+            **self.answer_watch.describe_progress(),
         )
         if not is_disconnected and error.reason is not Reason.TIMEOUT:
             now = time.monotonic()
--- a/wigeonspoke/platform/tests/test_crashing_parts.py
+++ b/wigeonspoke/platform/tests/test_crashing_parts.py
@@ -86,7 +86,7 @@
         self.sound: list[bool | None] = []
 
     def run(self, seconds: float) -> None:
-        """Send one request of each sort in each interval, at every node."""
+        """Send one request of each sort in each interval, at the next node."""
         deadline = time.monotonic() + seconds
         number = 0
         while time.monotonic() < deadline:
@@ -137,7 +137,10 @@
 
 
 def _send_bad(deployment: CrashingDeployment, number: int, node: IngressNode):
-    """Send a request with the part; return its status, None if it was cut."""
+    """Send a request with the part; return the response.
+
+    Its status is None if it was cut.
+    """
     parts = f'{CALLER_PART}:40,{BAD_PART}:30,{number:06x}:9'
     try:
         return request_stream(
