Tell how each connection of a client ended

A connection that a limit ended within a request, or an unforeseen error of the application, left no line: the server drops both.

Each connection now records its phase (idle, head, body, waiting, writing) and the first cause of its end, and the listener tells both with the time since the last byte, the limit and its version. Regular ends are only counted. The part of the server that reads requests has moved to its own module.

Ruled out: a hook into the server's own log, which has the traceback but not the connection. No limit is changed by this.

--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -49,6 +49,7 @@
         """Serve one request."""
         arrived_at = time.monotonic()
         request = self._decode(environ)
+        environ['wigeonspoke.connection'].request_id = request.request_id
         try:
             limits = self.state.routing_table.limits
             request.body = read_request_body(environ, limits.max_body_bytes)
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -11,6 +11,7 @@
 
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.chain_reporter import ChainReporter
+from wigeonspoke.ingress.connection_reporter import ConnectionReporter
 from wigeonspoke.ingress.front_app import FrontApp
 from wigeonspoke.ingress.lease_loop import LeaseLoop
 from wigeonspoke.ingress.metrics_page import render_counters
@@ -154,26 +155,27 @@
     def start(self) -> None:
         """Open the listeners and start the background loops."""
         settings = self.state.settings
-        self.front = _listen(
+        self.front = self._listen(
+            'front',
             FrontApp(self.state, self.prober, self.part_publisher.claim_trial),
             settings.front,
-            ListenerLimits(connections=FRONT_CONNECTIONS),
+            FRONT_CONNECTIONS,
         )
-        self.ready = _listen(
-            self._serve_readiness,
-            settings.ready,
-            ListenerLimits(connections=READY_CONNECTIONS),
+        self.ready = self._listen(
+            'ready', self._serve_readiness, settings.ready, READY_CONNECTIONS
         )
-        self.peers = _listen(
+        self.peers = self._listen(
+            'peers',
             PeerApp(self.copies, self.gossip.handle_request),
             settings.peers,
-            ListenerLimits(connections=PEER_CONNECTIONS),
+            PEER_CONNECTIONS,
         )
         self.gossip.set_address(self.peers.address)
-        self.metrics = _listen(
+        self.metrics = self._listen(
+            'metrics',
             self._serve_metrics,
             f'{settings.host}:{settings.metrics_port}',
-            ListenerLimits(connections=READY_CONNECTIONS),
+            READY_CONNECTIONS,
         )
         self.greenlets = [
             eventlet.spawn(self._run_loop, loop) for loop in self.loops
@@ -238,6 +240,22 @@
             and bool(state.fleet.endpoints)
         )
 
+    def _listen(
+        self,
+        name: str,
+        application: Callable[..., Any],
+        address: str,
+        connections: int,
+    ) -> HttpListener:
+        host, _, port = address.rpartition(':')
+        return HttpListener(
+            application,
+            host,
+            int(port),
+            ListenerLimits(connections=connections),
+            ConnectionReporter(self.state, name),
+        )
+
     def _run_loop(self, loop: Callable[[], None]) -> None:
         """Run a background loop; start it again if it fails.
 
@@ -285,12 +303,3 @@
         page = render_counters(self.state)
         start_response('200 OK', [('Content-Type', page.content_type)])
         return [page.body]
-
-
-def _listen(
-    application: Callable[..., Any],
-    address: str,
-    limits: ListenerLimits,
-) -> HttpListener:
-    host, _, port = address.rpartition(':')
-    return HttpListener(application, host, int(port), limits)
--- a/wigeonspoke/ingress/responses.py
+++ b/wigeonspoke/ingress/responses.py
@@ -55,13 +55,6 @@
         return msgspec.json.encode({'error': {'code': self.reason}})
 
 
-class ResponseAborted(Exception):
-    """A response that has started cannot be completed.
-
-    Raising it makes the server close the client's connection.
-    """
-
-
 def status_line(status: int) -> str:
     """Return a status code with its reason phrase, as WSGI expects it."""
     try:
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -38,13 +38,12 @@
 from wigeonspoke.ingress.responses import (
     EndpointResponse,
     NodeResponse,
-    ResponseAborted,
     begin_response,
     end_to_end_headers,
     status_line,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.transport import BodyEnd, ReadTimeout
+from wigeonspoke.transport import BodyEnd, ReadTimeout, ResponseAborted
 
 SILENCE_RECHECK_SECONDS = 0.03
 # A broken chain takes some seconds to become complete again.  The random
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -2,6 +2,12 @@
 
 from wigeonspoke.transport.body_end import BodyEnd, find_body_end
 from wigeonspoke.transport.chunked_decoder import ChunkedDecoder, ChunkError
+from wigeonspoke.transport.client_connection import (
+    ClientConnection,
+    ConnectionEnd,
+    EndCause,
+    Phase,
+)
 from wigeonspoke.transport.http_client import (
     HttpClient,
     HttpError,
@@ -9,7 +15,11 @@
     read_lines,
 )
 from wigeonspoke.transport.http_connection import ConnectionPools
-from wigeonspoke.transport.http_server import HttpListener, ListenerLimits
+from wigeonspoke.transport.http_server import (
+    HttpListener,
+    ListenerLimits,
+    ResponseAborted,
+)
 from wigeonspoke.transport.request_body import read_request_body
 from wigeonspoke.transport.request_head import RequestError
 from wigeonspoke.transport.response_receiver import (
@@ -26,14 +36,19 @@
     'BodyEnd',
     'ChunkError',
     'ChunkedDecoder',
+    'ClientConnection',
+    'ConnectionEnd',
     'ConnectionPools',
+    'EndCause',
     'HttpClient',
     'HttpError',
     'HttpListener',
     'HttpReply',
     'ListenerLimits',
+    'Phase',
     'ReadTimeout',
     'RequestError',
+    'ResponseAborted',
     'ResponseReceiver',
     'ResponseTooLarge',
     'find_body_end',
--- /dev/null
+++ b/wigeonspoke/transport/client_connection.py
@@ -0,0 +1,123 @@
+"""The connection of one client to a listener, and how it ended."""
+
+import enum
+import socket
+import time
+
+import msgspec
+
+
+class Phase(enum.StrEnum):
+    """What a connection is occupied with."""
+
+    IDLE = 'idle'
+    HEAD = 'head'
+    BODY = 'body'
+    # The request is complete, and its response has not begun.
+    WAITING = 'waiting'
+    WRITING = 'writing'
+
+
+class EndCause(enum.StrEnum):
+    """Why a connection ended."""
+
+    # The client closed it, or it broke.
+    CLIENT = 'client'
+    # The last response was complete and announced the end.
+    COMPLETE = 'complete'
+    LIMIT = 'limit'
+    STOP = 'stop'
+    # The head of a request cannot be parsed; the response says so.
+    REJECTED = 'rejected'
+    # The application ended a response that it cannot complete.
+    ABORTED = 'aborted'
+    # An unforeseen error of the application or the server.
+    ERROR = 'error'
+
+
+class ConnectionEnd(msgspec.Struct, frozen=True):
+    """How a connection ended.
+
+    ``quiet_seconds`` is the time since the phase began or, while a response
+    is written, since its last part.  ``limit_seconds`` is the limit that was
+    exceeded, if any, and ``version`` the version of the configuration it comes
+    from.  ``request_id`` is that of the last request.
+    """
+
+    phase: Phase
+    cause: EndCause
+    quiet_seconds: float
+    limit_seconds: float | None
+    version: int
+    request_id: str
+    problem: str
+
+    @property
+    def is_regular(self) -> bool:
+        """Return whether no request or response was affected."""
+        if self.cause is EndCause.CLIENT:
+            return self.phase is Phase.IDLE
+        return self.cause is EndCause.COMPLETE
+
+
+class ClientConnection:
+    """What a connection is occupied with, and why it ends.
+
+    Only the first cause counts: what follows from it, such as an error of a
+    later write, tells nothing new.
+    """
+
+    __slots__ = (
+        'cause',
+        'limit_seconds',
+        'phase',
+        'problem',
+        'request_id',
+        'since',
+        'sock',
+        'version',
+    )
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.phase = Phase.IDLE
+        self.since = time.monotonic()
+        self.cause: EndCause | None = None
+        self.problem = ''
+        self.limit_seconds: float | None = None
+        self.version = 0
+        self.request_id = ''
+
+    def enter(self, phase: Phase) -> None:
+        """Begin a phase."""
+        self.phase = phase
+        self.since = time.monotonic()
+
+    def record_progress(self) -> None:
+        """Record that a part of the response was sent."""
+        self.since = time.monotonic()
+
+    def end(self, cause: EndCause, problem: str = '') -> None:
+        """Record why the connection ends."""
+        if self.cause is None:
+            self.cause = cause
+            self.problem = problem
+
+    def end_by_limit(self, limit_seconds: float, version: int) -> None:
+        """Record that a limit of a version of the configuration ends it."""
+        if self.cause is None:
+            self.limit_seconds = limit_seconds
+            self.version = version
+        self.end(EndCause.LIMIT)
+
+    def describe_end(self) -> ConnectionEnd:
+        """Return how the connection has ended."""
+        return ConnectionEnd(
+            phase=self.phase,
+            cause=self.cause or EndCause.COMPLETE,
+            quiet_seconds=time.monotonic() - self.since,
+            limit_seconds=self.limit_seconds,
+            version=self.version,
+            request_id=self.request_id,
+            problem=self.problem,
+        )
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -1,33 +1,28 @@
 """An HTTP server for WSGI applications, with limits on its clients."""
 
 import errno
-import http
 import socket
+import traceback
 from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 
 import eventlet
 import msgspec
 from eventlet.greenio import shutdown_safe
-from eventlet.wsgi import (
-    STATE_IDLE,
-    HeaderLineTooLong,
-    HeadersTooLarge,
-    HttpProtocol,
-    Server,
-)
+from eventlet.wsgi import Server
 from eventlet.wsgi import server as serve_wsgi
 
-from wigeonspoke.transport.request_head import (
-    RequestError,
-    RequestHead,
-    read_request_head,
+from wigeonspoke.transport.client_connection import (
+    ClientConnection,
+    ConnectionEnd,
+    EndCause,
+    Phase,
 )
-from wigeonspoke.transport.socket_options import reset_on_close
+from wigeonspoke.transport.server_protocol import ServerProtocol
 
 WsgiApplication = Callable[..., Iterable[bytes]]
 
 CLOSED_SOCKET_ERRORS = frozenset((errno.EBADF, errno.EINVAL))
-LAST_VERSION_WITHOUT_CHUNKS = 'HTTP/1.0'
 
 
 class ListenerLimits(msgspec.Struct, frozen=True):
@@ -45,99 +40,11 @@
     read_seconds: float = 10.0
 
 
-class _StrictProtocol(HttpProtocol):
-    """Parses request heads strictly and rejects invalid ones as JSON."""
-
-    def setup(self) -> None:
-        """Prepare the connection."""
-        super().setup()
-        self.must_reset = False
-
-    def finish(self) -> None:
-        """Close the connection, with a reset if a regular close misleads."""
-        if self.must_reset:
-            reset_on_close(self.connection)
-            self.wfile.close()
-            self.rfile.close()
-            self.connection.close()
-            return
-        super().finish()
-
-    def parse_request(self) -> bool:
-        try:
-            self._apply_head(self._read_head())
-        except RequestError as error:
-            self.wfile.write(_error_reply(error))
-            self.close_connection = True
-            return False
-        return True
-
-    def get_environ(self) -> dict:
-        """Add functions that act on the connection of the request.
-
-        One closes it after the response, the other one marks the response as
-        broken off.
-        """
-        environ = super().get_environ()
-        environ['wigeonspoke.end_connection'] = self._end_connection
-        environ['wigeonspoke.break_response'] = self._break_response
-        return environ
-
-    def _read_head(self) -> RequestHead:
-        try:
-            return read_request_head(
-                self.raw_requestline,
-                self.rfile,
-                self.server.header_bytes,
-            )
-        except (HeaderLineTooLong, HeadersTooLarge) as error:
-            raise RequestError(
-                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                'the headers are too large',
-            ) from error
-
-    def _apply_head(self, head: RequestHead) -> None:
-        self.requestline = f'{head.method} {head.target}'
-        self.command = head.method
-        self.path = head.target
-        self.request_version = head.version
-        self.headers = head.headers
-        is_stopping = self.server.is_stopping()
-        self.close_connection = head.wants_close or is_stopping
-
-    def _end_connection(self) -> None:
-        self.close_connection = True
-
-    def _break_response(self) -> None:
-        # A response of HTTP/1.0 ends with its connection, so that a regular
-        # close would make a broken one look complete.
-        self.must_reset = self.request_version == LAST_VERSION_WITHOUT_CHUNKS
-
-
-def _report_break(
-    body: Iterable[bytes], break_response: Callable[[], None]
-) -> Iterator[bytes]:
-    """Pass on the parts of a body; report an error that ends it early."""
-    try:
-        yield from body
-    except (Exception, eventlet.Timeout):
-        break_response()
-        raise
-
+class ResponseAborted(Exception):
+    """A response that has started cannot be completed.
 
-def _error_reply(error: RequestError) -> bytes:
-    """Return the response to a request whose head cannot be parsed."""
-    status: http.HTTPStatus = error.status
-    body = (
-        f'{{"error": {{"message": "{error.problem}", '
-        '"type": "bad_request", "code": "headers"}}'
-    ).encode()
-    return (
-        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-        'Connection: close\r\n'
-        'Content-Type: application/json\r\n'
-        f'Content-Length: {len(body)}\r\n\r\n'
-    ).encode() + body
+    An application that raises it makes the server close the connection.
+    """
 
 
 class HttpListener:
@@ -145,7 +52,8 @@
 
     ``address`` is the bound address, as ``host:port``.  ``active`` counts the
     requests whose responses are not completely written.  While
-    ``is_stopping`` is true, each response closes its connection.
+    ``is_stopping`` is true, each response closes its connection.  ``on_end``
+    is told how each connection has ended.
 
     :meth:`close` stops accepting and leaves open connections alone,
     :meth:`close_idle` closes those without a request in progress, and
@@ -159,6 +67,7 @@
         'greenlet',
         'is_stopping',
         'limits',
+        'on_end',
         'open_connections',
         'sock',
     )
@@ -169,15 +78,17 @@
         host: str = '127.0.0.1',
         port: int = 0,
         limits: ListenerLimits | None = None,
+        on_end: Callable[[ConnectionEnd], None] | None = None,
     ) -> None:
         self.application = application
+        self.on_end = on_end
         self.active = 0
         self.is_stopping = False
         self.limits = limits or ListenerLimits()
         self.sock = eventlet.listen((host, port), backlog=self.backlog)
         bound_host, bound_port = self.sock.getsockname()[:2]
         self.address = f'{bound_host}:{bound_port}'
-        self.open_connections: dict[socket.socket, list] = {}
+        self.open_connections: dict[socket.socket, ClientConnection] = {}
         self.greenlet = eventlet.spawn(self._serve)
 
     @property
@@ -195,14 +106,16 @@
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
-        for connection, state in tuple(self.open_connections.items()):
-            if state[2] == STATE_IDLE:
+        for connection, client in tuple(self.open_connections.items()):
+            if client.phase is Phase.IDLE:
+                client.end(EndCause.STOP)
                 shutdown_safe(connection)
 
     def abort(self) -> None:
         """Stop accepting and close all open connections immediately."""
         self.close()
-        for connection in tuple(self.open_connections):
+        for connection, client in tuple(self.open_connections.items()):
+            client.end(EndCause.STOP)
             shutdown_safe(connection)
 
     def _serve(self) -> None:
@@ -229,31 +142,71 @@
     ) -> Iterable[bytes]:
         environ['eventlet.posthooks'].append((self._count_finished, (), {}))
         self.active += 1
-        body = self.application(environ, start_response)
+        client: ClientConnection = environ['wigeonspoke.connection']
+        begin_response = partial(_begin_response, client, start_response)
+        try:
+            body = self.application(environ, begin_response)
+        except Exception:
+            client.end(EndCause.ERROR, traceback.format_exc())
+            raise
         # The server derives a length from a body that has one.
         if hasattr(body, '__len__'):
             return body
-        return _report_break(body, environ['wigeonspoke.break_response'])
+        break_response = environ['wigeonspoke.break_response']
+        return _report_parts(body, client, break_response)
 
     def _count_finished(self, _environ: dict) -> None:
         self.active -= 1
 
-    def _serve_connection(
-        self,
-        state: list,
-        server: Server,
-    ) -> HttpProtocol:
+    def _serve_connection(self, state: list, server: Server) -> None:
         connection = state[1]
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.open_connections[connection] = state
+        client = ClientConnection(connection)
+        self.open_connections[connection] = client
         server.keepalive = self.limits.idle_seconds
         server.socket_timeout = self.limits.read_seconds
         server.header_bytes = self.limits.header_bytes
         server.is_stopping = self._check_stopping
         try:
-            return _StrictProtocol(state, server)
+            ServerProtocol(state, server, client)
+        except TimeoutError:
+            client.end_by_limit(server.socket_timeout, version=0)
+            raise
+        except OSError as error:
+            client.end(EndCause.CLIENT, str(error))
+            raise
+        except Exception:
+            client.end(EndCause.ERROR, traceback.format_exc())
+            raise
         finally:
             self.open_connections.pop(connection, None)
+            if self.on_end is not None:
+                self.on_end(client.describe_end())
 
     def _check_stopping(self) -> bool:
         return self.is_stopping
+
+
+def _begin_response(
+    client: ClientConnection, start_response: Callable, *arguments: object
+) -> Callable:
+    client.enter(Phase.WRITING)
+    return start_response(*arguments)
+
+
+def _report_parts(
+    body: Iterable[bytes],
+    client: ClientConnection,
+    break_response: Callable[[], None],
+) -> Iterator[bytes]:
+    """Pass on the parts of a body; report an error that ends it early."""
+    try:
+        yield from body
+    except ResponseAborted as aborted:
+        client.end(EndCause.ABORTED, str(aborted))
+        break_response()
+        raise
+    except (Exception, eventlet.Timeout):
+        client.end(EndCause.ERROR, traceback.format_exc())
+        break_response()
+        raise
--- a/wigeonspoke/transport/request_body.py
+++ b/wigeonspoke/transport/request_body.py
@@ -3,12 +3,15 @@
 import http
 from typing import Any, BinaryIO
 
+from eventlet.wsgi import Input
+
 from wigeonspoke.transport.chunked_decoder import (
     CRLF,
     MAX_LINE_BYTES,
     ChunkedDecoder,
     ChunkError,
 )
+from wigeonspoke.transport.client_connection import Phase
 from wigeonspoke.transport.request_head import RequestError
 
 
@@ -22,7 +25,12 @@
     OSError
         The connection broke, or a read timed out.
     """
-    source = environ['eventlet.input']
+    body = _read_body(environ['eventlet.input'], max_bytes)
+    environ['wigeonspoke.connection'].enter(Phase.WAITING)
+    return body
+
+
+def _read_body(source: Input, max_bytes: int) -> bytes:
     if source.chunked_input:
         # Prevents eventlet from reading a remainder of the body itself.
         source.chunk_length = 0
--- a/wigeonspoke/transport/request_head.py
+++ b/wigeonspoke/transport/request_head.py
@@ -37,6 +37,13 @@
         self.problem = problem
 
 
+class HeadEndsEarlyError(RequestError):
+    """The client closed the connection within the head of a request."""
+
+    def __init__(self) -> None:
+        super().__init__(http.HTTPStatus.BAD_REQUEST, 'head ends early')
+
+
 class RequestHead(msgspec.Struct, frozen=True):
     """The request line and the headers of a request."""
 
@@ -68,7 +75,11 @@
     RequestError
         The head is malformed or too large, or specifies more than one
         length of the body.
+    HeadEndsEarlyError
+        The client closed the connection within the head.
     """
+    if not request_line.endswith(b'\n'):
+        raise HeadEndsEarlyError
     match = _REQUEST_LINE.fullmatch(request_line)
     if match is None:
         raise RequestError(
@@ -93,6 +104,8 @@
                 http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
                 'the headers are too large',
             )
+        if not line.endswith(b'\n'):
+            raise HeadEndsEarlyError
         if line == b'\r\n':
             return headers
         _add_header(headers, line)
--- /dev/null
+++ b/wigeonspoke/transport/server_protocol.py
@@ -0,0 +1,196 @@
+"""Reads requests from a client's connection and writes their responses."""
+
+import http
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import BinaryIO
+
+from eventlet.wsgi import (
+    HeaderLineTooLong,
+    HeadersTooLarge,
+    HttpProtocol,
+    Server,
+)
+
+from wigeonspoke.transport.client_connection import (
+    ClientConnection,
+    EndCause,
+    Phase,
+)
+from wigeonspoke.transport.request_head import (
+    HeadEndsEarlyError,
+    RequestError,
+    RequestHead,
+    read_request_head,
+)
+from wigeonspoke.transport.socket_options import reset_on_close
+
+LAST_VERSION_WITHOUT_CHUNKS = 'HTTP/1.0'
+
+
+class ServerProtocol(HttpProtocol):
+    """Parses request heads strictly and rejects invalid ones as JSON.
+
+    It records what the connection is occupied with, and why it ends.
+    """
+
+    def __init__(
+        self, state: list, server: Server, client: ClientConnection
+    ) -> None:
+        self.client = client
+        super().__init__(state, server)
+
+    def setup(self) -> None:
+        """Prepare the connection."""
+        super().setup()
+        self.must_reset = False
+        self.wfile = _ResponseWriter(self.wfile, self)
+
+    def finish(self) -> None:
+        """Close the connection, with a reset if a regular close misleads."""
+        if self.must_reset:
+            reset_on_close(self.connection)
+            self.wfile.close()
+            self.rfile.close()
+            self.connection.close()
+            return
+        super().finish()
+
+    def parse_request(self) -> bool:
+        try:
+            self._apply_head(self._read_head())
+        except RequestError as error:
+            has_left = isinstance(error, HeadEndsEarlyError)
+            cause = EndCause.CLIENT if has_left else EndCause.REJECTED
+            self.client.end(cause, error.problem)
+            self.wfile.write(error_reply(error))
+            self.close_connection = True
+            return False
+        self.client.enter(Phase.BODY)
+        return True
+
+    def get_environ(self) -> dict:
+        """Add what an application needs to know or to end the connection.
+
+        One function closes it after the response, the other one marks the
+        response as broken off.
+        """
+        environ = super().get_environ()
+        environ['wigeonspoke.connection'] = self.client
+        environ['wigeonspoke.end_connection'] = self._end_connection
+        environ['wigeonspoke.break_response'] = self._break_response
+        return environ
+
+    def record_write_error(self, error: OSError) -> None:
+        """Record that a part of the response could not be written."""
+        if isinstance(error, TimeoutError):
+            self.client.end_by_limit(self.server.socket_timeout, version=0)
+        self.client.end(EndCause.CLIENT, str(error))
+
+    def _read_request_line(self) -> bytes:
+        self.client.enter(Phase.IDLE)
+        self.client.request_id = ''
+        self.connection.settimeout(self.server.keepalive)
+        if not self._has_request():
+            return b''
+        self.client.enter(Phase.HEAD)
+        self.connection.settimeout(self.server.socket_timeout)
+        return self.rfile.readline(self.server.url_length_limit)
+
+    def _has_request(self) -> bool:
+        """Wait for a request; return whether its first byte has arrived."""
+        try:
+            has_request = bool(self.rfile.peek(1))
+        except TimeoutError:
+            self.client.end_by_limit(self.server.keepalive, version=0)
+            return False
+        except OSError as error:
+            self.client.end(EndCause.CLIENT, str(error))
+            return False
+        if not has_request:
+            self.client.end(EndCause.CLIENT)
+        return has_request
+
+    def _read_head(self) -> RequestHead:
+        try:
+            return read_request_head(
+                self.raw_requestline,
+                self.rfile,
+                self.server.header_bytes,
+            )
+        except (HeaderLineTooLong, HeadersTooLarge) as error:
+            raise RequestError(
+                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                'the headers are too large',
+            ) from error
+
+    def _apply_head(self, head: RequestHead) -> None:
+        self.requestline = f'{head.method} {head.target}'
+        self.command = head.method
+        self.path = head.target
+        self.request_version = head.version
+        self.headers = head.headers
+        is_stopping = self.server.is_stopping()
+        self.close_connection = head.wants_close or is_stopping
+
+    def _end_connection(self) -> None:
+        self.close_connection = True
+
+    def _break_response(self) -> None:
+        # A response of HTTP/1.0 ends with its connection, so that a regular
+        # close would make a broken one look complete.
+        self.must_reset = self.request_version == LAST_VERSION_WITHOUT_CHUNKS
+
+
+class _ResponseWriter:
+    """The output of a connection, which reports errors to its protocol."""
+
+    __slots__ = ('output', 'protocol')
+
+    def __init__(self, output: BinaryIO, protocol: ServerProtocol) -> None:
+        self.output = output
+        self.protocol = protocol
+
+    @property
+    def closed(self) -> bool:
+        """Whether the output is closed."""
+        return self.output.closed
+
+    def write(self, part: bytes) -> None:
+        """Write a part of the response."""
+        self._report(partial(self.output.write, part))
+
+    def writelines(self, parts: Iterable[bytes]) -> None:
+        """Write several parts of the response."""
+        self._report(partial(self.output.writelines, parts))
+
+    def flush(self) -> None:
+        """Send what is written."""
+        self._report(self.output.flush)
+        self.protocol.client.record_progress()
+
+    def close(self) -> None:
+        """Close the output."""
+        self._report(self.output.close)
+
+    def _report(self, operation: Callable[[], object]) -> None:
+        try:
+            operation()
+        except OSError as error:
+            self.protocol.record_write_error(error)
+            raise
+
+
+def error_reply(error: RequestError) -> bytes:
+    """Return the response to a request whose head cannot be parsed."""
+    status: http.HTTPStatus = error.status
+    body = (
+        f'{{"error": {{"message": "{error.problem}", '
+        '"type": "bad_request", "code": "headers"}}'
+    ).encode()
+    return (
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        'Connection: close\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
