--- a/wigeonspoke/transport/tests/test_connection_ends.py
+++ b/wigeonspoke/transport/tests/test_connection_ends.py
@@ -136,3 +136,44 @@
     _wait_for_end(ends[1:] or ends)
     idle.close()
     assert [end.phase for end in ends] == ['idle', 'writing']
+
+
+def _exchange(client):
+    client.settimeout(10)
+    return client.recv(65536)
+
+
+def test_a_request_that_came_in_a_pause_of_the_process_is_served():
+    def pause():
+        """Let no other greenlet run, as if the process were suspended."""
+        eventlet.patcher.original('time').sleep(2 * SHORT_SECONDS)
+        idle.sendall(HEAD % b'late' + b'\r\n')
+
+    def application(environ, start_response):
+        if environ['PATH_INFO'] == '/pause':
+            pause()
+        start_response('200 OK', [])
+        return [b'']
+
+    limits = ListenerLimits(idle_seconds=SHORT_SECONDS)
+    listener = HttpListener(application, limits=limits)
+    idle = _open(listener, b'')
+    pausing = _open(listener, b'')
+    # The pause begins in a greenlet that a socket woke, after which timers
+    # are served before sockets.
+    eventlet.sleep(SHORT_SECONDS / 4)
+    pausing.sendall(HEAD % b'pause' + b'Connection: close\r\n\r\n')
+    _read_all(pausing)
+    with idle:
+        assert _exchange(idle).startswith(b'HTTP/1.1 200')
+    listener.abort()
+
+
+def test_a_stop_serves_a_request_that_was_not_read_yet(listener):
+    client = _open(listener, b'')
+    eventlet.sleep(SHORT_SECONDS / 4)
+    client.sendall(HEAD % b'late' + b'\r\n')
+    listener.is_stopping = True
+    listener.close_idle()
+    with client:
+        assert _exchange(client).startswith(b'HTTP/1.1 200')
