Leave a silent chain only when another one has taken over

What callers saw: a stream whose sound engine paused for 1.2 s was cut, or got 502 before its first event, where the other chain refused it, although the first engine went on.

Class: something that works is given up before its replacement is known to work.

Change: the silent attempt stays open while the stream is sent to another chain, and is ended with the first event of that one; if it refuses or fails, or if the silent one goes on first, reading goes on there. A client that leaves ends all open attempts. Retry budget and the rule's attempts count as before.

Ruled out: asking the other chain first whether it has room, since its report is some hundred milliseconds old; longer patience with silence, since a dead engine is silent as well. The other chain breaking off after it has taken over is not mended by this: the attempts are spent then. Calls are not examined yet.

--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -27,6 +27,7 @@
     ResponseReceiver,
     ResponseTooLarge,
     find_body_end,
+    peek,
 )
 
 # A payload of this size fits the peer's receive window and is sent inline;
@@ -155,6 +156,10 @@
             raise self._error(Reason.RESET, 'answer')
         return self.body_end
 
+    def has_input(self) -> bool:
+        """Return whether the endpoint has sent more than was read."""
+        return self.sock is not None and bool(peek(self.sock.fd))
+
     def abort(self) -> None:
         """Shut the connection down, which also cancels the request."""
         self.is_aborted = True
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -42,12 +42,13 @@
 class RequestHandler:
     """Attempts, retry budget and logging shared by all request kinds."""
 
-    __slots__ = ('context', 'last_error', 'service', 'state')
+    __slots__ = ('context', 'last_error', 'open_attempts', 'service', 'state')
 
     def __init__(self, state: IngressState, context: RequestContext) -> None:
         self.state = state
         self.context = context
         self.last_error: StepError | None = None
+        self.open_attempts: list[EndpointAttempt] = []
         self.service = choose_target(
             context.rule.targets,
             state.rng.random(),
@@ -121,12 +122,13 @@
         may_repeat = self.context.rule.may_repeat
         pool = self.state.connection_pool if may_repeat else None
         attempt = EndpointAttempt(address, pool)
-        self.context.disconnect_monitor.on_disconnect = attempt.abort
+        self.open_attempts.append(attempt)
+        self.context.disconnect_monitor.on_disconnect = self._abort_attempts
         return attempt
 
     def end_attempt(self, attempt: EndpointAttempt) -> None:
-        """Detach the disconnect callback and close the attempt."""
-        self.context.disconnect_monitor.on_disconnect = None
+        """Close an attempt, which a disconnect no longer aborts."""
+        self.open_attempts.remove(attempt)
         attempt.close()
 
     def record_failure(
@@ -189,6 +191,10 @@
             **facts,
         )
 
+    def _abort_attempts(self) -> None:
+        for attempt in self.open_attempts:
+            attempt.abort()
+
 
 def timeout_error(attempt: EndpointAttempt, step: str) -> StepError:
     """Return the error of an attempt abandoned without a response."""
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -55,13 +55,30 @@
 DEADLINE_MARGIN_SECONDS = 0.05
 
 
+class StreamTakenOver(Exception):
+    """Another chain has taken over from a silent one.
+
+    ``is_complete`` is whether it has served the whole stream.
+    """
+
+    def __init__(self, *, is_complete: bool) -> None:
+        super().__init__(is_complete)
+        self.is_complete = is_complete
+
+
 class StreamHandler(RequestHandler):
-    """Serves a stream and resumes it at another chain if one fails."""
+    """Serves a stream and resumes it at another chain if one fails.
+
+    A silent chain may only pause.  Its attempt stays open until another chain
+    has sent an event, and goes on if none does.  ``chains_in_use`` are the
+    chains of open attempts.
+    """
 
     __slots__ = (
         'answer_watch',
         'chain_choice',
         'chain_monitor',
+        'chains_in_use',
         'cursor',
         'fallback',
         'has_ended_engine',
@@ -94,6 +111,7 @@
         self.cursor = EventCursor(context.request.last_event_id)
         self.response_started = False
         self.chain_monitor = ChainMonitor(state, context.rule)
+        self.chains_in_use: dict[EndpointAttempt, Chain] = {}
         # Error response of an engine, returned if no chain serves the stream.
         self.fallback: EndpointResponse | None = None
         self.start_response: Callable[..., Any] | None = None
@@ -102,8 +120,8 @@
         """Run the stream; yield the parts of the response body."""
         self.start_response = start_response
         while self.may_attempt(MAX_ATTEMPTS):
-            chain = self._choose_chain()
-            if chain is None or not self.reserve_attempt(time.monotonic()):
+            chain = self._reserve_chain()
+            if chain is None:
                 break
             is_complete = yield from self._attempt(chain)
             if is_complete:
@@ -126,6 +144,13 @@
         self.refusal = self.answer_watch.find_refusal()
         return self.refusal is not None
 
+    def _reserve_chain(self) -> Chain | None:
+        """Return a chain for an attempt that the retry budget allows."""
+        chain = self._choose_chain()
+        if chain is None or not self.reserve_attempt(time.monotonic()):
+            return None
+        return chain
+
     def _choose_chain(self) -> Chain | None:
         """Return a chain to send the request to, None if it must not be sent.
 
@@ -140,9 +165,12 @@
         """Try a chain; the generator returns whether it served the stream."""
         self.chain_choice.excluded.update(chain.endpoint_ids)
         attempt = self.begin_attempt(chain.head.address)
+        self.chains_in_use[attempt] = chain
         self.state.chains.begin(chain)
         try:
             return (yield from self._exchange(attempt, chain))
+        except StreamTakenOver as taken_over:
+            return taken_over.is_complete
         except AttemptError as error:
             self._record_error(chain, error.error)
             return False
@@ -151,9 +179,49 @@
             self._record_error(chain, timeout_error(attempt, 'stream'))
             return False
         finally:
+            self._end_chain(attempt)
+
+    def _end_chain(self, attempt: EndpointAttempt) -> None:
+        """End an attempt and its use of a chain, if that was not done yet."""
+        chain = self.chains_in_use.pop(attempt, None)
+        if chain is not None:
             self.end_attempt(attempt)
             self.state.chains.end(chain)
 
+    def _fail_over(self, silent: EndpointAttempt) -> Iterator[bytes]:
+        """Send the stream to another chain, too, while one is silent.
+
+        Return without an effect if no other chain has taken over.
+        """
+        monitor, answer = self.chain_monitor, self.answer_watch.answer
+        self.chain_monitor = ChainMonitor(self.state, self.context.rule)
+        # The silent attempt counts as a run beside the other one.
+        self.context.possible_executions += 1
+        is_complete = False
+        chain = self._reserve_chain()
+        if chain is not None:
+            is_complete = yield from self._attempt(chain)
+        if silent not in self.chains_in_use:
+            raise StreamTakenOver(is_complete=is_complete)
+        self.context.possible_executions -= 1
+        self.chain_monitor = monitor
+        self.answer_watch.answer = answer
+
+    def _end_silent_attempts(self, current: EndpointAttempt) -> None:
+        """End the attempts from which the current one takes over."""
+        for attempt, chain in tuple(self.chains_in_use.items()):
+            if attempt is current:
+                continue
+            self.state.count_event('try-failed', str(Reason.TIMEOUT))
+            self.note(
+                'taken-over',
+                peer=chain.head.address,
+                by=current.peer,
+                last=self.cursor.last_number,
+            )
+            attempt.abort()
+            self._end_chain(attempt)
+
     def _exchange(
         self,
         attempt: EndpointAttempt,
@@ -165,7 +233,9 @@
             attempt, chain.head, deadline, chain, self.cursor.last_event_id
         )
         self.chain_monitor.begin(chain)
-        head = self._read_until_silent(attempt.read_head, chain)
+        head = yield from self._read_until_silent(
+            attempt, attempt.read_head, chain
+        )
         headers = decode_headers(head)
         markers = self.read_markers(chain.head, head.status_code, headers)
         if markers.not_executed:
@@ -196,18 +266,22 @@
     ) -> Iterator[bytes]:
         splitter = EventSplitter()
         while True:
-            part = self._read_until_silent(attempt.read_body_part, chain)
+            part = yield from self._read_until_silent(
+                attempt, attempt.read_body_part, chain
+            )
             if isinstance(part, BodyEnd):
                 break
             events = self._take_new_events(
                 self._split_events(splitter, part, chain), chain
             )
             if events:
+                self._end_silent_attempts(attempt)
                 self.chain_monitor.record_event()
                 self.answer_watch.record_event()
                 self._send_head(headers)
                 yield b''.join(events)
         self._check_complete(attempt, part, splitter)
+        self._end_silent_attempts(attempt)
         self.answer_watch.record_complete()
         self._send_head(headers)
 
@@ -267,23 +341,36 @@
 
     def _read_until_silent(
         self,
+        attempt: EndpointAttempt,
         read: Callable[[float], Any],
         chain: Chain,
-    ) -> Any:
-        """Read until the deadline, or until another chain can take over."""
+    ) -> Iterator[bytes]:
+        """Read until the deadline; the generator returns what was read.
+
+        Meanwhile another chain may take over, and yield parts of the body.
+        """
         check_at = self.chain_monitor.silent_at
         while True:
             try:
                 return read(min(check_at, self.context.deadline))
             except ReadTimeout:
                 now = time.monotonic()
-                check_at = now + SILENCE_RECHECK_SECONDS
-                if self._must_abandon(chain, now):
+                if self._must_abandon(attempt, now):
                     raise
+            check_at = now + SILENCE_RECHECK_SECONDS
+            if self._may_leave(chain, now):
+                yield from self._fail_over(attempt)
+
+    def _must_abandon(self, attempt: EndpointAttempt, now: float) -> bool:
+        """Return whether the time is over, or an earlier chain goes on."""
+        return now >= self.context.deadline or any(
+            other.has_input()
+            for other in self.chains_in_use
+            if other is not attempt
+        )
 
-    def _must_abandon(self, chain: Chain, now: float) -> bool:
-        if now >= self.context.deadline:
-            return True
+    def _may_leave(self, chain: Chain, now: float) -> bool:
+        """Return whether a chain is silent and another one may be tried."""
         if self.chain_monitor.is_alive(
             now, response_started=self.response_started
         ):
@@ -292,18 +379,16 @@
         return self._can_fail_over(now)
 
     def _can_fail_over(self, now: float) -> bool:
-        context = self.context
-        rule = context.rule
-        if (
-            not rule.may_repeat
-            or context.possible_executions + 1 >= rule.max_attempts
-        ):
-            return False
-        if self.response_started and not self.cursor.is_numbered:
+        """Return whether the stream may also be sent to another chain."""
+        if not self.may_repeat() or not self.is_allowed():
             return False
-        if not self.is_allowed() or not self.budget.has_remaining(now):
-            return False
-        return self.chain_choice.has_alternative(now)
+        context = self.context
+        return (
+            context.attempts < MAX_ATTEMPTS
+            and context.possible_executions + 1 < context.rule.max_attempts
+            and self.budget.has_remaining(now)
+            and self.chain_choice.has_alternative(now)
+        )
 
     def _record_silence(self, chain: Chain, now: float) -> None:
         head = chain.head
