--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -2,6 +2,7 @@
 
 import http
 import time
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -14,6 +15,7 @@
 )
 from wigeonspoke.platform.standins.replica import (
     ReceivedRequest,
+    ends_never,
     record_request,
 )
 from wigeonspoke.transport import BodyEnd
@@ -41,6 +43,7 @@
         'crash_part',
         'crashes',
         'endpoint_id',
+        'ends_under',
         'engines',
         'events',
         'fence',
@@ -49,6 +52,7 @@
         'is_draining',
         'is_full',
         'is_up',
+        'keeps_layers',
         'kind',
         'layers',
         'load_seconds',
@@ -95,7 +99,11 @@
         self.reset_at_event: int | None = None
         # Part of a prompt on which the engine ends after the first event.
         self.crash_part: str | None = None
+        # Whether the engine ends before the first event of a request.
+        self.ends_under: Callable[[ReceivedRequest], bool] = ends_never
         self.restart_seconds = 0.5
+        # Whether an engine that has ended starts again with its layers.
+        self.keeps_layers = False
         self.is_up = True
         # Requests a second that its answers name as its limit.
         self.named_limit: float | None = None
@@ -149,7 +157,8 @@
         return {'from': self.layers[0], 'to': self.layers[1], 'version': 1}
 
     def _start_again(self) -> None:
-        self.layers = None
+        if not self.keeps_layers:
+            self.layers = None
         self.orders = 0
         self.fence = 0
         self.born += 1
@@ -300,8 +309,9 @@
         connection.write(f'{head}\r\n\r\n'.encode())
 
     def _ends_under(self, received: ReceivedRequest, written: int) -> bool:
-        """End after the first event on a part that does so."""
-        if written and _has_part(received, self.crash_part):
+        """End under a request, or after the first event on a part."""
+        has_crash_part = written and _has_part(received, self.crash_part)
+        if has_crash_part or self.ends_under(received):
             self.crash()
         return not self.is_up
 
--- a/wigeonspoke/platform/standins/replica.py
+++ b/wigeonspoke/platform/standins/replica.py
@@ -3,6 +3,7 @@
 import enum
 import http
 import time
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -16,6 +17,8 @@
 
 POLL_SECONDS = 0.01
 HANG_SECONDS = 30.0
+# How long a request runs before the replica ends under it.
+RUN_BEFORE_END_SECONDS = 0.05
 
 
 @enum.unique
@@ -57,13 +60,21 @@
     """Runs each request for ``run_seconds`` and sends a signed response.
 
     ``received`` lists all requests, and ``runs`` those that were executed.
+    A replica that has ended starts again at its address, under a new id or,
+    with ``keeps_id``, under the same one.
     """
 
     __slots__ = (
+        'born',
+        'crashes',
         'endpoint_id',
+        'ends_under',
         'fault',
+        'is_up',
+        'keeps_id',
         'named_limit',
         'received',
+        'restart_seconds',
         'run_seconds',
         'runs',
         'server',
@@ -81,8 +92,16 @@
         self.endpoint_id = endpoint_id
         self.service = service
         self.zone = zone
+        self.born = 1
         self.run_seconds = run_seconds
         self.fault = ReplicaFault.NONE
+        # Whether the replica ends when it has begun to run a request.
+        self.ends_under: Callable[[ReceivedRequest], bool] = ends_never
+        self.restart_seconds = 0.5
+        self.keeps_id = False
+        self.is_up = True
+        # When the replica ended, on the monotonic clock.
+        self.crashes: list[float] = []
         # Requests a second that its answers name as its limit.
         self.named_limit: float | None = None
         self.received: list[ReceivedRequest] = []
@@ -104,9 +123,18 @@
             'slots': 6,
             'state': state,
             'sequence': 1,
-            'born': 1,
+            'born': self.born,
         }
 
+    def crash(self) -> None:
+        """End at once, and start again later at the same address."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.crashes.append(time.monotonic())
+        self.server.close()
+        eventlet.spawn_after(self.restart_seconds, self._start_again)
+
     def headers(self, request_id: str) -> dict[str, str]:
         """Return the headers of a response of this replica."""
         headers = {
@@ -117,6 +145,14 @@
             headers['Server-Limit'] = str(self.named_limit)
         return headers
 
+    def _start_again(self) -> None:
+        self.born += 1
+        if not self.keeps_id:
+            name = self.endpoint_id.partition('+')[0]
+            self.endpoint_id = f'{name}+{self.born}'
+        self.is_up = True
+        self.server.restart()
+
     def _handle(self, request: RawRequest, connection: RawConnection) -> None:
         received = record_request(request)
         self.received.append(received)
@@ -144,6 +180,10 @@
         if self.fault is ReplicaFault.HANG:
             self._run(received, connection, HANG_SECONDS)
             return
+        if self.ends_under(received):
+            self._run(received, connection, RUN_BEFORE_END_SECONDS)
+            self.crash()
+            return
         self._run(received, connection, self.run_seconds)
         self._respond(received, connection)
 
@@ -171,6 +211,11 @@
         )
 
 
+def ends_never(_received: ReceivedRequest) -> bool:
+    """Tell that an endpoint does not end under a request."""
+    return False
+
+
 def record_request(request: RawRequest) -> ReceivedRequest:
     """Return a record of a request with its time of arrival."""
     return ReceivedRequest(
--- a/wigeonspoke/platform/tests/harness.py
+++ b/wigeonspoke/platform/tests/harness.py
@@ -137,6 +137,20 @@
                     self.store.put_bytes('servers', engine.endpoint_id, entry)
             eventlet.sleep(REGISTRY_SECONDS)
 
+    def follow_replicas(self) -> None:
+        """Keep the replicas' registry entries as they are; never returns.
+
+        The entry of a replica that has ended stays until it starts again.
+        """
+        listed: dict[str, str] = {}
+        while True:
+            for replica in self.replicas:
+                if not replica.is_up:
+                    continue
+                self._follow_replica(replica, listed.get(replica.address))
+                listed[replica.address] = replica.endpoint_id
+            eventlet.sleep(REGISTRY_SECONDS)
+
     def place_layers(self) -> None:
         """Wait until both domains have a complete chain.
 
@@ -175,6 +189,17 @@
         for standin in (self.store, *self.replicas, *self.engines):
             standin.server.close()
 
+    def _follow_replica(
+        self, replica: ReplicaStandin, last_id: str | None
+    ) -> None:
+        endpoint_id = replica.endpoint_id
+        if last_id not in {None, endpoint_id}:
+            self.store.remove('servers', last_id)
+        known = self.store.rows.get(('servers', endpoint_id))
+        entry = msgspec.json.encode(replica.registry_entry())
+        if known is None or known.content != entry:
+            self.store.put_bytes('servers', endpoint_id, entry)
+
     def _settings(self) -> IngressSettings:
         return IngressSettings(
             name='node-1',
