Limit an endless response in bytes and processor time, not in wall time

Cause: the test, not the reader. The sender of an endless response gave up 2 s after the connection began, and the test then failed because the reader had not closed. A reader with a deadline of 0.5 s may still read 1 MiB after it; for chunks of 4 bytes and for empty lines it needs about 0.3 s of processor time for that. A process that gets an eighth of a processor takes more than 2 s for the same work.

Ruled out: a reader that reads on. With 6 busy processes on the one processor of the test, a read of chunks took 2.76 s, of which it had the processor for 0.40 s, and ended with a read timeout; without load three reads of each case took 0.59 to 0.85 s, all of it processor time.

Change: the sender ends only when its peer closes, or after 128 MiB, which the test refuses as before. The test counts the bytes that are received after a deadline of its own, which starts with the first read: the limit is the one that the receiver states, 1 MiB. Reading may take 2 s of processor time, the old bound without the time of other processes. This is stricter: a receiver that takes 4 MiB after the deadline passed the old test, and 4 cases of the new one fail. With a receiver that ignores the deadline while bytes arrive, 4 cases fail as well.

--- a/wigeonspoke/ingress/tests/test_endless_responses.py
+++ b/wigeonspoke/ingress/tests/test_endless_responses.py
@@ -13,17 +13,20 @@
 )
 from wigeonspoke.ingress.event_splitter import EventSplitter, EventTooLarge
 from wigeonspoke.platform.standins.raw_server import RawServer
-from wigeonspoke.transport import HttpClient, ReadTimeout
-from wigeonspoke.transport.tests.endless_sender import EndlessSender
+from wigeonspoke.transport import HttpClient, ReadTimeout, ResponseReceiver
+from wigeonspoke.transport.response_receiver import MAX_LATE_BYTES
+from wigeonspoke.transport.tests.endless_sender import (
+    MAX_SENT_BYTES,
+    EndlessSender,
+)
 
 DEADLINE_SECONDS = 0.5
 TICK_SECONDS = 0.01
 # A tenth of the ticks that fit before the deadline.
 MIN_TICKS = 5
+# Processor time of this process for one response, whatever else runs beside.
+MAX_PROCESSOR_SECONDS = 2.0
 MEGABYTE = 1048576
-# What a reader may take before it gives up, and what the buffers of both
-# sockets hold.
-MAX_SENT_BYTES = 128 * MEGABYTE
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 CHUNKED_HEAD = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -55,6 +58,44 @@
             self.ticks += 1
 
 
+class _ReceiverSpy:
+    """Notes what is received after the deadline.
+
+    The deadline is counted from the first read.  A reader has set its own
+    before, and it may pass any other to the receiver.
+    """
+
+    def __init__(self) -> None:
+        self.receive = ResponseReceiver.receive
+        self.deadline: float | None = None
+        # Sizes of the reads that began after the deadline.
+        self.late_sizes: list[int] = []
+
+    def install(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Pass each read of each receiver through this object."""
+
+        def receive(receiver, *arguments):
+            return self._receive(receiver, *arguments)
+
+        monkeypatch.setattr(ResponseReceiver, 'receive', receive)
+
+    def _receive(self, receiver: ResponseReceiver, *arguments) -> bytes:
+        now = time.monotonic()
+        if self.deadline is None:
+            self.deadline = now + DEADLINE_SECONDS
+        received = self.receive(receiver, *arguments)
+        if now > self.deadline:
+            self.late_sizes.append(len(received))
+        return received
+
+
+@pytest.fixture
+def spy(monkeypatch):
+    installed = _ReceiverSpy()
+    installed.install(monkeypatch)
+    return installed
+
+
 @pytest.fixture
 def ticker():
     started = _Ticker()
@@ -123,11 +164,16 @@
 @pytest.mark.parametrize(
     'read', [_read_stream, _read_call, _read_reply, _read_reply_lines]
 )
-def test_an_endless_response_ends_with_an_error(sender, read):
+def test_an_endless_response_ends_with_an_error(sender, read, spy):
+    started_at = time.process_time()
     assert read(sender.address) != 'complete'
+    assert time.process_time() - started_at < MAX_PROCESSOR_SECONDS
     was_closed, sent_bytes = sender.read_result()
     assert was_closed
     assert sent_bytes < MAX_SENT_BYTES
+    assert spy.deadline is not None
+    # The read that reaches the limit is the last one.
+    assert sum(spy.late_sizes[:-1]) < MAX_LATE_BYTES
 
 
 @pytest.mark.parametrize(
--- a/wigeonspoke/transport/tests/endless_sender.py
+++ b/wigeonspoke/transport/tests/endless_sender.py
@@ -7,11 +7,11 @@
 import socket
 import subprocess
 import sys
-import time
 
 RECEIVE_BYTES = 65536
-# How long it goes on if its peer does not close the connection.
-MAX_SECONDS = 2.0
+# How much it sends if its peer does not close the connection: what a reader
+# may take before it gives up, and what the buffers of both sockets hold.
+MAX_SENT_BYTES = 134217728
 CLOSED = 'closed'
 
 
@@ -51,13 +51,12 @@
     sys.stdout.write(f'{host}:{port}\n')
     sys.stdout.flush()
     connection, _ = server.accept()
-    end = time.monotonic() + MAX_SECONDS
     reason = 'gave-up'
     sent_bytes = 0
     try:
         connection.recv(RECEIVE_BYTES)
         connection.sendall(head)
-        while time.monotonic() < end:
+        while sent_bytes < MAX_SENT_BYTES:
             connection.sendall(repeated)
             sent_bytes += len(repeated)
     except OSError:
