Serve a request that has begun when the listener stops accepting

What callers saw: on a planned stop, a connection whose request lay in its socket, or whose head was not complete, was shut down; in the first case the request ran and its response was lost.

Cause: the library's server shuts down each connection that it counts as idle when its accept loop ends, up to the end of the next request line and without a look at the socket. The stop's own closing of idle connections looked, that of the library did not.

Change: connections do not count as idle at the library's server; the listener alone ends idle ones. Ruled out: to end the accept loop without its clean-up, which also marks the connections to end after their current response.

--- a/wigeonspoke/transport/server_protocol.py
+++ b/wigeonspoke/transport/server_protocol.py
@@ -7,6 +7,7 @@
 from typing import BinaryIO
 
 from eventlet.wsgi import (
+    STATE_REQUEST,
     HeaderLineTooLong,
     HeadersTooLarge,
     HttpProtocol,
@@ -101,6 +102,9 @@
         The listener ends connections that take too long for it, so that reads
         have no timeout here.
         """
+        # The server would shut down an idle connection when it stops accepting,
+        # without a look at what lies in the socket.
+        self.conn_state[2] = STATE_REQUEST
         self.client.enter(Phase.IDLE)
         self.client.request_id = ''
         self.connection.settimeout(None)
