Answer a stream once when another chain fails beside a silent one

Cause: the failure was final when no further attempt was allowed, although the silent attempt was still open. Change: it is kept as the fallback while another attempt is open. Evidence: 2 tests failed before and pass now, with those of silence and streams. Ruled out: ending the silent attempt at the failure, which may be the only one to go on.

--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -424,7 +424,9 @@
         self.note(
             'error-answer', peer=chain.head.address, status=response.status
         )
-        if not is_valid or self.may_repeat():
+        # A silent chain may still serve the stream.
+        is_last_chain = len(self.chains_in_use) == 1
+        if not is_valid or not is_last_chain or self.may_repeat():
             self.fallback = response if is_valid else self.fallback
             return False
         if self.response_started:
--- /dev/null
+++ b/wigeonspoke/platform/tests/test_answer_after_failed_failover.py
@@ -0,0 +1,61 @@
+"""A stream fails at another chain, and the silent one goes on."""
+
+import http
+
+import eventlet
+import pytest
+
+from wigeonspoke.platform.standins import EngineStandin
+from wigeonspoke.platform.tests.harness import Client
+from wigeonspoke.platform.tests.stream_requests import (
+    ALL_EVENTS,
+    event_ids,
+    head_engine,
+)
+
+
+def _silence(monkeypatch, engine, event, seconds):
+    format_token = EngineStandin._format_token
+
+    def format_late(self, number):
+        if self is engine and number == event:
+            eventlet.sleep(seconds)
+        return format_token(self, number)
+
+    monkeypatch.setattr(EngineStandin, '_format_token', format_late)
+
+
+def _answer_with_failure(monkeypatch, engine):
+    handle = EngineStandin._handle_stream
+
+    def fail(self, request, connection):
+        if self is not engine:
+            handle(self, request, connection)
+            return
+        headers = {
+            'Request-Id': request.headers['request-id'],
+            'Response-Signature': f's.{engine.endpoint_id}',
+        }
+        connection.respond(
+            http.HTTPStatus.INTERNAL_SERVER_ERROR, headers, b'failed'
+        )
+
+    monkeypatch.setattr(EngineStandin, '_handle_stream', fail)
+
+
+@pytest.mark.parametrize('seconds', [1.2, 30])
+def test_a_failure_of_the_other_chain_is_not_followed_by_a_second_answer(
+    placed_harness, monkeypatch, seconds
+):
+    _silence(monkeypatch, head_engine(placed_harness, 'one'), 1, seconds)
+    _answer_with_failure(monkeypatch, head_engine(placed_harness, 'two'))
+    client = Client(placed_harness)
+    client.send(
+        'POST', '/draft/x', 'id1', body=b'p', Model='m', Connection='close'
+    )
+    status, _, body = client.read_response()
+    rest = client.reader.read()
+    assert rest == b''
+    if seconds < 2:
+        assert status == 200
+        assert event_ids(body) == ALL_EVENTS
