Do not take a slow but steady reader for one that stopped

What callers saw: a client that reads a large response slowly but without a pause was cut after one write limit, found by a review of the limits by phase.

Cause: the kernel reports a connection as writable again only when a third of its send buffer is free, which grows to megabytes, so that one write waited for longer than the client ever paused. Change: a send buffer of 256 KiB for each connection of a client; the limit of 30 s then ends readers below some 6 kB a second (computed, not run).

--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -32,6 +32,9 @@
 
 CLOSED_SOCKET_ERRORS = frozenset((errno.EBADF, errno.EINVAL))
 LIMIT_CHECK_SECONDS = 0.5
+# The kernel reports a connection as writable again when a third of its buffer
+# is free.  A large buffer would make a slow reader look like one that stopped.
+SEND_BUFFER_BYTES = 262144
 
 
 class ResponseAborted(Exception):
@@ -195,6 +198,9 @@
     def _serve_connection(self, state: list, server: Server) -> None:
         connection = state[1]
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         client = ClientConnection(self.limits)
         self.open_connections[connection] = client
         server.listener = self
--- a/wigeonspoke/transport/tests/test_lost_in_a_phase.py
+++ b/wigeonspoke/transport/tests/test_lost_in_a_phase.py
@@ -88,6 +88,8 @@
 def test_a_head_that_is_never_complete_leaves_no_descriptor(leave):
     limits = ListenerLimits(head_seconds=SHORT_SECONDS)
     listener = HttpListener(_answer, limits=limits)
+    # Connections of other tests have ended by then.
+    eventlet.sleep(SHORT_SECONDS)
     before = len(os.listdir('/proc/self/fd'))
     clients = [_open(listener, HEAD % b'part') for _ in range(20)]
     eventlet.sleep(SHORT_SECONDS / 2)
@@ -97,3 +99,22 @@
     after = len(os.listdir('/proc/self/fd'))
     listener.abort()
     assert after == before
+
+
+def test_a_client_that_reads_slowly_but_steadily_gets_the_whole_response():
+    """It reads 20 kB in each 50 ms, and may pause for twenty times that."""
+
+    def application(environ, start_response):
+        return _answer(environ, start_response, LARGE_BYTES)
+
+    ends = []
+    limits = ListenerLimits(write_seconds=1.0)
+    listener = HttpListener(application, limits=limits, on_end=ends.append)
+    client = _open(listener, LAST_HEAD % b'large')
+    for _ in range(60):
+        eventlet.sleep(0.05)
+        client.recv(20000)
+    problems = [end.cause for end in ends]
+    client.close()
+    listener.abort()
+    assert not problems
