Ask for a chunked body that waits for 100 Continue

What callers saw: a client that sends Expect: 100-continue with a chunked body was not asked for it, and got 408 if it did not send it unasked. Cause: chunked bodies are read beside the library's input, which sends 100 Continue. Evidence: the test failed before and passes now.

--- a/wigeonspoke/transport/request_body.py
+++ b/wigeonspoke/transport/request_body.py
@@ -41,6 +41,9 @@
 
 def _read_body(source: Input, max_bytes: int) -> bytes:
     if source.chunked_input:
+        if source.should_send_hundred_continue:
+            source.send_hundred_continue_response()
+            source.is_hundred_continue_response_sent = True
         # Prevents eventlet from reading a remainder of the body itself.
         source.chunk_length = 0
         return _read_chunked(source.rfile, max_bytes)
--- a/wigeonspoke/transport/tests/test_lost_in_a_phase.py
+++ b/wigeonspoke/transport/tests/test_lost_in_a_phase.py
@@ -118,3 +118,17 @@
     client.close()
     listener.abort()
     assert not problems
+
+
+def test_a_chunked_body_that_waits_for_leave_to_come_is_read():
+    limits = ListenerLimits(body_seconds=SHORT_SECONDS)
+    listener = HttpListener(_answer, limits=limits)
+    head = (
+        b'POST /x HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+    )
+    client = _open(listener, head)
+    response = client.recv(1000)
+    client.close()
+    listener.abort()
+    assert response.startswith(b'HTTP/1.1 100')
