Keep a way out for a stream that waits for a silent chain

What callers saw: a stream was cut although one of its chains would have served it. The chain that it was also sent to, and left when the silent one went on, counted as failed, so that nothing remained when the silent one broke after all; and a full chain was asked again each 30 ms, which used up all attempts within 0.2 s.

Cause: the state of a failover that had no effect stayed. Change: a chain that was only left may be used again; a chain is tried again after 0.3 s; the last attempt is kept for the case that the silent chain breaks. Found by a review of the failover. Ruled out: to read both chains at once, which needs the events of two runs to be told apart.

--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -46,6 +46,8 @@
 from wigeonspoke.transport import BodyEnd, ReadTimeout, ResponseAborted
 
 SILENCE_RECHECK_SECONDS = 0.03
+# How long to wait for a silent chain before another one is tried again.
+FAILOVER_RETRY_SECONDS = 0.3
 # A broken chain takes some seconds to become complete again.  The random
 # part keeps clients from all returning at once and filling it.
 NO_CHAIN_RETRY_AFTER_SECONDS = 1.2
@@ -177,6 +179,9 @@
         except ReadTimeout:
             attempt.abort()
             self._record_error(chain, timeout_error(attempt, 'stream'))
+            # It was left for an earlier chain that went on, or the time is
+            # over.
+            self.chain_choice.excluded.difference_update(chain.endpoint_ids)
             return False
         finally:
             self._end_chain(attempt)
@@ -360,6 +365,7 @@
             check_at = now + SILENCE_RECHECK_SECONDS
             if self._may_leave(chain, now):
                 yield from self._fail_over(attempt)
+                check_at = time.monotonic() + FAILOVER_RETRY_SECONDS
 
     def _must_abandon(self, attempt: EndpointAttempt, now: float) -> bool:
         """Return whether the time is over, or an earlier chain goes on."""
@@ -383,8 +389,9 @@
         if not self.may_repeat() or not self.is_allowed():
             return False
         context = self.context
+        # The last attempt is left for the case that the silent chain breaks.
         return (
-            context.attempts < MAX_ATTEMPTS
+            context.attempts + 1 < MAX_ATTEMPTS
             and context.possible_executions + 1 < context.rule.max_attempts
             and self.budget.has_remaining(now)
             and self.chain_choice.has_alternative(now)
