Tell for how long a connection was quiet when a limit ended it

The time was 0 for idle connections and clients that do not read, since closing them counted as progress; a timeout that the application raised before its response was recorded as a regular end. No other behaviour is changed.

--- a/wigeonspoke/transport/client_connection.py
+++ b/wigeonspoke/transport/client_connection.py
@@ -111,7 +111,8 @@
 
     def record_progress(self) -> None:
         """Record that a part of the response was sent."""
-        self.since = time.monotonic()
+        if self.phase is Phase.WRITING and self.cause is None:
+            self.since = time.monotonic()
 
     def end(self, cause: EndCause, problem: str = '') -> None:
         """Record why the connection ends."""
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -183,7 +183,7 @@
         )
         try:
             body = self.application(environ, begin_response)
-        except Exception:
+        except (Exception, eventlet.Timeout):
             client.end(EndCause.ERROR, traceback.format_exc())
             raise
         # The server derives a length from a body that has one.
--- a/wigeonspoke/transport/tests/test_connection_ends.py
+++ b/wigeonspoke/transport/tests/test_connection_ends.py
@@ -33,6 +33,8 @@
     read_request_body(environ, 100)
     if path == '/broken':
         raise ValueError('an error before the response')
+    if path == '/late':
+        raise eventlet.Timeout(0)
     if path == '/slow':
         eventlet.sleep(3 * SHORT_SECONDS)
     start_response('200 OK', [])
@@ -84,6 +86,7 @@
         (HEAD % b'part', 'head', 'limit'),
         (b'no request\r\n\r\n', 'head', 'rejected'),
         (HEAD % b'broken' + b'\r\n', 'waiting', 'error'),
+        (HEAD % b'late' + b'\r\n', 'waiting', 'error'),
         (HEAD % b'abort' + b'\r\n', 'writing', 'aborted'),
         (HEAD % b'fail' + b'\r\n', 'writing', 'error'),
         (HEAD % b'end' + b'Connection: close\r\n\r\n', 'writing', 'complete'),
@@ -97,6 +100,8 @@
     client.close()
     assert (end.phase, end.cause) == (phase, cause)
     assert end.is_regular == (cause == 'complete')
+    if cause == 'limit':
+        assert end.quiet_seconds >= SHORT_SECONDS
 
 
 @pytest.mark.parametrize(
@@ -126,6 +131,7 @@
     assert (end.phase, end.cause) == ('writing', 'limit')
     assert end.request_id == 'endless'
     assert end.limit_seconds == pytest.approx(SHORT_SECONDS)
+    assert end.quiet_seconds >= SHORT_SECONDS
 
 
 def test_a_stop_ends_idle_connections_only(listener, ends):
@@ -149,7 +155,7 @@
     def pause():
         """Let no other greenlet run, as if the process were suspended."""
         eventlet.patcher.original('time').sleep(2 * SHORT_SECONDS)
-        idle.sendall(HEAD % b'late' + b'\r\n')
+        idle.sendall(HEAD % b'next' + b'\r\n')
 
     def application(environ, start_response):
         if environ['PATH_INFO'] == '/pause':
@@ -174,7 +180,7 @@
 def test_a_stop_serves_a_request_that_was_not_read_yet(listener):
     client = _open(listener, b'')
     eventlet.sleep(SHORT_SECONDS / 4)
-    client.sendall(HEAD % b'late' + b'\r\n')
+    client.sendall(HEAD % b'next' + b'\r\n')
     listener.is_stopping = True
     listener.close_idle()
     with client:
