Look for a silent chain that goes on as often beside another one

A stream that was also sent to another chain saw only at that chain's own time of silence, half the target latency, that the first one went on; found by a review: 0.9 s of silence became a pause of 1.67 s with a target of 3 s. Evidence: tests of silence, failovers and streams pass; the pause itself has no test.

--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -354,18 +354,35 @@
 
         Meanwhile another chain may take over, and yield parts of the body.
         """
-        check_at = self.chain_monitor.silent_at
+        silent_at = self.chain_monitor.silent_at
         while True:
             try:
-                return read(min(check_at, self.context.deadline))
+                return read(self._next_check_at(silent_at))
             except ReadTimeout:
-                now = time.monotonic()
-                if self._must_abandon(attempt, now):
+                if self._must_abandon(attempt, time.monotonic()):
                     raise
-            check_at = now + SILENCE_RECHECK_SECONDS
-            if self._may_leave(chain, now):
-                yield from self._fail_over(attempt)
-                check_at = time.monotonic() + FAILOVER_RETRY_SECONDS
+            if time.monotonic() >= silent_at:
+                silent_at = yield from self._check_silence(attempt, chain)
+
+    def _check_silence(
+        self, attempt: EndpointAttempt, chain: Chain
+    ) -> Iterator[bytes]:
+        """Try another chain if this one is silent.
+
+        The generator returns when to check again.
+        """
+        now = time.monotonic()
+        if not self._may_leave(chain, now):
+            return now + SILENCE_RECHECK_SECONDS
+        yield from self._fail_over(attempt)
+        return time.monotonic() + FAILOVER_RETRY_SECONDS
+
+    def _next_check_at(self, silent_at: float) -> float:
+        """Return until when to read, sooner while another attempt is open."""
+        check_at = min(silent_at, self.context.deadline)
+        if len(self.chains_in_use) == 1:
+            return check_at
+        return min(check_at, time.monotonic() + SILENCE_RECHECK_SECONDS)
 
     def _must_abandon(self, attempt: EndpointAttempt, now: float) -> bool:
         """Return whether the time is over, or an earlier chain goes on."""
