Know a whole request by a digest in the quarantine

Cause: evidence of crashes is kept by parts of prompts only. A request to an application has no parts, so that nothing is known of it when it comes again with the same path, caller and body: three replicas ended under one, and it was sent on to replicas 9 and 7 times more.

Change: a whole request is one more key of the registry, a 128-bit BLAKE2b digest of service, method, target, client account and body, each with its length. Three crashes quarantine it, whether or not it was served before and however close they are: all replicas of a small service may end at one moment, and its trial comes about when they are back. A trial that reached a replica without a sound answer puts off the next one as a crash does, so that three requests are tried within hours. Keys of requests are not recorded as served, and are limited and told in gossip apart from parts; of both, the strongest evidence is told first, so that fresh suspicions hide neither a quarantine nor its end. An attempt that breaks counts as one crash, also if several engines of its chain end.

Ruled out: a key with the parts of the prompt in it, since the same request is told by path, caller and body alone; whole requests as companions of parts, which would put off the quarantine of a part that one client repeats.

--- a/wigeonspoke/core/quarantine/__init__.py
+++ b/wigeonspoke/core/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of the parts of prompts under which engines end."""
+"""Quarantine of parts of prompts, and of requests, under which replicas end."""
 
 from wigeonspoke.core.quarantine.beginnings import (
     BEGINNING_SECONDS,
@@ -11,6 +11,10 @@
     Refusal,
 )
 from wigeonspoke.core.quarantine.registry import PartRegistry
+from wigeonspoke.core.quarantine.request_key import (
+    is_request_key,
+    request_key,
+)
 from wigeonspoke.core.quarantine.sound_parts import SoundParts
 from wigeonspoke.core.quarantine.suspicion import PartSuspicion
 
@@ -24,4 +28,6 @@
     'PartSuspicion',
     'Refusal',
     'SoundParts',
+    'is_request_key',
+    'request_key',
 )
--- a/wigeonspoke/core/quarantine/beginnings.py
+++ b/wigeonspoke/core/quarantine/beginnings.py
@@ -4,6 +4,8 @@
 engine that ends breaks all its streams, but only those in their beginning can
 be the cause.  Whether an engine has ended is known some time after its
 streams broke, and a connection breaks for many other reasons.
+
+The answer to a call comes in one piece: any that is complete went well.
 """
 
 from collections.abc import Callable
@@ -80,6 +82,13 @@
         if not answer.has_begun_well and answer.parts:
             self.complete = [*self.complete, answer][-MAX_ANSWERS:]
 
+    def record_whole(self, answer: Answer, now: float) -> None:
+        """Record a complete answer that did not come event by event."""
+        answer.ended_at = now
+        answer.has_begun_well = True
+        if answer.parts:
+            self.on_sound(answer, now)
+
     def record_broken(self, answer: Answer, now: float) -> None:
         """Record that the connection of an answer broke."""
         answer.ended_at = now
@@ -88,8 +97,10 @@
         ended = answer.engines & self.ended_engines.keys()
         if not ended:
             self.broken = [*self.broken, answer][-MAX_ANSWERS:]
-        for engine in ended:
-            self.on_crash(answer, engine, self.ended_engines[engine])
+            return
+        # An answer breaks once, also if several engines of its chain end.
+        engine = min(ended, key=lambda one: (self.ended_engines[one], one))
+        self.on_crash(answer, engine, self.ended_engines[engine])
 
     def record_engine_end(self, engine: str, now: float) -> tuple[Answer, ...]:
         """Record that an engine has ended; return the answers it broke."""
--- a/wigeonspoke/core/quarantine/suspicion.py
+++ b/wigeonspoke/core/quarantine/suspicion.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from wigeonspoke.core.quarantine.records import CrashReport, PartReport
+from wigeonspoke.core.quarantine.request_key import is_request_key
 
 # Engines that must have ended under a part before requests with it are
 # refused.  Fewer would also condemn a part that was unlucky once or twice.
@@ -56,13 +57,16 @@
     with the same result.  ``crashes`` is keyed by the start of the engine, so
     that a crash seen by several nodes counts once.  A crash counts only if no
     answer with the part went well after it.  ``is_confirmed`` is whether this
-    node or another one has found the evidence sufficient.
+    node or another one has found the evidence sufficient.  ``cleared_crashes``
+    is how many crashes the last sound answer has cleared.
     """
 
     __slots__ = (
+        'cleared_crashes',
         'crashes',
         'failed_trials',
         'is_confirmed',
+        'is_request',
         'part',
         'sound_at',
         'trial_at',
@@ -70,6 +74,8 @@
 
     def __init__(self, part: str) -> None:
         self.part = part
+        self.is_request = is_request_key(part)
+        self.cleared_crashes = 0
         self.crashes: dict[str, PartCrash] = {}
         self.sound_at = -math.inf
         self.trial_at = -math.inf
@@ -88,6 +94,7 @@
         if at <= self.sound_at or not self._make_room(at):
             return False
         self.crashes[engine] = PartCrash(at, companions)
+        self.cleared_crashes = 0
         if 0 <= at - self.trial_at <= TRIAL_RESULT_SECONDS:
             self.failed_trials += 1
         return True
@@ -105,14 +112,31 @@
         }
         is_cleared = len(self.crashes) < count
         if is_cleared:
+            self.cleared_crashes = count
             self.is_confirmed = False
             self.failed_trials = 0
         return is_cleared
 
-    def drop_companion(self, part: str) -> None:
-        """Stop regarding a part as a possible cause: it was served well."""
+    def add_failed_trial(self) -> bool:
+        """Add a trial without a sound answer; return whether it is news.
+
+        One under which an engine ended has been added with its crash.
+        """
+        if not self.crashes or self.last_crash_at >= self.trial_at:
+            return False
+        self.failed_trials += 1
+        return True
+
+    def drop_companions(self, parts: frozenset[str]) -> None:
+        """Stop regarding parts as possible causes: they were served well."""
         for crash in self.crashes.values():
-            crash.companions -= {part}
+            if not crash.companions.isdisjoint(parts):
+                crash.companions -= parts
+
+    @property
+    def strength(self) -> int:
+        """How much there is to tell: crashes that count, or were cleared."""
+        return max(len(self.crashes), self.cleared_crashes)
 
     @property
     def companions(self) -> frozenset[str]:
@@ -128,7 +152,14 @@
         )
 
     def has_enough_crashes(self, *, was_sound: bool) -> bool:
-        """Return whether the crashes are too many to be bad luck."""
+        """Return whether the crashes are too many to be bad luck.
+
+        A whole request is released by its trial about as soon as a service
+        whose replicas ended at one moment is back, so that the time between
+        its crashes does not matter.
+        """
+        if self.is_request:
+            return len(self.crashes) >= CRASHES_TO_QUARANTINE
         needed = CRASHES_TO_QUARANTINE
         if was_sound:
             needed = CRASHES_TO_QUARANTINE_SOUND_PART
