Refuse a whole request under which replicas end

Cause: a request that ends the replica that runs it was sent on to the next one, and nothing that a node learned of it concerned the next attempt of its client or another node.

Change: calls and streams carry the key of the whole request, computed only when an attempt broke or while some request of the service is suspected. Evidence is a connection that the peer ended after the request was sent, and the end of this start: refused connections, a later start under its id, its address under another id, or another id that answers there. A replica is asked by a connection after a break, as seldom as engines are probed, later if that would be too early and at once if the request stands in an earlier crash. A call that ended its replica is not sent on, nor is a stream that stands in an earlier crash. Refused requests get 503 and the time of the next trial. A trial reaches one replica; it comes 1 to 2 s after the last crash, and the next one of the service may follow as soon as an answer went well. The first trial that shows nothing is let pass, since chains change while engines start again; later ones count as failed.

Ruled out: a reset as evidence; a short complete answer as a crash of the whole request, which held sound streams beside crashes; counting each trial without a result, which refused sound streams for a minute after a chain that had changed.

Tests: the first response to a stopped request is now read just after the crashes of all kinds, since it came seconds later for the last kind, when a trial may be due; what is asserted is the same.

Remains: a sound request that comes only to a node without the store is not tried; sound requests that stand in three crashes without an answer between are refused until their trial; two nodes may each let one vain trial pass.

--- a/wigeonspoke/core/quarantine/registry.py
+++ b/wigeonspoke/core/quarantine/registry.py
@@ -199,10 +199,14 @@
         )
 
     def may_try(self, part: str, now: float) -> bool:
-        """Return whether no other part of the service is being tried."""
+        """Return whether no other part of the service is being tried.
+
+        A trial is over when an answer went well.
+        """
         service = service_of(part)
         return not any(
-            now - other.trial_at < TRIAL_INTERVAL_SECONDS
+            other.sound_at < other.trial_at
+            and now - other.trial_at < TRIAL_INTERVAL_SECONDS
             for other in self.suspicions.values()
             if other.part != part and other.part.startswith(f'{service}/')
         )
--- a/wigeonspoke/core/quarantine/suspicion.py
+++ b/wigeonspoke/core/quarantine/suspicion.py
@@ -22,6 +22,10 @@
 # others, so that one trial does not end the engine of another.
 FIRST_TRIAL_SECONDS = 2.0
 FIRST_TRIAL_SPREAD_SECONDS = 2.0
+# The same for a whole request.  Several innocent ones may stand in the crashes
+# of a small service, and are tried one after the other.
+FIRST_REQUEST_TRIAL_SECONDS = 1.0
+FIRST_REQUEST_TRIAL_SPREAD_SECONDS = 1.0
 # The same after an engine has ended under a trial, and what it grows by with
 # each further one.
 NEXT_TRIAL_SECONDS = 60.0
@@ -65,6 +69,7 @@
         'cleared_crashes',
         'crashes',
         'failed_trials',
+        'had_vain_trial',
         'is_confirmed',
         'is_request',
         'part',
@@ -80,6 +85,8 @@
         self.sound_at = -math.inf
         self.trial_at = -math.inf
         self.failed_trials = 0
+        # Whether a trial at this node has shown nothing.
+        self.had_vain_trial = False
         self.is_confirmed = False
 
     def add_crash(
@@ -115,15 +122,21 @@
             self.cleared_crashes = count
             self.is_confirmed = False
             self.failed_trials = 0
+            self.had_vain_trial = False
         return is_cleared
 
     def add_failed_trial(self) -> bool:
         """Add a trial without a sound answer; return whether it is news.
 
-        One under which an engine ended has been added with its crash.
+        One under which an engine ended has been added with its crash.  A first
+        one that showed nothing is let pass, since chains and addresses change
+        while endpoints start again.
         """
         if not self.crashes or self.last_crash_at >= self.trial_at:
             return False
+        if not self.failed_trials and not self.had_vain_trial:
+            self.had_vain_trial = True
+            return False
         self.failed_trials += 1
         return True
 
@@ -210,6 +223,9 @@
     def _trial_wait(self) -> float:
         if not self.failed_trials:
             share = zlib.crc32(self.part.encode()) / CHECKSUM_VALUES
+            if self.is_request:
+                spread = FIRST_REQUEST_TRIAL_SPREAD_SECONDS * share
+                return FIRST_REQUEST_TRIAL_SECONDS + spread
             return FIRST_TRIAL_SECONDS + FIRST_TRIAL_SPREAD_SECONDS * share
         growth = TRIAL_FACTOR ** (self.failed_trials - 1)
         return min(MAX_TRIAL_SECONDS, NEXT_TRIAL_SECONDS * growth)
--- a/wigeonspoke/core/tests/test_quarantined_requests.py
+++ b/wigeonspoke/core/tests/test_quarantined_requests.py
@@ -175,6 +175,11 @@
     return _registry_after([(at, f'r{at}', (BAD,)) for at in range(3)])
 
 
+def test_the_first_trial_comes_soon():
+    registry = _quarantined_registry()
+    assert 1 <= registry.find_refusal((BAD,), 2.0).retry_after <= 2
+
+
 def test_at_most_three_requests_are_tried_within_hours():
     registry = _quarantined_registry()
     tried_at = []
@@ -195,14 +200,25 @@
 
 def test_a_trial_without_a_result_is_told_to_other_nodes():
     registry = _quarantined_registry()
-    registry.suspicions[BAD].trial_at = 5.0
-    registry.record_failed_trial(BAD)
+    for trial_at in (4.0, 5.0):
+        registry.suspicions[BAD].trial_at = trial_at
+        registry.record_failed_trial(BAD)
     other = PartRegistry()
     for report in registry.reports(5.0):
         other.merge(report, 5.0)
     assert other.find_refusal((BAD,), 5.0).retry_after == pytest.approx(60)
 
 
+def test_only_the_first_trial_that_shows_nothing_is_let_pass():
+    registry = _quarantined_registry()
+    registry.suspicions[BAD].trial_at = 4.0
+    assert not registry.record_failed_trial(BAD)
+    assert registry.find_refusal((BAD,), 4.0).retry_after <= 2
+    registry.suspicions[BAD].trial_at = 6.0
+    assert registry.record_failed_trial(BAD)
+    assert registry.find_refusal((BAD,), 6.0).retry_after == pytest.approx(60)
+
+
 def test_a_failed_trial_of_a_cleared_request_counts_nothing():
     registry = _quarantined_registry()
     registry.suspicions[BAD].trial_at = 5.0
--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -7,16 +7,20 @@
 
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.ingress.answer_watch import ClaimTrial
 from wigeonspoke.ingress.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
 )
+from wigeonspoke.ingress.prober import Prober
 from wigeonspoke.ingress.protocols import ResponseMarkers
 from wigeonspoke.ingress.request_handler import (
     REFUSED_RETRY_AFTER_SECONDS,
     RequestContext,
     RequestHandler,
     invalid_response_error,
+    refusal_reason,
+    refusal_retry_after,
     timeout_error,
 )
 from wigeonspoke.ingress.responses import EndpointResponse, NodeResponse
@@ -35,8 +39,14 @@
 
     __slots__ = ('excluded', 'fallback')
 
-    def __init__(self, state: IngressState, context: RequestContext) -> None:
-        super().__init__(state, context)
+    def __init__(
+        self,
+        state: IngressState,
+        context: RequestContext,
+        prober: Prober,
+        claim_trial: ClaimTrial,
+    ) -> None:
+        super().__init__(state, context, prober, claim_trial)
         self.excluded: set[str] = set()
         # Error response of the application, returned if no later attempt
         # succeeds.
@@ -44,30 +54,58 @@
 
     def serve(self) -> EndpointResponse | NodeResponse:
         """Run the call and return the final response."""
+        response = self._try_replicas()
+        self.end_trial()
+        return response or self.fallback or self._node_response()
+
+    def _try_replicas(self) -> EndpointResponse | None:
+        """Try replicas; return the response if one of them is final."""
         while self.may_attempt(MAX_ATTEMPTS):
             now = time.monotonic()
-            replica = self.state.replicas.select(
-                self.service,
-                self.excluded,
-                now,
-            )
+            replica = self._choose_replica(now)
             if replica is None or not self.reserve_attempt(now):
                 break
             response = self._attempt(replica)
             if response is not None:
                 return response
-        return self.fallback or self._node_response()
+        return None
+
+    def _choose_replica(self, now: float) -> Endpoint | None:
+        """Return a replica to try, None if the request must not be sent."""
+        replica = self.state.replicas.select(
+            self.service,
+            self.excluded | self._ended_replicas(),
+            now,
+        )
+        if self.is_refused(can_be_sent=replica is not None):
+            return None
+        return replica
+
+    def _ended_replicas(self) -> set[str]:
+        """Return replicas that have ended, for a request that is suspected.
+
+        Other requests may try them as well, since another start may have taken
+        over the address.  A suspected one reaches as few replicas as possible.
+        """
+        if not self.answer_watch.is_suspected():
+            return set()
+        return {
+            replica.endpoint_id
+            for replica in self.state.fleet.of_service(self.service)
+            if self.answer_watch.has_ended(replica)
+        }
 
     def _attempt(self, replica: Endpoint) -> EndpointResponse | None:
         """Try a replica; return its response if that is final."""
         self.excluded.add(replica.endpoint_id)
         started_at = time.monotonic()
         attempt = self.begin_attempt(replica.address)
+        self.answer_watch.begin((replica,))
         self.state.replicas.begin(replica)
         try:
             response, markers = self._exchange(attempt, replica)
         except AttemptError as error:
-            self._record_error(replica, error.error)
+            self._record_break(replica, attempt, error)
             return None
         except ReadTimeout:
             attempt.abort()
@@ -128,6 +166,8 @@
     ) -> EndpointResponse | None:
         now = time.monotonic()
         if markers.not_executed:
+            if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+                self.prober.record_replaced(replica)
             self._record_error(
                 replica,
                 StepError(
@@ -142,6 +182,8 @@
             self._record_error(replica, invalid_response_error(replica.address))
             return None
         self.context.possible_executions += 1
+        if markers.is_signed:
+            self.answer_watch.record_whole()
         if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
             self.state.replicas.record_error_response(replica)
             self.note(
@@ -159,13 +201,50 @@
             else:
                 now = time.monotonic()
                 self.state.replicas.record_failure(replica, error.reason, now)
-        self.record_failure(replica, error)
+        self.record_failure(
+            replica,
+            error,
+            born=replica.born,
+            key=self.answer_watch.request_key,
+            **self.answer_watch.describe_progress(),
+        )
+
+    def _record_break(
+        self,
+        replica: Endpoint,
+        attempt: EndpointAttempt,
+        error: AttemptError,
+    ) -> None:
+        """Record an attempt that failed, and whether its replica has ended.
+
+        A connection also breaks for other reasons, so that the check of the
+        replica is awaited before the request is sent to another one, and
+        before its client can send it again.
+        """
+        if error.is_refused:
+            self.prober.record_refused_connection(replica)
+        if attempt.is_ended_by_peer:
+            self.answer_watch.record_broken()
+        self._record_error(replica, error.error)
+        if attempt.is_ended_by_peer:
+            is_urgent = self.answer_watch.stands_in_earlier_crash()
+            self.prober.check_after_break(replica, is_urgent=is_urgent)
+            self.prober.wait_for_probe(replica)
+            self.has_ended_endpoint = self.answer_watch.has_ended(replica)
 
     def _node_response(self) -> NodeResponse:
+        if self.refusal is not None:
+            self.note_refusal(self.refusal)
         if self.context.possible_executions:
             if time.monotonic() >= self.context.deadline:
                 return NodeResponse(http.HTTPStatus.GATEWAY_TIMEOUT, 'timeout')
             return NodeResponse(http.HTTPStatus.BAD_GATEWAY, 'outcome-unknown')
+        if self.refusal is not None:
+            return NodeResponse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                refusal_reason(self.refusal),
+                refusal_retry_after(self.refusal),
+            )
         reason = self.last_error.reason if self.last_error else 'no-endpoint'
         return NodeResponse(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -50,6 +50,11 @@
         super().__init__(error.describe())
         self.error = error
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether no process listens at the address of the endpoint."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class EndpointAttempt:
     """Sends a request to an endpoint and reads its response.
@@ -63,6 +68,7 @@
         'body_end',
         'chunks',
         'is_aborted',
+        'is_ended_by_peer',
         'keep_alive_seconds',
         'may_have_executed',
         'parser',
@@ -93,6 +99,8 @@
         self.send_failed = False
         self.may_have_executed = False
         self.is_aborted = False
+        # Whether the peer was seen to end the connection.
+        self.is_ended_by_peer = False
 
     def connect(self, seconds: float) -> None:
         """Open a connection, or take an idle one from the pool."""
@@ -257,13 +265,16 @@
 
     def _receive(self, deadline: float) -> bytes:
         try:
-            return self.receiver.receive(deadline)
+            received = self.receiver.receive(deadline)
         except ReadTimeout:
             raise
         except ResponseTooLarge as error:
             raise self._error(Reason.TOO_LARGE, 'answer') from error
         except OSError as error:
+            self.is_ended_by_peer = not self.is_aborted
             raise self._error(Reason.RESET, 'answer') from error
+        self.is_ended_by_peer = not received and not self.is_aborted
+        return received
 
     def _send_all(self, payload: bytes) -> None:
         # An endpoint may respond before it has read the body and then reset
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -155,7 +155,9 @@
                 )
                 yield from stream_handler.serve(start_response)
             else:
-                response = CallHandler(self.state, context).serve()
+                response = CallHandler(
+                    self.state, context, self.prober, self.claim_trial
+                ).serve()
                 yield from self._respond(
                     context.request, response, start_response
                 )
--- a/wigeonspoke/ingress/part_watch.py
+++ b/wigeonspoke/ingress/part_watch.py
@@ -1,4 +1,4 @@
-"""What this node sees of the parts under which engines end."""
+"""What this node sees of the parts and requests under which replicas end."""
 
 import time
 from collections.abc import Callable
@@ -14,19 +14,45 @@
 from wigeonspoke.decisions import DecisionLog
 
 
+# Addresses at which answers broke of which the start is remembered.
+MAX_BROKEN_ADDRESSES = 256
+
+
 class PartWatch:
     """Records how answers begin, and logs what follows for their parts.
 
     ``on_news`` is called when peers should hear of new evidence at once.
     """
 
-    __slots__ = ('beginnings', 'log', 'on_news', 'registry')
+    __slots__ = ('beginnings', 'broken_at', 'log', 'on_news', 'registry')
 
     def __init__(self, log: DecisionLog, on_news: Callable[[], None]) -> None:
         self.log = log
         self.on_news = on_news
         self.registry = PartRegistry()
         self.beginnings = BeginningTracker(self._record_crash, self._clear)
+        # The last endpoint at which an answer broke, by address.
+        self.broken_at: dict[str, Endpoint] = {}
+
+    def record_break_at(self, endpoint: Endpoint) -> None:
+        """Remember at which start of an endpoint an answer broke."""
+        self.broken_at.pop(endpoint.address, None)
+        self.broken_at[endpoint.address] = endpoint
+        if len(self.broken_at) > MAX_BROKEN_ADDRESSES:
+            self.broken_at.pop(next(iter(self.broken_at)))
+
+    def record_listed(self, endpoint: Endpoint) -> None:
+        """Record an entry of the registry.
+
+        One of another start proves that the start at its address before it has
+        ended.
+        """
+        before = self.broken_at.get(endpoint.address)
+        if before is None or before.start_id == endpoint.start_id:
+            return
+        if endpoint.born >= before.born:
+            self.broken_at.pop(endpoint.address)
+            self.record_engine_end(before, 'address used again')
 
     def record_engine_end(self, endpoint: Endpoint, evidence: str) -> None:
         """Record that this start of an engine has ended."""
@@ -69,6 +95,12 @@
             self._log_evidence(suspicion, source, was_confirmed)
         return True
 
+    def record_failed_trial(self, key: str) -> None:
+        """Record that a trial had no sound answer."""
+        if self.registry.record_failed_trial(key):
+            self.log.write('part-trial-failed', part=key)
+            self.on_news()
+
     def _record_crash(self, answer: Answer, engine: str, at: float) -> None:
         changed = self.registry.record_crash(answer.parts, engine, at)
         for suspicion in changed:
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -1,4 +1,4 @@
-"""Probing of engines that may have failed."""
+"""Probing of engines that may have failed, and of replicas that broke off."""
 
 import time
 
@@ -7,22 +7,27 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.ingress.endpoint_attempt import AttemptError, EndpointAttempt
 from wigeonspoke.ingress.protocols import (
     EngineControl,
     EngineFailure,
     EngineState,
 )
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.transport import peek
 
 PROBE_TIMEOUT_SECONDS = 0.25
 PROBE_ATTEMPTS = 2
 PROBE_POLL_SECONDS = 0.005
+# Time until a new connection is looked at again.
+SECOND_LOOK_SECONDS = 0.01
 MIN_PROBE_INTERVAL_SECONDS = 0.5
 ROUND_SECONDS = 0.25
 # An engine with a smaller fraction of free memory than this refuses work for
 # lack of memory, not because it is shutting down.
 FULL_MEMORY_FRACTION = 0.15
 REFUSED = 'refused'
+REFUSES_CONNECTIONS = 'refuses connections'
 
 
 class Prober:
@@ -59,6 +64,39 @@
                     self._probe, endpoint, reason
                 )
 
+    def check_after_break(
+        self, endpoint: Endpoint, *, is_urgent: bool = False
+    ) -> None:
+        """Find out whether an endpoint has ended after an answer of it broke.
+
+        It is asked as seldom as in other probes.  A check that would be too
+        early is made later, since the endpoint may have ended after the last
+        one, or at once if it ``is_urgent``.
+        """
+        if self._is_known(endpoint):
+            return
+        now = time.monotonic()
+        last = self.probed_at.get(endpoint.endpoint_id, 0)
+        wait_seconds = last + MIN_PROBE_INTERVAL_SECONDS - now
+        if wait_seconds <= 0 or is_urgent:
+            self.probed_at[endpoint.endpoint_id] = now
+            self.probes[endpoint.endpoint_id] = eventlet.spawn(
+                self._check_connection, endpoint
+            )
+        elif last <= now:
+            self.probed_at[endpoint.endpoint_id] = now + wait_seconds
+            eventlet.spawn_after(wait_seconds, self._check_connection, endpoint)
+
+    def record_refused_connection(self, endpoint: Endpoint) -> None:
+        """Record that nothing listens at the address of an endpoint."""
+        if not self.state.part_watch.has_ended(endpoint):
+            self._record_end(endpoint, REFUSES_CONNECTIONS)
+
+    def record_replaced(self, endpoint: Endpoint) -> None:
+        """Record that another endpoint answers at the address of this one."""
+        if not self.state.part_watch.has_ended(endpoint):
+            self._record_end(endpoint, 'address used again')
+
     def wait_for_probe(self, endpoint: Endpoint) -> None:
         """Wait until the last probe of an engine has ended."""
         probe = self.probes.get(endpoint.endpoint_id)
@@ -88,9 +126,42 @@
                 return
             failure = result.failure()
         if failure.refuses_connections:
-            self._record_end(endpoint, 'refuses connections')
+            self._record_end(endpoint, REFUSES_CONNECTIONS)
         self._suspect(endpoint, f'{reason}: {failure.problem}')
 
+    def _is_known(self, endpoint: Endpoint) -> bool:
+        """Return whether an end is known already, or about to be found out."""
+        probe = self.probes.get(endpoint.endpoint_id)
+        is_asked = probe is not None and not probe.dead
+        return is_asked or self.state.part_watch.has_ended(endpoint)
+
+    def _check_connection(self, endpoint: Endpoint) -> None:
+        """Open a connection to an endpoint, which one that ended refuses.
+
+        One that is just ending may still accept it and then close it.
+        """
+        self.state.count_event('probe', 'broken')
+        for _ in range(PROBE_ATTEMPTS):
+            if self._accepts_connection(endpoint):
+                return
+
+    def _accepts_connection(self, endpoint: Endpoint) -> bool:
+        asked_at = time.monotonic()
+        attempt = EndpointAttempt(endpoint.address)
+        try:
+            attempt.connect(PROBE_TIMEOUT_SECONDS)
+        except AttemptError as error:
+            attempt.close()
+            if error.is_refused:
+                self.record_refused_connection(endpoint)
+            return False
+        eventlet.sleep(SECOND_LOOK_SECONDS)
+        is_open = peek(attempt.sock.fd) is None
+        attempt.close()
+        if is_open:
+            self.state.part_watch.record_engine_alive(endpoint, asked_at)
+        return is_open
+
     def _record_end(self, endpoint: Endpoint, evidence: str) -> None:
         """Record that this start of an engine has ended.
 
@@ -192,6 +263,8 @@
         listed = self.state.fleet.endpoints
         for endpoint_id in self.probes.keys() - listed.keys():
             self.probes.pop(endpoint_id)
+        for endpoint_id in self.probed_at.keys() - listed.keys():
+            self.probed_at.pop(endpoint_id)
         for suspicion in self.state.suspects.all():
             endpoint = suspicion.endpoint
             known = listed.get(endpoint.endpoint_id)
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -8,9 +8,12 @@
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.forwarding import RetryWindowBudget
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.core.quarantine import Refusal, is_request_key
 from wigeonspoke.core.routing import Rule, choose_target
+from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.disconnect_monitor import DisconnectMonitor
 from wigeonspoke.ingress.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.prober import Prober
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
     ForwardContext,
@@ -21,6 +24,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 REFUSED_RETRY_AFTER_SECONDS = 0.5
+MIN_RETRY_AFTER_SECONDS = 1.0
 
 
 class RequestContext(msgspec.Struct):
@@ -42,16 +46,46 @@
 class RequestHandler:
     """Attempts, retry budget and logging shared by all request kinds."""
 
-    __slots__ = ('context', 'last_error', 'service', 'state')
+    __slots__ = (
+        'answer_watch',
+        'context',
+        'has_ended_endpoint',
+        'has_tried',
+        'last_error',
+        'prober',
+        'refusal',
+        'service',
+        'state',
+    )
 
-    def __init__(self, state: IngressState, context: RequestContext) -> None:
+    def __init__(
+        self,
+        state: IngressState,
+        context: RequestContext,
+        prober: Prober,
+        claim_trial: ClaimTrial,
+    ) -> None:
         self.state = state
         self.context = context
+        self.prober = prober
         self.last_error: StepError | None = None
+        # Why the request is not sent to any endpoint, None if it may be.
+        self.refusal: Refusal | None = None
+        # Whether the request may be what ended the endpoint it was sent to.
+        self.has_ended_endpoint = False
+        # Whether the trial of the whole request has reached an endpoint.
+        self.has_tried = False
         self.service = choose_target(
             context.rule.targets,
             state.rng.random(),
         )
+        self.answer_watch = AnswerWatch(
+            state.part_watch,
+            claim_trial,
+            self.service,
+            context.account,
+            context.request,
+        )
         self.budget.record_request(context.arrived_at)
 
     @property
@@ -69,7 +103,8 @@
         """Return whether another attempt is useful and allowed."""
         context = self.context
         if (
-            context.disconnect_monitor.is_disconnected
+            self.has_tried
+            or context.disconnect_monitor.is_disconnected
             or time.monotonic() >= context.deadline
         ):
             return False
@@ -80,13 +115,39 @@
         return not context.possible_executions or self.may_repeat()
 
     def may_repeat(self) -> bool:
-        """Return whether the request may be repeated after it may have run."""
+        """Return whether the request may be repeated after it may have run.
+
+        One that may have ended its endpoint is not sent to another one, and
+        neither is the trial of a quarantined key.
+        """
+        if self.has_ended_endpoint or self.answer_watch.is_trial:
+            return False
         rule = self.context.rule
         return (
             rule.may_repeat
             and self.context.possible_executions < rule.max_attempts
         )
 
+    def is_refused(self, *, can_be_sent: bool = True) -> bool:
+        """Return whether the request, or a part of it, is quarantined."""
+        self.refusal = self.answer_watch.find_refusal(can_be_sent=can_be_sent)
+        return self.refusal is not None
+
+    def end_trial(self) -> None:
+        """Count a trial that has reached an endpoint without a sound answer."""
+        if self.has_tried or self.context.possible_executions:
+            self.answer_watch.end_trial()
+
+    def note_refusal(self, refusal: Refusal) -> None:
+        """Write to the log why the request was not sent."""
+        self.note(
+            'part-refused',
+            part=refusal.part,
+            engines=refusal.engines,
+            last_crash_ago=round(refusal.last_crash_age, 3),
+            retry_after=round(refusal.retry_after, 3),
+        )
+
     def send(
         self,
         attempt: EndpointAttempt,
@@ -137,6 +198,8 @@
     ) -> None:
         """Record an attempt that got no valid response to its request."""
         self.last_error = error
+        if error.reason is not Reason.CONNECT:
+            self.has_tried = self.answer_watch.tries_request
         if error.outcome is not Outcome.NOT_RUN:
             self.context.possible_executions += 1
         self.state.count_event('try-failed', str(error.reason))
@@ -190,6 +253,18 @@
         )
 
 
+def refusal_reason(refusal: Refusal) -> str:
+    """Return the reason that the response to a refused request names."""
+    if is_request_key(refusal.part):
+        return 'quarantined-request'
+    return 'quarantined-part'
+
+
+def refusal_retry_after(refusal: Refusal) -> float:
+    """Return when a refused request may come again, in seconds."""
+    return max(MIN_RETRY_AFTER_SECONDS, refusal.retry_after)
+
+
 def timeout_error(attempt: EndpointAttempt, step: str) -> StepError:
     """Return the error of an attempt abandoned without a response."""
     outcome = Outcome.UNKNOWN if attempt.may_have_executed else Outcome.NOT_RUN
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -13,8 +13,7 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.core.quarantine import Refusal
-from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
+from wigeonspoke.ingress.answer_watch import ClaimTrial
 from wigeonspoke.ingress.call_handler import decode_headers, read_body
 from wigeonspoke.ingress.chain_choice import ChainChoice
 from wigeonspoke.ingress.chain_monitor import ChainMonitor
@@ -33,6 +32,8 @@
     RequestContext,
     RequestHandler,
     invalid_response_error,
+    refusal_reason,
+    refusal_retry_after,
     timeout_error,
 )
 from wigeonspoke.ingress.responses import (
@@ -52,7 +53,6 @@
 NO_CHAIN_RETRY_AFTER_SECONDS = 1.2
 RETRY_AFTER_JITTER_SECONDS = 1.2
 MAX_ATTEMPTS = 5
-MIN_RETRY_AFTER_SECONDS = 1.0
 DEADLINE_MARGIN_SECONDS = 0.05
 
 
@@ -60,14 +60,10 @@
     """Serves a stream and resumes it at another chain if one fails."""
 
     __slots__ = (
-        'answer_watch',
         'chain_choice',
         'chain_monitor',
         'cursor',
         'fallback',
-        'has_ended_engine',
-        'prober',
-        'refusal',
         'response_started',
         'start_response',
     )
@@ -79,18 +75,7 @@
         prober: Prober,
         claim_trial: ClaimTrial,
     ) -> None:
-        super().__init__(state, context)
-        self.prober = prober
-        self.answer_watch = AnswerWatch(
-            state.part_watch,
-            claim_trial,
-            self.service,
-            context.request.shared_parts,
-        )
-        # Why the request is not sent to any engine, None if it may be.
-        self.refusal: Refusal | None = None
-        # Whether the request may be what ended the engine that it was sent to.
-        self.has_ended_engine = False
+        super().__init__(state, context, prober, claim_trial)
         self.chain_choice = ChainChoice(state, context, self.service)
         self.cursor = EventCursor(context.request.last_event_id)
         self.response_started = False
@@ -102,40 +87,39 @@
     def serve(self, start_response: Callable[..., Any]) -> Iterator[bytes]:
         """Run the stream; yield the parts of the response body."""
         self.start_response = start_response
-        while self.may_attempt(MAX_ATTEMPTS):
-            chain = self._choose_chain()
-            if chain is None or not self.reserve_attempt(time.monotonic()):
-                break
-            is_complete = yield from self._attempt(chain)
-            if is_complete:
-                return
-        yield from self._finish_unserved()
+        is_complete = False
+        try:
+            is_complete = yield from self._try_chains()
+        finally:
+            if not is_complete:
+                self.end_trial()
+        if not is_complete:
+            yield from self._finish_unserved()
 
     def may_repeat(self) -> bool:
-        """Also require that a started stream can be resumed.
-
-        A request that may have ended its engine is not sent to another one,
-        and neither is the trial of a quarantined part.
-        """
-        if self.has_ended_engine or self.answer_watch.is_trial:
-            return False
+        """Also require that a started stream can be resumed."""
         can_resume = not self.response_started or self.cursor.is_numbered
         return can_resume and super().may_repeat()
 
-    def _is_refused(self) -> bool:
-        """Return whether the request has a quarantined part."""
-        self.refusal = self.answer_watch.find_refusal()
-        return self.refusal is not None
+    def _try_chains(self) -> Iterator[bytes]:
+        """Try chains; the generator returns whether one served the stream."""
+        while self.may_attempt(MAX_ATTEMPTS):
+            chain = self._choose_chain()
+            if chain is None or not self.reserve_attempt(time.monotonic()):
+                break
+            if (yield from self._attempt(chain)):
+                return True
+        return False
 
     def _choose_chain(self) -> Chain | None:
         """Return a chain to send the request to, None if it must not be sent.
 
         A part of it may have been quarantined while it waited for a chain.
         """
-        if self._is_refused():
+        if self.is_refused():
             return None
         chain = self.chain_choice.wait()
-        return None if self._is_refused() else chain
+        return None if self.is_refused() else chain
 
     def _attempt(self, chain: Chain) -> Iterator[bytes]:
         """Try a chain; the generator returns whether it served the stream."""
@@ -145,6 +129,8 @@
         try:
             return (yield from self._exchange(attempt, chain))
         except AttemptError as error:
+            if error.is_refused:
+                self.prober.record_refused_connection(chain.head)
             self._record_error(chain, error.error)
             return False
         except ReadTimeout:
@@ -161,7 +147,7 @@
         chain: Chain,
     ) -> Iterator[bytes]:
         deadline = self.context.deadline
-        self.answer_watch.begin(chain)
+        self.answer_watch.begin(hop.endpoint for hop in chain.hops)
         self.send(
             attempt, chain.head, deadline, chain, self.cursor.last_event_id
         )
@@ -340,6 +326,8 @@
         self.note(
             'error-answer', peer=chain.head.address, status=response.status
         )
+        if is_valid:
+            self.answer_watch.record_whole()
         if not is_valid or self.may_repeat():
             self.fallback = response if is_valid else self.fallback
             return False
@@ -364,7 +352,7 @@
             last=self.cursor.last_number,
         )
         if self.refusal is not None:
-            self._note_refusal(self.refusal)
+            self.note_refusal(self.refusal)
         if self.response_started:
             self.state.count_event('stream-cut', self._reason)
             raise ResponseAborted(self._reason)
@@ -377,19 +365,10 @@
             response, node_response_headers, self.start_response
         )
 
-    def _note_refusal(self, refusal: Refusal) -> None:
-        self.note(
-            'part-refused',
-            part=refusal.part,
-            engines=refusal.engines,
-            last_crash_ago=round(refusal.last_crash_age, 3),
-            retry_after=round(refusal.retry_after, 3),
-        )
-
     @property
     def _reason(self) -> str:
         if self.refusal is not None:
-            return 'quarantined-part'
+            return refusal_reason(self.refusal)
         return str(self.last_error.reason) if self.last_error else 'no-chain'
 
     def _node_response(self) -> NodeResponse:
@@ -405,7 +384,7 @@
 
     def _retry_after(self) -> float:
         if self.refusal is not None:
-            return max(MIN_RETRY_AFTER_SECONDS, self.refusal.retry_after)
+            return refusal_retry_after(self.refusal)
         jitter = RETRY_AFTER_JITTER_SECONDS * self.state.rng.random()
         return NO_CHAIN_RETRY_AFTER_SECONDS + jitter
 
@@ -418,6 +397,7 @@
             'stream',
             chain.head.address,
         )
+        self.has_tried = self.answer_watch.tries_request
         self.state.count_event('chain-refused', str(status))
         self.note(
             'chain-refused',
@@ -478,6 +458,9 @@
         """
         if error.outcome is Outcome.NOT_RUN:
             return
-        if self.answer_watch.record_broken():
+        is_suspect = self.answer_watch.record_broken()
+        is_urgent = self.answer_watch.stands_in_earlier_crash()
+        self.prober.check_after_break(chain.head, is_urgent=is_urgent)
+        if is_suspect:
             self.prober.wait_for_probe(chain.head)
-            self.has_ended_engine = self.state.part_watch.has_ended(chain.head)
+            self.has_ended_endpoint = self.answer_watch.has_ended(chain.head)
--- a/wigeonspoke/ingress/table_followers.py
+++ b/wigeonspoke/ingress/table_followers.py
@@ -141,6 +141,7 @@
         known = self.state.fleet.endpoints.get(endpoint.endpoint_id)
         if known is not None and endpoint.born > known.born:
             self.state.part_watch.record_engine_end(known, 'started again')
+        self.state.part_watch.record_listed(endpoint)
         if self.state.fleet.put(endpoint):
             self.state.log.write(
                 'endpoint',
--- a/wigeonspoke/platform/tests/test_crashing_requests.py
+++ b/wigeonspoke/platform/tests/test_crashing_requests.py
@@ -256,15 +256,10 @@
 
 
 class Play:
-    """Bad requests and innocent ones of all kinds, at a constant rate.
-
-    ``first_responses`` are those to a first bad request of each kind after it,
-    if one was sent.
-    """
+    """Bad requests and innocent ones of all kinds, at a constant rate."""
 
     def __init__(self, deployment: CrashingDeployment) -> None:
         self.deployment = deployment
-        self.first_responses: dict[str, Response] = {}
         self.changed_at = -math.inf
         self.bad_responses: dict[str, Response] = {}
         # When each innocent request was sent, and whether it was served.
@@ -483,51 +478,53 @@
     _expect_refusal(play.deployment, kind, 'later', later_node)
 
 
-class SparedPlay(Play):
-    """A play after which the replicas end under no request any more."""
+class Spared:
+    """A deployment whose replicas end under no request any more.
 
-    def run(self, change: Callable[[], None] | None = None) -> None:
-        """Send requests until some time after the third crash of all kinds."""
-        deployment = self.deployment
-        self.send_until_crashed()
-        self.send_for(CHANGE_SECONDS)
-        for spared in BAD_REQUESTS:
-            deployment.spare_replicas(spared)
-        deployment.wait_until_served()
-        self.first_responses = {
-            kind: deployment.send(bad, 'first', deployment.nodes[0])
-            for kind, bad in BAD_REQUESTS.items()
-        }
+    ``first_responses`` are those to the stopped requests just after the
+    crashes, before one may be tried again.
+    """
+
+    def __init__(self) -> None:
+        self.deployment = CrashingDeployment(2)
+        self.deployment.wait_until_served()
+        started = Play(self.deployment)
+        started.send_until_crashed()
+        started.send_for(CHANGE_SECONDS)
+        self.first_responses: dict[str, Response] = {}
+        for kind, request in BAD_REQUESTS.items():
+            self.deployment.spare_replicas(kind)
+            self.first_responses[kind] = self.deployment.send(
+                request, 'first', self.deployment.nodes[0]
+            )
+        self.deployment.wait_until_served()
 
 
 @pytest.fixture(scope='module')
-def spared_play() -> Iterator[SparedPlay]:
-    """Yield a play that has ended with the replicas spared."""
-    deployment = CrashingDeployment(2)
-    deployment.wait_until_served()
-    started = SparedPlay(deployment)
-    started.run()
+def spared() -> Iterator[Spared]:
+    """Yield a deployment whose replicas end under no request any more."""
+    started = Spared()
     yield started
-    deployment.close()
+    started.deployment.close()
 
 
 @pytest.mark.parametrize('kind', BAD_REQUESTS)
 def test_a_stopped_request_is_served_again_once_it_crashes_no_replica(
-    spared_play, kind
+    spared, kind
 ):
-    spared = spared_play.deployment
-    first_node = spared.nodes[0]
-    response = spared_play.first_responses[kind]
+    deployment = spared.deployment
+    first_node = deployment.nodes[0]
+    response = spared.first_responses[kind]
     assert response[0] == REFUSED
     for _ in range(MAX_ROUNDS):
         eventlet.sleep(min(MAX_WAIT_SECONDS, float(response[1]['retry-after'])))
-        response = spared.send(BAD_REQUESTS[kind], 'again', first_node)
+        response = deployment.send(BAD_REQUESTS[kind], 'again', first_node)
         if response[0] != REFUSED:
             break
     assert response[0] == SERVED
-    for node in spared.nodes:
-        spared.harness.wait_until(
-            partial(_is_served, spared, BAD_REQUESTS[kind], node)
+    for node in deployment.nodes:
+        deployment.harness.wait_until(
+            partial(_is_served, deployment, BAD_REQUESTS[kind], node)
         )
 
 
