Do not undo a sound answer by a row of unknown age

Cause: a node that does not know the store's clock takes the crashes of a row as just now. If a peer sent it an older copy of the table after the row had been removed, the quarantine came back there, and by gossip at all nodes.

Change: without the clock a row tells only of parts of which the node knows nothing; other evidence travels by gossip.

Seen in one run of test_crashing_requests.py with a node without the store.

--- a/wigeonspoke/ingress/part_table.py
+++ b/wigeonspoke/ingress/part_table.py
@@ -69,11 +69,22 @@
         """Merge a row; its removal means that the part was served well."""
         if row.is_removed:
             report = PartReport(row.key, sound_age=0)
+        elif self._may_be_older(row.key):
+            return
         else:
             report = self._decode(row)
         if report is not None:
             self.state.part_watch.merge(report, 'store')
 
+    def _may_be_older(self, part: str) -> bool:
+        """Return whether a row may be older than what is known of its part.
+
+        Without the store's clock its crashes would count as new, also those
+        before the last sound answer.
+        """
+        is_known = part in self.state.part_watch.registry.suspicions
+        return is_known and self.store_clock() is None
+
     def _decode(self, row: TableRow) -> PartReport | None:
         try:
             stored = msgspec.json.decode(bytes(row.content), type=PartRow)
