--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -13,8 +13,7 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.core.quarantine import Refusal
-from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
+from wigeonspoke.ingress.answer_watch import ClaimTrial
 from wigeonspoke.ingress.call_handler import decode_headers, read_body
 from wigeonspoke.ingress.chain_choice import ChainChoice
 from wigeonspoke.ingress.chain_monitor import ChainMonitor
@@ -33,6 +32,8 @@
     RequestContext,
     RequestHandler,
     invalid_response_error,
+    refusal_reason,
+    refusal_retry_after,
     timeout_error,
 )
 from wigeonspoke.ingress.responses import (
@@ -53,7 +54,6 @@
 NO_CHAIN_RETRY_AFTER_SECONDS = 1.2
 RETRY_AFTER_JITTER_SECONDS = 1.2
 MAX_ATTEMPTS = 5
-MIN_RETRY_AFTER_SECONDS = 1.0
 DEADLINE_MARGIN_SECONDS = 0.05
 
 
@@ -77,15 +77,11 @@
     """
 
     __slots__ = (
-        'answer_watch',
         'chain_choice',
         'chain_monitor',
         'chains_in_use',
         'cursor',
         'fallback',
-        'has_ended_engine',
-        'prober',
-        'refusal',
         'response_started',
         'start_response',
     )
@@ -97,18 +93,7 @@
         prober: Prober,
         claim_trial: ClaimTrial,
     ) -> None:
-        super().__init__(state, context)
-        self.prober = prober
-        self.answer_watch = AnswerWatch(
-            state.part_watch,
-            claim_trial,
-            self.service,
-            context.request.shared_parts,
-        )
-        # Why the request is not sent to any engine, None if it may be.
-        self.refusal: Refusal | None = None
-        # Whether the request may be what ended the engine that it was sent to.
-        self.has_ended_engine = False
+        super().__init__(state, context, prober, claim_trial)
         self.chain_choice = ChainChoice(state, context, self.service)
         self.cursor = EventCursor(context.request.last_event_id)
         self.response_started = False
@@ -121,30 +106,29 @@
     def serve(self, start_response: Callable[..., Any]) -> Iterator[bytes]:
         """Run the stream; yield the parts of the response body."""
         self.start_response = start_response
-        while self.may_attempt(MAX_ATTEMPTS):
-            chain = self._reserve_chain()
-            if chain is None:
-                break
-            is_complete = yield from self._attempt(chain)
-            if is_complete:
-                return
-        yield from self._finish_unserved()
+        is_complete = False
+        try:
+            is_complete = yield from self._try_chains()
+        finally:
+            if not is_complete:
+                self.end_trial()
+        if not is_complete:
+            yield from self._finish_unserved()
 
     def may_repeat(self) -> bool:
-        """Also require that a started stream can be resumed.
-
-        A request that may have ended its engine is not sent to another one,
-        and neither is the trial of a quarantined part.
-        """
-        if self.has_ended_engine or self.answer_watch.is_trial:
-            return False
+        """Also require that a started stream can be resumed."""
         can_resume = not self.response_started or self.cursor.is_numbered
         return can_resume and super().may_repeat()
 
-    def _is_refused(self) -> bool:
-        """Return whether the request has a quarantined part."""
-        self.refusal = self.answer_watch.find_refusal()
-        return self.refusal is not None
+    def _try_chains(self) -> Iterator[bytes]:
+        """Try chains; the generator returns whether one served the stream."""
+        while self.may_attempt(MAX_ATTEMPTS):
+            chain = self._reserve_chain()
+            if chain is None:
+                break
+            if (yield from self._attempt(chain)):
+                return True
+        return False
 
     def _reserve_chain(self) -> Chain | None:
         """Return a chain for an attempt that the retry budget allows."""
@@ -158,10 +142,10 @@
 
         A part of it may have been quarantined while it waited for a chain.
         """
-        if self._is_refused():
+        if self.is_refused():
             return None
         chain = self.chain_choice.wait()
-        return None if self._is_refused() else chain
+        return None if self.is_refused() else chain
 
     def _attempt(self, chain: Chain) -> Iterator[bytes]:
         """Try a chain; the generator returns whether it served the stream."""
@@ -174,6 +158,8 @@
         except StreamTakenOver as taken_over:
             return taken_over.is_complete
         except AttemptError as error:
+            if error.is_refused:
+                self.prober.record_refused_connection(chain.head)
             self._record_error(chain, error.error)
             return False
         except ReadTimeout:
@@ -198,7 +184,9 @@
 
         Return without an effect if no other chain has taken over.
         """
-        monitor, answer = self.chain_monitor, self.answer_watch.answer
+        monitor = self.chain_monitor
+        watch = self.answer_watch
+        watched = (watch.answer, watch.endpoints)
         self.chain_monitor = ChainMonitor(self.state, self.context.rule)
         # The silent attempt counts as a run beside the other one.
         self.context.possible_executions += 1
@@ -210,7 +198,9 @@
             raise StreamTakenOver(is_complete=is_complete)
         self.context.possible_executions -= 1
         self.chain_monitor = monitor
-        self.answer_watch.answer = answer
+        watch.answer, watch.endpoints = watched
+        # A later failure of the silent chain has reasons of its own.
+        self.refusal = None
 
     def _end_silent_attempts(self, current: EndpointAttempt) -> None:
         """End the attempts from which the current one takes over."""
@@ -233,7 +223,7 @@
         chain: Chain,
     ) -> Iterator[bytes]:
         deadline = self.context.deadline
-        self.answer_watch.begin(chain)
+        self.answer_watch.begin(hop.endpoint for hop in chain.hops)
         self.send(
             attempt, chain.head, deadline, chain, self.cursor.last_event_id
         )
@@ -448,6 +438,8 @@
         self.note(
             'error-answer', peer=chain.head.address, status=response.status
         )
+        if is_valid:
+            self.answer_watch.record_whole()
         # A silent chain may still serve the stream.
         is_last_chain = len(self.chains_in_use) == 1
         if not is_valid or not is_last_chain or self.may_repeat():
@@ -474,7 +466,7 @@
             last=self.cursor.last_number,
         )
         if self.refusal is not None:
-            self._note_refusal(self.refusal)
+            self.note_refusal(self.refusal)
         if self.response_started:
             self.state.count_event('stream-cut', self._reason)
             raise ResponseAborted(self._reason)
@@ -487,19 +479,10 @@
             response, node_response_headers, self.start_response
         )
 
-    def _note_refusal(self, refusal: Refusal) -> None:
-        self.note(
-            'part-refused',
-            part=refusal.part,
-            engines=refusal.engines,
-            last_crash_ago=round(refusal.last_crash_age, 3),
-            retry_after=round(refusal.retry_after, 3),
-        )
-
     @property
     def _reason(self) -> str:
         if self.refusal is not None:
-            return 'quarantined-part'
+            return refusal_reason(self.refusal)
         return str(self.last_error.reason) if self.last_error else 'no-chain'
 
     def _node_response(self) -> NodeResponse:
@@ -515,7 +498,7 @@
 
     def _retry_after(self) -> float:
         if self.refusal is not None:
-            return max(MIN_RETRY_AFTER_SECONDS, self.refusal.retry_after)
+            return refusal_retry_after(self.refusal)
         jitter = RETRY_AFTER_JITTER_SECONDS * self.state.rng.random()
         return NO_CHAIN_RETRY_AFTER_SECONDS + jitter
 
@@ -528,6 +511,7 @@
             'stream',
             chain.head.address,
         )
+        self.has_tried = self.answer_watch.tries_request
         self.state.count_event('chain-refused', str(status))
         self.note(
             'chain-refused',
@@ -588,6 +572,9 @@
         """
         if error.outcome is Outcome.NOT_RUN:
             return
-        if self.answer_watch.record_broken():
+        is_suspect = self.answer_watch.record_broken()
+        is_urgent = self.answer_watch.stands_in_earlier_crash()
+        self.prober.check_after_break(chain.head, is_urgent=is_urgent)
+        if is_suspect:
             self.prober.wait_for_probe(chain.head)
-            self.has_ended_engine = self.state.part_watch.has_ended(chain.head)
+            self.has_ended_endpoint = self.answer_watch.has_ended(chain.head)
--- a/wigeonspoke/platform/tests/test_crashing_requests.py
+++ b/wigeonspoke/platform/tests/test_crashing_requests.py
@@ -478,37 +478,53 @@
     _expect_refusal(play.deployment, kind, 'later', later_node)
 
 
+class Spared:
+    """A deployment whose replicas end under no request any more.
+
+    ``first_responses`` are those to the stopped requests just after the
+    crashes, before one may be tried again.
+    """
+
+    def __init__(self) -> None:
+        self.deployment = CrashingDeployment(2)
+        self.deployment.wait_until_served()
+        started = Play(self.deployment)
+        started.send_until_crashed()
+        started.send_for(CHANGE_SECONDS)
+        self.first_responses: dict[str, Response] = {}
+        for kind, request in BAD_REQUESTS.items():
+            self.deployment.spare_replicas(kind)
+            self.first_responses[kind] = self.deployment.send(
+                request, 'first', self.deployment.nodes[0]
+            )
+        self.deployment.wait_until_served()
+
+
 @pytest.fixture(scope='module')
-def spared() -> Iterator[CrashingDeployment]:
+def spared() -> Iterator[Spared]:
     """Yield a deployment whose replicas end under no request any more."""
-    deployment = CrashingDeployment(2)
-    deployment.wait_until_served()
-    started = Play(deployment)
-    started.send_until_crashed()
-    started.send_for(CHANGE_SECONDS)
-    for kind in BAD_REQUESTS:
-        deployment.spare_replicas(kind)
-    deployment.wait_until_served()
-    yield deployment
-    deployment.close()
+    started = Spared()
+    yield started
+    started.deployment.close()
 
 
 @pytest.mark.parametrize('kind', BAD_REQUESTS)
 def test_a_stopped_request_is_served_again_once_it_crashes_no_replica(
     spared, kind
 ):
-    first_node = spared.nodes[0]
-    response = spared.send(BAD_REQUESTS[kind], 'first', first_node)
+    deployment = spared.deployment
+    first_node = deployment.nodes[0]
+    response = spared.first_responses[kind]
     assert response[0] == REFUSED
     for _ in range(MAX_ROUNDS):
         eventlet.sleep(min(MAX_WAIT_SECONDS, float(response[1]['retry-after'])))
-        response = spared.send(BAD_REQUESTS[kind], 'again', first_node)
+        response = deployment.send(BAD_REQUESTS[kind], 'again', first_node)
         if response[0] != REFUSED:
             break
     assert response[0] == SERVED
-    for node in spared.nodes:
-        spared.harness.wait_until(
-            partial(_is_served, spared, BAD_REQUESTS[kind], node)
+    for node in deployment.nodes:
+        deployment.harness.wait_until(
+            partial(_is_served, deployment, BAD_REQUESTS[kind], node)
         )
 
 
