--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -186,7 +186,7 @@
         """
         monitor = self.chain_monitor
         watch = self.answer_watch
-        watched = (watch.answer, watch.endpoints)
+        answer, endpoints = watch.answer, watch.endpoints
         self.chain_monitor = ChainMonitor(self.state, self.context.rule)
         # The silent attempt counts as a run beside the other one.
         self.context.possible_executions += 1
@@ -198,7 +198,8 @@
             raise StreamTakenOver(is_complete=is_complete)
         self.context.possible_executions -= 1
         self.chain_monitor = monitor
-        watch.answer, watch.endpoints = watched
+        watch.answer = answer
+        watch.endpoints = endpoints
         # A later failure of the silent chain has reasons of its own.
         self.refusal = None
 
