Give up a silent replica only when another one has answered

What callers saw: a repeatable call whose sound replica fell silent for 1.2 s got 502 where the other replica refused it, reset it, or was silent as well with three attempts: the first attempt was ended after twice the target latency.

Change: the silent attempt stays open while another replica is tried, and has until the request's deadline if none answers; an attempt is left if an earlier one goes on. Calls and streams share how they look at their other open attempts.

The retry budget and the rule's attempts count as before.

--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -34,8 +34,20 @@
 MAX_BODY_BYTES = 16777216
 
 
+class CallTakenOver(Exception):
+    """Another replica has answered while one was silent."""
+
+    def __init__(self, response: EndpointResponse) -> None:
+        super().__init__()
+        self.response = response
+
+
 class CallHandler(RequestHandler):
-    """Sends a call to one replica, or to several if it may be retried."""
+    """Sends a call to one replica, or to several if it may be retried.
+
+    A silent replica may only pause.  Its attempt stays open while another
+    replica is tried, and goes on if that one does not answer.
+    """
 
     __slots__ = ('excluded', 'fallback')
 
@@ -60,7 +72,7 @@
 
     def _try_replicas(self) -> EndpointResponse | None:
         """Try replicas; return the response if one of them is final."""
-        while self.may_attempt(MAX_ATTEMPTS):
+        while self._may_try():
             now = time.monotonic()
             replica = self._choose_replica(now)
             if replica is None or not self.reserve_attempt(now):
@@ -70,6 +82,10 @@
                 return response
         return None
 
+    def _may_try(self) -> bool:
+        """Return whether to try a replica: no open attempt goes on."""
+        return self.may_attempt(MAX_ATTEMPTS) and not self.has_earlier_input()
+
     def _choose_replica(self, now: float) -> Endpoint | None:
         """Return a replica to try, None if the request must not be sent."""
         replica = self.state.replicas.select(
@@ -107,9 +123,11 @@
         except AttemptError as error:
             self._record_break(replica, attempt, error)
             return None
+        except CallTakenOver as taken_over:
+            self._record_silence(replica, attempt)
+            return taken_over.response
         except ReadTimeout:
-            attempt.abort()
-            self._record_error(replica, timeout_error(attempt, 'call'))
+            self._record_silence(replica, attempt)
             return None
         finally:
             self.end_attempt(attempt)
@@ -121,28 +139,60 @@
         attempt: EndpointAttempt,
         replica: Endpoint,
     ) -> tuple[EndpointResponse, ResponseMarkers]:
-        deadline = self._attempt_deadline(time.monotonic())
-        self.send(attempt, replica, deadline)
-        head = attempt.read_head(deadline)
+        self.send(attempt, replica, self.context.deadline)
+        silent_at = self._silent_at(time.monotonic())
+        head = self._read_until_silent(attempt, silent_at)
         headers = decode_headers(head)
         markers = self.read_markers(replica, head.status_code, headers)
         self._check_request_id(markers, replica)
-        body = read_body(attempt, deadline)
+        body = read_body(attempt, self.context.deadline)
         return EndpointResponse(head.status_code, headers, body), markers
 
-    def _attempt_deadline(self, now: float) -> float:
-        context = self.context
-        rule = context.rule
-        can_repeat = (
-            rule.may_repeat
-            and context.possible_executions + 1 < rule.max_attempts
-        )
-        if not can_repeat:
-            return context.deadline
-        return min(
-            context.deadline,
-            now + FIRST_ATTEMPT_FACTOR * rule.target_latency_seconds,
-        )
+    def _read_until_silent(
+        self, attempt: EndpointAttempt, silent_at: float
+    ) -> h11.Response:
+        """Read the head of a response; try another replica in a silence.
+
+        Raises
+        ------
+        CallTakenOver
+            The other replica has answered.
+        ReadTimeout
+            The deadline has passed, or a replica tried before goes on.
+        """
+        while True:
+            try:
+                return attempt.read_head(self.next_check_at(silent_at))
+            except ReadTimeout:
+                if self.must_abandon(attempt):
+                    raise
+            if time.monotonic() >= silent_at:
+                self._try_beside()
+                silent_at = self.context.deadline
+
+    def _try_beside(self) -> None:
+        """Try further replicas while one is silent.
+
+        Return without an effect if none of them answers.
+        """
+        watch = self.answer_watch
+        answer, endpoints = watch.answer, watch.endpoints
+        # The silent attempt counts as a run beside the other ones.
+        self.context.possible_executions += 1
+        response = self._try_replicas()
+        self.context.possible_executions -= 1
+        watch.answer = answer
+        watch.endpoints = endpoints
+        if response is not None:
+            raise CallTakenOver(response)
+        self.refusal = None
+
+    def _silent_at(self, now: float) -> float:
+        """Return when another replica is tried if this one does not answer."""
+        rule = self.context.rule
+        if not rule.may_repeat:
+            return self.context.deadline
+        return now + FIRST_ATTEMPT_FACTOR * rule.target_latency_seconds
 
     def _check_request_id(
         self, markers: ResponseMarkers, replica: Endpoint
@@ -194,6 +244,12 @@
         self.state.replicas.record_success(replica, now - started_at, now)
         return response
 
+    def _record_silence(
+        self, replica: Endpoint, attempt: EndpointAttempt
+    ) -> None:
+        attempt.abort()
+        self._record_error(replica, timeout_error(attempt, 'call'))
+
     def _record_error(self, replica: Endpoint, error: StepError) -> None:
         if not self.context.disconnect_monitor.is_disconnected:
             if error.reason is Reason.TIMEOUT:
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -23,6 +23,8 @@
 from wigeonspoke.ingress.state import IngressState
 
 CONNECT_TIMEOUT_SECONDS = 0.3
+# How often to look at the other attempts while several are open.
+SILENCE_RECHECK_SECONDS = 0.03
 REFUSED_RETRY_AFTER_SECONDS = 0.5
 MIN_RETRY_AFTER_SECONDS = 1.0
 
@@ -193,6 +195,26 @@
         self.open_attempts.remove(attempt)
         attempt.close()
 
+    def has_earlier_input(self, current: EndpointAttempt | None = None) -> bool:
+        """Return whether an open attempt other than the current one goes on."""
+        return any(
+            attempt.has_input()
+            for attempt in self.open_attempts
+            if attempt is not current
+        )
+
+    def next_check_at(self, silent_at: float) -> float:
+        """Return until when to read, sooner while another attempt is open."""
+        check_at = min(silent_at, self.context.deadline)
+        if len(self.open_attempts) == 1:
+            return check_at
+        return min(check_at, time.monotonic() + SILENCE_RECHECK_SECONDS)
+
+    def must_abandon(self, attempt: EndpointAttempt) -> bool:
+        """Return whether the time is over, or an earlier attempt goes on."""
+        is_over = time.monotonic() >= self.context.deadline
+        return is_over or self.has_earlier_input(attempt)
+
     def record_failure(
         self,
         endpoint: Endpoint,
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -29,6 +29,7 @@
 )
 from wigeonspoke.ingress.prober import Prober
 from wigeonspoke.ingress.request_handler import (
+    SILENCE_RECHECK_SECONDS,
     RequestContext,
     RequestHandler,
     invalid_response_error,
@@ -46,7 +47,6 @@
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.transport import BodyEnd, ReadTimeout, ResponseAborted
 
-SILENCE_RECHECK_SECONDS = 0.03
 # How long to wait for a silent chain before another one is tried again.
 FAILOVER_RETRY_SECONDS = 0.3
 # A broken chain takes some seconds to become complete again.  The random
@@ -348,9 +348,9 @@
         silent_at = self.chain_monitor.silent_at
         while True:
             try:
-                return read(self._next_check_at(silent_at))
+                return read(self.next_check_at(silent_at))
             except ReadTimeout:
-                if self._must_abandon(attempt, time.monotonic()):
+                if self.must_abandon(attempt):
                     raise
             if time.monotonic() >= silent_at:
                 silent_at = yield from self._check_silence(attempt, chain)
@@ -368,21 +368,6 @@
         yield from self._fail_over(attempt)
         return time.monotonic() + FAILOVER_RETRY_SECONDS
 
-    def _next_check_at(self, silent_at: float) -> float:
-        """Return until when to read, sooner while another attempt is open."""
-        check_at = min(silent_at, self.context.deadline)
-        if len(self.chains_in_use) == 1:
-            return check_at
-        return min(check_at, time.monotonic() + SILENCE_RECHECK_SECONDS)
-
-    def _must_abandon(self, attempt: EndpointAttempt, now: float) -> bool:
-        """Return whether the time is over, or an earlier chain goes on."""
-        return now >= self.context.deadline or any(
-            other.has_input()
-            for other in self.chains_in_use
-            if other is not attempt
-        )
-
     def _may_leave(self, chain: Chain, now: float) -> bool:
         """Return whether a chain is silent and another one may be tried."""
         if self.chain_monitor.is_alive(
--- a/wigeonspoke/platform/tests/test_silent_endpoints.py
+++ b/wigeonspoke/platform/tests/test_silent_endpoints.py
@@ -3,7 +3,8 @@
 import eventlet
 import pytest
 
-from wigeonspoke.platform.standins import EngineStandin
+from wigeonspoke.platform.standins import EngineStandin, ReplicaFault
+from wigeonspoke.platform.tests.harness import send_request
 from wigeonspoke.platform.tests.stream_requests import (
     ALL_EVENTS,
     event_ids,
@@ -48,3 +49,14 @@
     status, _, body = request_stream(placed_harness)
     assert status == 200
     assert event_ids(body) == ALL_EVENTS
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [ReplicaFault.NONE, ReplicaFault.SHED, ReplicaFault.RESET],
+)
+def test_silence_of_a_sound_replica_ends_no_call(harness, fault):
+    silent, other = harness.replicas
+    silent.run_seconds = SILENCE_SECONDS
+    other.fault = fault
+    assert send_request(harness, 'GET', '/read/x', 'id1')[0] == 200
