Test that a request that crashes replicas gets a gateway error

An error of the node itself in the handling of such a request would be answered 500 and pass the other tests. The request gets 502, 503 or 504, or its stream is cut, in all plays. No logic is changed.

--- a/wigeonspoke/platform/tests/test_crashing_requests.py
+++ b/wigeonspoke/platform/tests/test_crashing_requests.py
@@ -51,6 +51,7 @@
 EVENTS = 5
 SERVED = 200
 REFUSED = 503
+GATEWAY_ERRORS = (502, REFUSED, 504)
 
 Response = tuple[int, dict[str, str], bytes]
 NO_RESPONSE: Response = (0, {}, b'')
@@ -422,6 +423,18 @@
             assert float(response[1]['retry-after']) > 0
 
 
+# A trial that ends a replica must not end in an error of the node itself.
+@pytest.mark.parametrize('kind', BAD_REQUESTS)
+@pytest.mark.parametrize('play', ALL_SCENARIOS, indirect=True)
+def test_a_request_that_crashes_replicas_gets_a_gateway_error(play, kind):
+    statuses = {
+        response[0]
+        for request_id, response in play.bad_responses.items()
+        if f'-{kind}-' in request_id
+    }
+    assert statuses <= {*GATEWAY_ERRORS, NO_RESPONSE[0]}
+
+
 # The target for parts of prompts: half of the sound requests are served.  They
 # may be sent on to another replica; unsafe ones that a crash breaks may not.
 @pytest.mark.parametrize('kind', ['safe', 'stream'])
