Answer a call once another replica's failure beside a silent one is known to be last

Change: a failure is kept as the fallback while another attempt is open; silence within the body counts as before it. Evidence: the case of a failing other replica joins the table; the tests of silence, calls, failovers and the ingress node pass. The silence within a body has no test of its own.

--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -2,6 +2,9 @@
 
 import http
 import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
 
 import h11
 
@@ -49,7 +52,7 @@
     replica is tried, and goes on if that one does not answer.
     """
 
-    __slots__ = ('excluded', 'fallback')
+    __slots__ = ('excluded', 'fallback', 'silent_at')
 
     def __init__(
         self,
@@ -63,6 +66,8 @@
         # Error response of the application, returned if no later attempt
         # succeeds.
         self.fallback: EndpointResponse | None = None
+        # When another replica is tried if the current one does not answer.
+        self.silent_at = context.deadline
 
     def serve(self) -> EndpointResponse | NodeResponse:
         """Run the call and return the final response."""
@@ -140,18 +145,20 @@
         replica: Endpoint,
     ) -> tuple[EndpointResponse, ResponseMarkers]:
         self.send(attempt, replica, self.context.deadline)
-        silent_at = self._silent_at(time.monotonic())
-        head = self._read_until_silent(attempt, silent_at)
+        self.silent_at = self._find_silent_at(time.monotonic())
+        read = partial(self._read_until_silent, attempt)
+        head = read(attempt.read_head)
         headers = decode_headers(head)
         markers = self.read_markers(replica, head.status_code, headers)
         self._check_request_id(markers, replica)
-        body = read_body(attempt, self.context.deadline)
+        read_part = partial(read, attempt.read_body_part)
+        body = collect_body(read_part, attempt.peer)
         return EndpointResponse(head.status_code, headers, body), markers
 
     def _read_until_silent(
-        self, attempt: EndpointAttempt, silent_at: float
-    ) -> h11.Response:
-        """Read the head of a response; try another replica in a silence.
+        self, attempt: EndpointAttempt, read: Callable[[float], Any]
+    ) -> Any:
+        """Read from a replica; try another one in a silence.
 
         Raises
         ------
@@ -162,13 +169,13 @@
         """
         while True:
             try:
-                return attempt.read_head(self.next_check_at(silent_at))
+                return read(self.next_check_at(self.silent_at))
             except ReadTimeout:
                 if self.must_abandon(attempt):
                     raise
-            if time.monotonic() >= silent_at:
+            if time.monotonic() >= self.silent_at:
                 self._try_beside()
-                silent_at = self.context.deadline
+                self.silent_at = self.context.deadline
 
     def _try_beside(self) -> None:
         """Try further replicas while one is silent.
@@ -187,7 +194,7 @@
             raise CallTakenOver(response)
         self.refusal = None
 
-    def _silent_at(self, now: float) -> float:
+    def _find_silent_at(self, now: float) -> float:
         """Return when another replica is tried if this one does not answer."""
         rule = self.context.rule
         if not rule.may_repeat:
@@ -240,7 +247,9 @@
                 'error-answer', peer=replica.address, status=response.status
             )
             self.fallback = response
-            return None if self.may_attempt(MAX_ATTEMPTS) else response
+            # A silent replica may still serve the call.
+            may_go_on = self.open_attempts or self.may_attempt(MAX_ATTEMPTS)
+            return None if may_go_on else response
         self.state.replicas.record_success(replica, now - started_at, now)
         return response
 
@@ -319,15 +328,20 @@
 
 def read_body(attempt: EndpointAttempt, deadline: float) -> bytes:
     """Read the complete body of a response, up to the size limit."""
+    return collect_body(partial(attempt.read_body_part, deadline), attempt.peer)
+
+
+def collect_body(read_part: Callable[[], bytes | BodyEnd], peer: str) -> bytes:
+    """Join the parts of a body, up to the size limit."""
     parts: list[bytes] = []
     size = 0
     while True:
-        part = attempt.read_body_part(deadline)
+        part = read_part()
         if isinstance(part, BodyEnd):
             return b''.join(parts)
         size += len(part)
         if size > MAX_BODY_BYTES:
-            raise AttemptError(invalid_response_error(attempt.peer))
+            raise AttemptError(invalid_response_error(peer))
         parts.append(part)
 
 
--- a/wigeonspoke/platform/tests/test_silent_endpoints.py
+++ b/wigeonspoke/platform/tests/test_silent_endpoints.py
@@ -53,7 +53,12 @@
 
 @pytest.mark.parametrize(
     'fault',
-    [ReplicaFault.NONE, ReplicaFault.SHED, ReplicaFault.RESET],
+    [
+        ReplicaFault.NONE,
+        ReplicaFault.SHED,
+        ReplicaFault.RESET,
+        ReplicaFault.ERROR,
+    ],
 )
 def test_silence_of_a_sound_replica_ends_no_call(harness, fault):
     silent, other = harness.replicas
