Let one node at a time try a quarantined part of a service

Cause: nodes that claimed trials of different keys within milliseconds all succeeded, since each key has its own row. The engine that ended under the one at fault ended the others' trials too, which counted against them. A claim that failed counted as a trial as well. Class: one thing of all nodes (the next trial of a service) decided by several.

Change: a claim also writes a row of its service, under the version that the node knows, in the same transaction; only a claim that succeeded is a trial. Ruled out: counting a failed trial for one of the concurrent ones only, which tries the one at fault again sooner.

--- a/wigeonspoke/core/quarantine/__init__.py
+++ b/wigeonspoke/core/quarantine/__init__.py
@@ -14,6 +14,7 @@
 from wigeonspoke.core.quarantine.request_key import (
     is_request_key,
     request_key,
+    service_of,
 )
 from wigeonspoke.core.quarantine.sound_parts import SoundParts
 from wigeonspoke.core.quarantine.suspicion import PartSuspicion
@@ -30,4 +31,5 @@
     'SoundParts',
     'is_request_key',
     'request_key',
+    'service_of',
 )
--- a/wigeonspoke/ingress/part_table.py
+++ b/wigeonspoke/ingress/part_table.py
@@ -18,6 +18,7 @@
     CrashReport,
     PartReport,
     PartSuspicion,
+    service_of,
 )
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.table_relay import TableCopy
@@ -29,6 +30,11 @@
 # most often one node writes it for all.
 MAX_WRITE_DELAY_SECONDS = 0.5
 RETRY_SECONDS = 1.0
+# A node asks for a trial of the same part no more often than this.
+CLAIM_INTERVAL_SECONDS = 2.0
+# The row of a service that each claim of a trial writes.  Parts and requests
+# have other names: theirs are hexadecimal, or have a colon.
+TRIAL_SLOT = 'trial'
 MAX_ROWS = 256
 MAX_KEY_BYTES = 200
 
@@ -67,6 +73,8 @@
 
     def apply_change(self, row: TableRow) -> None:
         """Merge a row; its removal means that the part was served well."""
+        if row.key.endswith(f'/{TRIAL_SLOT}'):
+            return
         if row.is_removed:
             report = PartReport(row.key, sound_age=0)
         elif self._may_be_older(row.key):
@@ -117,7 +125,14 @@
 class PartPublisher:
     """Keeps the rows of the table in step with the node's evidence."""
 
-    __slots__ = ('copy', 'due_at', 'state', 'store', 'store_clock')
+    __slots__ = (
+        'asked_at',
+        'copy',
+        'due_at',
+        'state',
+        'store',
+        'store_clock',
+    )
 
     def __init__(
         self,
@@ -132,6 +147,8 @@
         self.store_clock = store_clock
         # When to write the row of a part, if it is still needed then.
         self.due_at: dict[str, float] = {}
+        # When a trial of a part was last asked for.
+        self.asked_at: dict[str, float] = {}
 
     def run(self) -> None:
         """Write and remove rows, and count short answers; never returns."""
@@ -153,12 +170,12 @@
         now = time.monotonic()
         if suspicion is None or not registry.may_try(part, now):
             return False
-        # After a failure the next request does not ask again at once.
-        suspicion.trial_at = now
-        store_seconds = self.store_clock()
-        is_claimed = store_seconds is not None and self._write(
-            part, _encode_row(suspicion, store_seconds - now)
-        )
+        if now - self.asked_at.get(part, -math.inf) < CLAIM_INTERVAL_SECONDS:
+            return False
+        self.asked_at[part] = now
+        is_claimed = self._write_claim(suspicion, now)
+        if is_claimed:
+            suspicion.trial_at = now
         self.state.log.write(
             'part-trial',
             part=part,
@@ -167,17 +184,38 @@
         )
         return is_claimed
 
+    def _write_claim(self, suspicion: PartSuspicion, now: float) -> bool:
+        """Write the row of a part with a trial; return whether it succeeded.
+
+        The slot of its service is written with it, so that one of several
+        nodes that claim trials of different parts at once succeeds: an engine
+        that ends would count against all of them.
+        """
+        store_seconds = self.store_clock()
+        if store_seconds is None:
+            return False
+        clock_offset = store_seconds - now
+        slot = f'{service_of(suspicion.part)}/{TRIAL_SLOT}'
+        return self._write(
+            {
+                suspicion.part: _encode_row(suspicion, clock_offset, now),
+                slot: msgspec.json.encode(suspicion.part),
+            }
+        )
+
     def _update_rows(self, now: float) -> None:
         writes = self._find_writes(now)
         for done in self.due_at.keys() - writes.keys():
             self.due_at.pop(done)
         for key, content in writes.items():
             if self._is_due(key, now):
-                self._write(key, content)
+                self._write({key: content})
 
     def _find_writes(self, now: float) -> dict[str, bytes | None]:
         """Return the rows to write, None for those to remove."""
         registry = self.state.part_watch.registry
+        for part in self.asked_at.keys() - registry.suspicions.keys():
+            self.asked_at.pop(part)
         store_seconds = self.store_clock()
         if store_seconds is None:
             return {}
@@ -217,25 +255,41 @@
         self.due_at[key] = now + RETRY_SECONDS
         return True
 
-    def _write(self, key: str, content: bytes | None) -> bool:
-        row = self.copy.rows.get(key)
-        expected = 0 if row is None else row.version
-        write = RowWrite(key, content, expected)
-        written = self.store.write_rows(PART_TABLE, (write,))
-        is_written = isinstance(written, Success)
-        self.state.log.write(
-            'part-row',
-            part=key,
-            removed=content is None,
-            expected=expected,
-            problem='' if is_written else written.failure().problem,
+    def _write(self, changes: dict[str, bytes | None]) -> bool:
+        """Write all rows or none, None for those to remove."""
+        writes = tuple(
+            RowWrite(key, content, self._known_version(key))
+            for key, content in changes.items()
         )
+        written = self.store.write_rows(PART_TABLE, writes)
+        is_written = isinstance(written, Success)
+        for write in writes:
+            self.state.log.write(
+                'part-row',
+                part=write.key,
+                removed=write.content is None,
+                expected=write.expected,
+                problem='' if is_written else written.failure().problem,
+            )
         return is_written
 
+    def _known_version(self, key: str) -> int:
+        """Return the version of a row, 0 if it does not exist."""
+        row = self.copy.rows.get(key)
+        return 0 if row is None else row.version
+
+
+def _encode_row(
+    suspicion: PartSuspicion,
+    clock_offset: float,
+    trial_at: float = -math.inf,
+) -> bytes:
+    """Encode a row; ``clock_offset`` is the store's clock minus ours.
 
-def _encode_row(suspicion: PartSuspicion, clock_offset: float) -> bytes:
-    """Encode a row; ``clock_offset`` is the store's clock minus ours."""
-    has_trial = suspicion.trial_at > -math.inf
+    ``trial_at`` is that of a trial that the row claims.
+    """
+    trial_at = max(trial_at, suspicion.trial_at)
+    has_trial = trial_at > -math.inf
     row = PartRow(
         {
             engine: round(crash.at + clock_offset, 3)
@@ -245,7 +299,7 @@
             engine: tuple(sorted(crash.companions))
             for engine, crash in suspicion.crashes.items()
         },
-        suspicion.trial_at + clock_offset if has_trial else None,
+        trial_at + clock_offset if has_trial else None,
         suspicion.failed_trials,
     )
     return msgspec.json.encode(row)
