--- a/wigeonspoke/platform/tests/stream_requests.py
+++ b/wigeonspoke/platform/tests/stream_requests.py
@@ -3,6 +3,7 @@
 import re
 from typing import Any
 
+import eventlet
 import pytest
 
 from wigeonspoke.platform.standins import EngineStandin
@@ -47,3 +48,19 @@
     with pytest.raises(AssertionError, match='truncated response'):
         list(client.read_chunks())
     client.close()
+
+
+def silence_engines(
+    monkeypatch: pytest.MonkeyPatch,
+    silences: dict[EngineStandin, float],
+    event: int,
+) -> None:
+    """Make engines silent before an event of each answer, for some seconds."""
+    format_token = EngineStandin._format_token
+
+    def format_late(engine: EngineStandin, number: int) -> str:
+        if number == event:
+            eventlet.sleep(silences.get(engine, 0))
+        return format_token(engine, number)
+
+    monkeypatch.setattr(EngineStandin, '_format_token', format_late)
--- a/wigeonspoke/platform/tests/test_answer_after_failed_failover.py
+++ b/wigeonspoke/platform/tests/test_answer_after_failed_failover.py
@@ -2,7 +2,6 @@
 
 import http
 
-import eventlet
 import pytest
 
 from wigeonspoke.platform.standins import EngineStandin
@@ -11,20 +10,10 @@
     ALL_EVENTS,
     event_ids,
     head_engine,
+    silence_engines,
 )
 
 
-def _silence(monkeypatch, engine, event, seconds):
-    format_token = EngineStandin._format_token
-
-    def format_late(self, number):
-        if self is engine and number == event:
-            eventlet.sleep(seconds)
-        return format_token(self, number)
-
-    monkeypatch.setattr(EngineStandin, '_format_token', format_late)
-
-
 def _answer_with_failure(monkeypatch, engine):
     handle = EngineStandin._handle_stream
 
@@ -47,7 +36,8 @@
 def test_a_failure_of_the_other_chain_is_not_followed_by_a_second_answer(
     placed_harness, monkeypatch, seconds
 ):
-    _silence(monkeypatch, head_engine(placed_harness, 'one'), 1, seconds)
+    silent = head_engine(placed_harness, 'one')
+    silence_engines(monkeypatch, {silent: seconds}, event=1)
     _answer_with_failure(monkeypatch, head_engine(placed_harness, 'two'))
     client = Client(placed_harness)
     client.send(
--- a/wigeonspoke/platform/tests/test_silent_endpoints.py
+++ b/wigeonspoke/platform/tests/test_silent_endpoints.py
@@ -1,32 +1,20 @@
 """Sound endpoints that fall silent for a second and go on."""
 
-import eventlet
 import pytest
 
-from wigeonspoke.platform.standins import EngineStandin, ReplicaFault
+from wigeonspoke.platform.standins import ReplicaFault
 from wigeonspoke.platform.tests.harness import send_request
 from wigeonspoke.platform.tests.stream_requests import (
     ALL_EVENTS,
     event_ids,
     head_engine,
     request_stream,
+    silence_engines,
 )
 
 SILENCE_SECONDS = 1.2
 
 
-def _silence(monkeypatch, engine, event):
-    """Make an engine silent before an event, in each of its answers."""
-    format_token = EngineStandin._format_token
-
-    def format_late(self, number):
-        if self is engine and number == event:
-            eventlet.sleep(SILENCE_SECONDS)
-        return format_token(self, number)
-
-    monkeypatch.setattr(EngineStandin, '_format_token', format_late)
-
-
 def _fill(engine):
     engine.is_full = True
 
@@ -44,7 +32,8 @@
 def test_silence_of_a_sound_engine_ends_no_answer(
     placed_harness, monkeypatch, change_other, event
 ):
-    _silence(monkeypatch, head_engine(placed_harness, 'one'), event)
+    silent = head_engine(placed_harness, 'one')
+    silence_engines(monkeypatch, {silent: SILENCE_SECONDS}, event)
     change_other(head_engine(placed_harness, 'two'))
     status, _, body = request_stream(placed_harness)
     assert status == 200
--- a/wigeonspoke/platform/tests/test_stream_lost_in_failover.py
+++ b/wigeonspoke/platform/tests/test_stream_lost_in_failover.py
@@ -9,6 +9,7 @@
     ALL_EVENTS,
     event_ids,
     head_engine,
+    silence_engines,
 )
 
 ROUTE_MS = 9000
@@ -25,18 +26,6 @@
     harness.wait_until(lambda: state.routing_table.version == 2)
 
 
-def _silence(monkeypatch, silences):
-    """Make engines silent before an event, for as long as ``silences`` say."""
-    format_token = EngineStandin._format_token
-
-    def format_late(self, number):
-        if number == SILENT_EVENT:
-            eventlet.sleep(silences.get(self, 0))
-        return format_token(self, number)
-
-    monkeypatch.setattr(EngineStandin, '_format_token', format_late)
-
-
 def _request(harness):
     client = Client(harness)
     client.send('POST', '/draft/x', 'id1', body=b'p', Deadline_Ms='9000')
@@ -51,7 +40,8 @@
     """The silent engine breaks off inside an event, as the other one works."""
     _configure(placed_harness)
     one = head_engine(placed_harness, 'one')
-    _silence(monkeypatch, {head_engine(placed_harness, 'two'): 1.3})
+    two = head_engine(placed_harness, 'two')
+    silence_engines(monkeypatch, {two: 1.3}, SILENT_EVENT)
     wait_for_hops = EngineStandin._wait_for_hops
     writes = []
 
@@ -76,7 +66,7 @@
     _configure(placed_harness)
     one = head_engine(placed_harness, 'one')
     two = head_engine(placed_harness, 'two')
-    _silence(monkeypatch, {one: 1.0, two: 1.2})
+    silence_engines(monkeypatch, {one: 1.0, two: 1.2}, SILENT_EVENT)
     one.reset_at_event = SILENT_EVENT + 1
     assert _request(placed_harness) == ALL_EVENTS
 
@@ -88,7 +78,7 @@
     _configure(placed_harness)
     one = head_engine(placed_harness, 'one')
     two = head_engine(placed_harness, 'two')
-    _silence(monkeypatch, {one: 3.0})
+    silence_engines(monkeypatch, {one: 3.0}, SILENT_EVENT)
     one.reset_at_event = SILENT_EVENT + 1
     two.is_full = True
     eventlet.spawn_after(has_room_after, setattr, two, 'is_full', False)
