Order a crash heard of late before the node's own sound answer

Cause: a node that had served a part well before it knew of any crash of it kept no time of that answer, so that an earlier crash, heard of later, stayed until the next sound answer. The registry now keeps the time of its own last sound answer for each part, bounded like the served parts, and a new suspicion begins with it. Ruled out: the times of parts that peers served, which are those of receipt.

After: both orders pass, with the tests of the quarantine and the model-based fuzz tests.

--- a/wigeonspoke/core/quarantine/registry.py
+++ b/wigeonspoke/core/quarantine/registry.py
@@ -80,7 +80,7 @@
         self, parts: tuple[str, ...], now: float
     ) -> tuple[PartSuspicion, ...]:
         """Record an answer that went well; return the suspicions it clears."""
-        self.sound.record_parts(
+        self.sound.record_answer(
             (part for part in parts if not is_request_key(part)), now
         )
         served = frozenset(parts)
@@ -224,7 +224,17 @@
         self._find_services()
 
     def _suspicion(self, part: str) -> PartSuspicion:
-        return self.suspicions.setdefault(part, PartSuspicion(part))
+        """Return the suspicion of a part, a new one if there is none.
+
+        A crash that is heard of only now may be older than this node's last
+        sound answer, which then clears it.
+        """
+        known = self.suspicions.get(part)
+        if known is None:
+            known = PartSuspicion(part)
+            known.sound_at = self.sound.last_answer_at(part)
+            self.suspicions[part] = known
+        return known
 
     def _limit(self, *, are_requests: bool) -> None:
         """Drop the weakest suspicions of a kind if there are too many."""
