Let the fixture of spared replicas end them exactly three times

Cause: the fixture spared the replicas only after all three kinds had ended three times each and half a second more; the stream's trial is due 1.2 s after its own third crash, met an engine that still ended under it, and the next trial is a minute away, longer than the 40 rounds. Ruled out: a trial that met a changing chain, or whose claim failed (each run claimed one trial, and it succeeded).

The check was wrong in its timing, not in what it asks: same assertions, same bounds; a fixture for each kind, whose replicas end three times and never more.

--- a/wigeonspoke/platform/tests/test_crashing_requests.py
+++ b/wigeonspoke/platform/tests/test_crashing_requests.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from functools import partial
 
 import eventlet
@@ -259,8 +259,13 @@
 class Play:
     """Bad requests and innocent ones of all kinds, at a constant rate."""
 
-    def __init__(self, deployment: CrashingDeployment) -> None:
+    def __init__(
+        self,
+        deployment: CrashingDeployment,
+        kinds: Collection[str] = BAD_REQUESTS,
+    ) -> None:
         self.deployment = deployment
+        self.kinds = kinds
         self.changed_at = -math.inf
         self.bad_responses: dict[str, Response] = {}
         # When each innocent request was sent, and whether it was served.
@@ -289,7 +294,7 @@
     def send_until_crashed(self) -> None:
         """Send requests until three replicas of each kind have ended."""
         for _ in range(MAX_ROUNDS):
-            if None not in map(self.deployment.third_crash, BAD_REQUESTS):
+            if None not in map(self.deployment.third_crash, self.kinds):
                 return
             self._send_round()
 
@@ -328,7 +333,8 @@
     def _send_round(self) -> None:
         self._number += 1
         innocent = list(INNOCENTS.values())[self._number % len(INNOCENTS)]
-        for kind, bad in BAD_REQUESTS.items():
+        for kind in self.kinds:
+            bad = BAD_REQUESTS[kind]
             self._spawn(self._send_bad, kind, bad)
             self._spawn(self._send_innocent, kind, innocent(bad))
         eventlet.sleep(REQUEST_INTERVAL_SECONDS)
@@ -492,52 +498,66 @@
 
 
 class Spared:
-    """A deployment whose replicas end under no request any more.
+    """A deployment whose replicas end three times under a request of one kind.
 
-    ``first_responses`` are those to the stopped requests just after the
-    crashes, before one may be tried again.
+    ``first_response`` is that to the stopped request just after the crashes,
+    before one may be tried again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, kind: str) -> None:
         self.deployment = CrashingDeployment(2)
+        self.kind = kind
+        for replica in self.deployment.replicas[kind]:
+            replica.ends_under = self._may_end
         self.deployment.wait_until_served()
-        started = Play(self.deployment)
+        started = Play(self.deployment, kinds=(kind,))
         started.send_until_crashed()
-        started.send_for(CHANGE_SECONDS)
-        self.first_responses: dict[str, Response] = {}
-        for kind, request in BAD_REQUESTS.items():
-            self.deployment.spare_replicas(kind)
-            self.first_responses[kind] = self.deployment.send(
-                request, 'first', self.deployment.nodes[0]
-            )
+        first_node = self.deployment.nodes[0]
+        self.deployment.harness.wait_until(partial(_refuses_any, first_node))
+        self.first_response = self.deployment.send(
+            BAD_REQUESTS[kind], 'first', first_node
+        )
         self.deployment.wait_until_served()
 
+    def _may_end(self, received: ReceivedRequest) -> bool:
+        """Return whether a replica ends under a request.
 
-@pytest.fixture(scope='module')
-def spared() -> Iterator[Spared]:
+        A trial that is due before the test goes on must end none, or the next
+        one would come a minute later.
+        """
+        crashes = len(self.deployment.crashes(self.kind))
+        is_over = crashes >= CRASHES_BEFORE_WINDOW
+        return not is_over and _is_bad(BAD_REQUESTS[self.kind], received)
+
+
+def _refuses_any(node: IngressNode) -> bool:
+    registry = node.state.part_watch.registry
+    return bool(registry.quarantined(time.monotonic()))
+
+
+@pytest.fixture(params=BAD_REQUESTS)
+def spared(request) -> Iterator[Spared]:
     """Yield a deployment whose replicas end under no request any more."""
-    started = Spared()
+    started = Spared(request.param)
     yield started
     started.deployment.close()
 
 
-@pytest.mark.parametrize('kind', BAD_REQUESTS)
-def test_a_stopped_request_is_served_again_once_it_crashes_no_replica(
-    spared, kind
-):
+def test_a_stopped_request_is_served_again_once_it_crashes_no_replica(spared):
     deployment = spared.deployment
+    stopped = BAD_REQUESTS[spared.kind]
     first_node = deployment.nodes[0]
-    response = spared.first_responses[kind]
+    response = spared.first_response
     assert response[0] == REFUSED
     for _ in range(MAX_ROUNDS):
         eventlet.sleep(min(MAX_WAIT_SECONDS, float(response[1]['retry-after'])))
-        response = deployment.send(BAD_REQUESTS[kind], 'again', first_node)
+        response = deployment.send(stopped, 'again', first_node)
         if response[0] != REFUSED:
             break
     assert response[0] == SERVED
     for node in deployment.nodes:
         deployment.harness.wait_until(
-            partial(_is_served, deployment, BAD_REQUESTS[kind], node)
+            partial(_is_served, deployment, stopped, node)
         )
 
 
