Obey what endpoints say of themselves in their answers

Nothing read either header; a refused replica was held for a failed one, so that it got nothing for two seconds after its time.

Change: one gate in the core, asked by calls, streams and probes, joins leaving, backoffs and the limits that there were. Leaving belongs to a run, goes by gossip as a hint with an age, and makes the fleet list the run as leaving. A refusal that names a time is no fault and does not lower the limit of a chain. Refusals to clients name the earliest time. A quarantined stream claims its trial only if a chain may take it. Fleet.of_service is cached by revision.

--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from wigeonspoke.core.availability import SendGate
 from wigeonspoke.core.chains.capacity import estimate_capacities
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
 from wigeonspoke.core.chains.paths import (
@@ -24,7 +25,6 @@
 from wigeonspoke.core.chains.peer_load import PeerLoad
 from wigeonspoke.core.chains.suspicion import SuspectRegistry
 from wigeonspoke.core.fleet import Endpoint, EngineProfile, Fleet
-from wigeonspoke.core.limits import NamedLimits
 
 
 class CachedChains(msgspec.Struct):
@@ -52,8 +52,8 @@
         'concurrency_limits',
         'failure_domain',
         'fleet',
+        'gate',
         'in_flight',
-        'limits',
         'peer_load',
         'suspects',
     )
@@ -63,12 +63,12 @@
         fleet: Fleet,
         suspects: SuspectRegistry,
         failure_domain: str,
-        limits: NamedLimits | None = None,
+        gate: SendGate | None = None,
     ) -> None:
         self.fleet = fleet
         self.suspects = suspects
-        # Limits that the heads of chains name, if nodes share them.
-        self.limits = limits
+        # What the heads of chains said of themselves, if that counts.
+        self.gate = gate
         self.failure_domain = failure_domain
         self.in_flight: Counter[str] = Counter()
         self.peer_load = PeerLoad()
@@ -136,11 +136,9 @@
     def has_capacity(self, chain: Chain, now: float) -> bool:
         """Return whether a chain is expected to accept one more request.
 
-        This node may also have spent its share of a limit that the head names.
+        The head may also have said that this node must not send to it now.
         """
-        if self.limits is not None and not self.limits.may_send(
-            chain.head, now
-        ):
+        if self.gate is not None and not self.gate.may_send(chain.head, now):
             return False
         head_id = chain.head.endpoint_id
         return self.concurrency_limits.has_capacity(
--- a/wigeonspoke/core/fleet/__init__.py
+++ b/wigeonspoke/core/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Registered endpoints, and the profile that engines share."""
 
+from wigeonspoke.core.fleet.leaving import LeavingReport, LeavingRuns
 from wigeonspoke.core.fleet.records import (
     BYTES_PER_MEGABYTE,
     Accelerator,
@@ -14,4 +15,6 @@
     'Endpoint',
     'EngineProfile',
     'Fleet',
+    'LeavingReport',
+    'LeavingRuns',
 )
--- a/wigeonspoke/core/fleet/registry.py
+++ b/wigeonspoke/core/fleet/registry.py
@@ -3,21 +3,34 @@
 import msgspec
 
 from wigeonspoke.core.deployment import LayerRange
+from wigeonspoke.core.fleet.leaving import LeavingReport, LeavingRuns
 from wigeonspoke.core.fleet.records import Endpoint
 
 
+class ListedEndpoints(msgspec.Struct, frozen=True):
+    """The endpoints of a service that stay, and whether others leave."""
+
+    staying: tuple[Endpoint, ...]
+    has_leaving: bool
+
+
 class Fleet:
-    """Endpoints by id, with the layers that they reported since.
+    """Endpoints by id, with what they reported of themselves since.
 
-    ``revision`` increases with every change to the endpoints or their
-    layers, so that results computed from them can be cached until then.
+    ``revision`` increases with every change to the endpoints, their layers or
+    which of them leave, so that results computed from them can be cached until
+    then.
     """
 
-    __slots__ = ('endpoints', 'revision')
+    __slots__ = ('endpoints', 'leaving', 'listed', 'listed_at', 'revision')
 
     def __init__(self) -> None:
         self.endpoints: dict[str, Endpoint] = {}
+        self.leaving = LeavingRuns()
         self.revision = 0
+        # The endpoints by service, as of revision ``listed_at``.
+        self.listed: dict[str, ListedEndpoints] = {}
+        self.listed_at = 0
 
     def put(self, endpoint: Endpoint) -> bool:
         """Add or update an endpoint, and tell whether anything changed.
@@ -56,13 +69,55 @@
             return
         self.put(msgspec.structs.replace(known, layers=layers))
 
-    def of_service(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service that are not shutting down."""
-        return [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if endpoint.service == service and not endpoint.is_leaving
-        ]
+    def record_leaving(self, endpoint: Endpoint, now: float) -> bool:
+        """Record a run's own word that it leaves; return whether it is news."""
+        is_news = self.leaving.record_answer(endpoint.start_id, now)
+        self.revision += is_news
+        return is_news
+
+    def merge_leaving(self, report: LeavingReport, now: float) -> bool:
+        """Merge a peer's word on a run that leaves, in the same way."""
+        is_news = self.leaving.merge(report, now)
+        self.revision += is_news
+        return is_news
+
+    def expire_leaving(self, now: float) -> tuple[str, ...]:
+        """End the hints of peers that are old; return their runs."""
+        expired = self.leaving.expire(now)
+        self.revision += bool(expired)
+        return expired
+
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint leaves, by the registry or its answers."""
+        return endpoint.is_leaving or self.leaving.is_leaving(endpoint.start_id)
+
+    def of_service(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a service that do not leave."""
+        return self._list(service).staying
+
+    def has_leaving(self, service: str) -> bool:
+        """Return whether an endpoint of a service leaves."""
+        return self._list(service).has_leaving
+
+    def _list(self, service: str) -> ListedEndpoints:
+        if self.listed_at != self.revision:
+            self.listed_at = self.revision
+            self.listed.clear()
+        listed = self.listed.get(service)
+        if listed is None:
+            all_endpoints = [
+                endpoint
+                for endpoint in self.endpoints.values()
+                if endpoint.service == service
+            ]
+            staying = tuple(
+                endpoint
+                for endpoint in all_endpoints
+                if not self.is_leaving(endpoint)
+            )
+            listed = ListedEndpoints(staying, len(staying) < len(all_endpoints))
+            self.listed[service] = listed
+        return listed
 
 
 def _is_older(endpoint: Endpoint, known: Endpoint) -> bool:
--- a/wigeonspoke/core/forwarding/replicas.py
+++ b/wigeonspoke/core/forwarding/replicas.py
@@ -9,9 +9,9 @@
 from collections import Counter
 from collections.abc import Collection
 
+from wigeonspoke.core.availability import SendGate
 from wigeonspoke.core.fleet import Endpoint, Fleet
 from wigeonspoke.core.health import EndpointHealth
-from wigeonspoke.core.limits import NamedLimits
 
 INITIAL_LATENCY_SECONDS = 0.05
 # The cost of a replica is the used fraction of its slots, plus these where
@@ -32,20 +32,20 @@
         'failure_domain',
         'failure_rates',
         'fleet',
+        'gate',
         'health',
         'in_flight',
-        'limits',
     )
 
     def __init__(
         self,
         fleet: Fleet,
         failure_domain: str,
-        limits: NamedLimits | None = None,
+        gate: SendGate | None = None,
     ) -> None:
         self.fleet = fleet
-        # Limits that replicas name, if nodes share them.
-        self.limits = limits
+        # What replicas said of themselves, if that counts.
+        self.gate = gate
         self.failure_domain = failure_domain
         self.in_flight: Counter[str] = Counter()
         self.health: dict[str, EndpointHealth] = {}
@@ -62,7 +62,7 @@
             replica
             for replica in self.fleet.of_service(service)
             if replica.endpoint_id not in excluded_ids
-            and self._is_within_limit(replica, now)
+            and self._may_send(replica, now)
         ]
         if not usable:
             return None
@@ -113,8 +113,8 @@
             return False
         return health.record_failure(reason, now)
 
-    def _is_within_limit(self, replica: Endpoint, now: float) -> bool:
-        return self.limits is None or self.limits.may_send(replica, now)
+    def _may_send(self, replica: Endpoint, now: float) -> bool:
+        return self.gate is None or self.gate.may_send(replica, now)
 
     def _cost(self, replica: Endpoint, now: float) -> float:
         cost = self.in_flight[replica.endpoint_id] / max(1, replica.slots)
--- a/wigeonspoke/core/limits/named_limits.py
+++ b/wigeonspoke/core/limits/named_limits.py
@@ -6,6 +6,8 @@
 name it; the newest answer that any node received counts.
 """
 
+import math
+
 import msgspec
 
 from wigeonspoke.core.fleet import Endpoint
@@ -86,6 +88,17 @@
             return True
         return self._refill(endpoint, now).tokens >= 1
 
+    def next_send_at(self, endpoint: Endpoint, now: float) -> float:
+        """Return when this node may send to an endpoint with a limit.
+
+        It is infinite if other nodes send for this one.
+        """
+        known = self._refill(endpoint, now)
+        rate = known.limit * known.share
+        if not rate:
+            return math.inf
+        return now + max(0, 1 - known.tokens) / rate
+
     def record_sent(self, endpoint: Endpoint, now: float) -> None:
         """Count a request that is sent, repeats and refused ones included."""
         if self.find_limit(endpoint, now) is not None:
--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -149,7 +149,7 @@
         read = partial(self._read_until_silent, attempt)
         head = read(attempt.read_head)
         headers = decode_headers(head)
-        markers = self.read_markers(replica, head.status_code, headers)
+        markers = self.read_markers(attempt, replica, head.status_code, headers)
         self._check_request_id(markers, replica)
         read_part = partial(read, attempt.read_body_part)
         body = collect_body(read_part, attempt.peer)
@@ -225,6 +225,7 @@
         if markers.not_executed:
             if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
                 self.prober.record_replaced(replica)
+            # A refusal that names a time is no fault.
             self._record_error(
                 replica,
                 StepError(
@@ -233,6 +234,7 @@
                     'call',
                     replica.address,
                 ),
+                is_fault=markers.retry_after_seconds is None,
             )
             return None
         if is_corrupted(response, markers):
@@ -259,8 +261,11 @@
         attempt.abort()
         self._record_error(replica, timeout_error(attempt, 'call'))
 
-    def _record_error(self, replica: Endpoint, error: StepError) -> None:
-        if not self.context.disconnect_monitor.is_disconnected:
+    def _record_error(
+        self, replica: Endpoint, error: StepError, *, is_fault: bool = True
+    ) -> None:
+        is_disconnected = self.context.disconnect_monitor.is_disconnected
+        if is_fault and not is_disconnected:
             if error.reason is Reason.TIMEOUT:
                 self.state.replicas.record_timeout(replica)
             else:
@@ -314,7 +319,11 @@
         return NodeResponse(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
             str(reason),
-            REFUSED_RETRY_AFTER_SECONDS,
+            self.retry_after(
+                self.state.fleet.of_service(self.service),
+                REFUSED_RETRY_AFTER_SECONDS,
+                0,
+            ),
         )
 
 
--- a/wigeonspoke/ingress/chain_choice.py
+++ b/wigeonspoke/ingress/chain_choice.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from wigeonspoke.core.chains import Chain
-from wigeonspoke.core.fleet import EngineProfile
+from wigeonspoke.core.fleet import Endpoint, EngineProfile
 from wigeonspoke.ingress.request_handler import RequestContext
 from wigeonspoke.ingress.state import IngressState
 
@@ -44,6 +44,8 @@
     def wait(self) -> Chain | None:
         """Choose a chain, waiting for a limited time for one with room."""
         wait_since = time.monotonic()
+        if self._stays_closed(wait_since):
+            return None
         while self.profile is not None:
             now = time.monotonic()
             chain = self._select(now)
@@ -57,6 +59,17 @@
             eventlet.sleep(CHAIN_POLL_SECONDS)
         return None
 
+    def is_possible(self) -> bool:
+        """Return whether a chain could be sent the stream at once."""
+        return self._select(time.monotonic()) is not None
+
+    def heads(self) -> tuple[Endpoint, ...]:
+        """Return the heads of all chains, those that are excluded, too."""
+        if self.profile is None:
+            return ()
+        chains = self.state.chains.chains(self.service, self.profile)
+        return tuple(chain.head for chain in chains)
+
     def has_alternative(self, now: float) -> bool:
         """Return whether a further chain is worth a failover."""
         alternative = self._select(now)
@@ -68,7 +81,17 @@
             )
         )
 
+    def _stays_closed(self, now: float) -> bool:
+        """Return whether no head may be sent to for longer than is waited."""
+        heads = self.heads()
+        opens_at = self.state.gate.opens_at(heads, now)
+        if not heads or opens_at is None:
+            return False
+        return opens_at > now + self._max_wait()
+
     def _select(self, now: float) -> Chain | None:
+        if self.profile is None:
+            return None
         return self.state.chains.select(
             self.service,
             self.profile,
--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/endpoint_attempt.py
@@ -9,6 +9,7 @@
 import math
 import re
 import socket
+import time
 from contextlib import suppress
 
 import eventlet
@@ -78,6 +79,7 @@
         'receiver',
         'send_failed',
         'sender',
+        'sent_at',
         'sock',
     )
 
@@ -98,6 +100,8 @@
         self.sender: eventlet.greenthread.GreenThread | None = None
         # Whether the connection broke before the request was sent completely.
         self.send_failed = False
+        # When the request was sent, on the monotonic clock.
+        self.sent_at = math.inf
         self.may_have_executed = False
         self.is_aborted = False
         # Whether the peer was seen to end the connection.
@@ -127,6 +131,7 @@
         payload += self.parser.send(h11.Data(data=body)) or b''
         payload += self.parser.send(h11.EndOfMessage()) or b''
         self.may_have_executed = True
+        self.sent_at = time.monotonic()
         if len(payload) > INLINE_BODY_BYTES:
             self.sender = eventlet.spawn(self._send_all, payload)
         else:
--- a/wigeonspoke/ingress/peer_gossip.py
+++ b/wigeonspoke/ingress/peer_gossip.py
@@ -17,6 +17,7 @@
 import msgspec
 from returns.result import Success
 
+from wigeonspoke.core.fleet import LeavingReport
 from wigeonspoke.core.limits import LimitReport
 from wigeonspoke.core.membership import (
     GossipMessage,
@@ -51,7 +52,7 @@
     streams that the node has there.  ``parts`` is evidence of parts under
     which engines ended, and ``served_parts`` are parts with which answers
     went well for the first time.  ``limits`` are limits that endpoints named
-    or ended in their answers.
+    or ended in their answers, and ``leaving`` the runs that said they leave.
     """
 
     gossip: GossipMessage
@@ -61,6 +62,7 @@
     parts: tuple[PartReport, ...] = ()
     served_parts: tuple[str, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    leaving: tuple[LeavingReport, ...] = ()
 
 
 class PeerGossip:
@@ -165,6 +167,7 @@
             parts.reports(now),
             parts.sound.recent_news(now),
             self.state.limits.reports(now),
+            self.state.fleet.leaving.reports(now),
         )
 
     def apply_update(self, update: PeerUpdate) -> None:
@@ -218,6 +221,7 @@
         )
         has_news = any([limits.merge(one, now) for one in update.limits])
         has_news = self._apply_part_news(update, now) or has_news
+        has_news = self._apply_leaving(update, now) or has_news
         if has_news and not self.state.hears_all_peers:
             self.tell_news()
         for name, changed in update.tables.items():
@@ -230,6 +234,15 @@
         merged = [part_watch.merge(report, source) for report in update.parts]
         return any(merged)
 
+    def _apply_leaving(self, update: PeerUpdate, now: float) -> bool:
+        source = node_name(update.gossip.report.node)
+        has_news = False
+        for report in update.leaving:
+            if self.state.fleet.merge_leaving(report, now):
+                self.state.log_leaving(report.start_id, source, report.age)
+                has_news = True
+        return has_news
+
     def _exchange_with(self, peer: str) -> None:
         body = msgspec.json.encode(self.build_update(peer))
         reply = self.client.post(
--- a/wigeonspoke/ingress/placement_loop.py
+++ b/wigeonspoke/ingress/placement_loop.py
@@ -134,6 +134,10 @@
         if engine_state.born != placement.endpoint.born:
             controller.record_refused(placement)
             return
+        if engine_state.is_leaving:
+            self.state.record_leaving(placement.endpoint, 'report')
+            controller.record_refused(placement)
+            return
         if engine_state.is_busy:
             # It would refuse a new order.  It may be executing an order of an
             # earlier holder, so its layers are checked again later.
@@ -168,6 +172,8 @@
         placement: Placement,
         reply: OrderReply,
     ) -> None:
+        if reply.is_leaving:
+            self.state.record_leaving(placement.endpoint, 'order')
         if reply.is_fenced_off:
             self.leases.record_fenced_off(keeper)
         if not reply.is_accepted:
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -57,6 +57,8 @@
             endpoint = hop.endpoint
             if fault_address not in {'', endpoint.address}:
                 continue
+            if self.state.gate.wants_quiet(endpoint, now):
+                continue
             last = self.probed_at.get(endpoint.endpoint_id, 0)
             if now - last >= MIN_PROBE_INTERVAL_SECONDS:
                 self.probed_at[endpoint.endpoint_id] = now
@@ -73,9 +75,11 @@
         early is made later, since the endpoint may have ended after the last
         one, or at once if it ``is_urgent``.
         """
-        if self._is_known(endpoint):
-            return
         now = time.monotonic()
+        if self._is_known(endpoint) or self.state.gate.wants_quiet(
+            endpoint, now
+        ):
+            return
         last = self.probed_at.get(endpoint.endpoint_id, 0)
         wait_seconds = last + MIN_PROBE_INTERVAL_SECONDS - now
         if wait_seconds <= 0 or is_urgent:
@@ -107,10 +111,18 @@
         """Probe suspected engines periodically; never returns."""
         while True:
             eventlet.sleep(ROUND_SECONDS)
-            for suspicion in self.state.suspects.take_due(time.monotonic()):
-                reason = REFUSED if suspicion.refuses else 'suspect'
-                eventlet.spawn(self._probe, suspicion.endpoint, reason)
+            now = time.monotonic()
+            self._probe_suspects(now)
             self._forget_unlisted()
+            for start_id in self.state.fleet.expire_leaving(now):
+                self.state.log.write('leaving-forgotten', endpoint=start_id)
+
+    def _probe_suspects(self, now: float) -> None:
+        for suspicion in self.state.suspects.take_due(now):
+            if self.state.gate.wants_quiet(suspicion.endpoint, now):
+                continue
+            reason = REFUSED if suspicion.refuses else 'suspect'
+            eventlet.spawn(self._probe, suspicion.endpoint, reason)
 
     def _probe(self, endpoint: Endpoint, reason: str) -> None:
         """Probe an engine; suspect it only after two failures."""
@@ -184,6 +196,8 @@
             self._suspect(endpoint, f'{reason}: engine restarted')
             return
         self.state.part_watch.record_engine_alive(endpoint, asked_at)
+        if engine_state.is_leaving:
+            self.state.record_leaving(endpoint, 'report')
         if reason == REFUSED and self._refuses_work(endpoint, engine_state):
             self._suspect(
                 endpoint, 'health check refuses new work', refuses=True
@@ -201,11 +215,14 @@
             or engine_state.free_memory_fraction < FULL_MEMORY_FRACTION
         ):
             return False
-        return not self.control.check_health(
+        reply = self.control.check_health(
             endpoint.address,
             service.health_path,
             PROBE_TIMEOUT_SECONDS,
         )
+        if reply.is_leaving:
+            self.state.record_leaving(endpoint, 'health check')
+        return not reply.accepts_work
 
     def _mark_healthy(
         self, endpoint: Endpoint, engine_state: EngineState
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -55,7 +55,11 @@
     ``not_executed`` means that the request did not run and will not run.
     ``fault_address`` is the address of the engine that caused a chain's
     failure.  ``requests_per_second`` is the limit that the endpoint names for
-    the requests of all nodes together, None if it names none.
+    the requests of all nodes together, None if it names none.  ``is_leaving``
+    is whether the endpoint says that it leaves.  ``retry_after_seconds`` is how
+    long one that refused the request wants nothing from this node, None if it
+    does not say so; ``unreadable_retry_after`` is its word if that has no
+    meaning.
     """
 
     request_id: str
@@ -65,6 +69,9 @@
     not_executed: bool
     fault_address: str
     requests_per_second: float | None = None
+    is_leaving: bool = False
+    retry_after_seconds: float | None = None
+    unreadable_retry_after: str = ''
 
 
 class EngineState(msgspec.Struct, frozen=True):
@@ -73,7 +80,8 @@
     ``born`` identifies the start of the engine process.  ``orders`` counts
     the placement orders accepted since then; a new order may require this
     count as a precondition.  ``requests_per_second`` is the limit that the
-    report named, if any.  ``slowdown`` is the time a step takes relative to
+    report named, if any, and ``is_leaving`` whether it said that the engine
+    leaves.  ``slowdown`` is the time a step takes relative to
     the engine's kind, 1 being normal.  ``free_memory_fraction`` is the free
     fraction of the memory reserved for requests.
     """
@@ -85,6 +93,7 @@
     slowdown: float
     free_memory_fraction: float
     requests_per_second: float | None = None
+    is_leaving: bool = False
 
 
 class EngineFailure(msgspec.Struct, frozen=True):
@@ -97,15 +106,23 @@
     refuses_connections: bool = False
 
 
+class HealthReply(msgspec.Struct, frozen=True):
+    """What a health check says: new work is accepted, or the engine leaves."""
+
+    accepts_work: bool
+    is_leaving: bool = False
+
+
 class OrderReply(msgspec.Struct, frozen=True):
     """An engine's reply to a placement order.
 
     ``is_fenced_off`` means that the engine has already obeyed an order with
-    a newer fencing token.
+    a newer fencing token.  ``is_leaving`` is whether it says that it leaves.
     """
 
     is_accepted: bool
     is_fenced_off: bool = False
+    is_leaving: bool = False
 
 
 class WireFormat(Protocol):
@@ -156,8 +173,10 @@
     ) -> Result[EngineState, EngineFailure]:
         """Fetch an engine's state."""
 
-    def check_health(self, address: str, path: str, timeout: float) -> bool:
-        """Return whether an engine's health check accepts new work."""
+    def check_health(
+        self, address: str, path: str, timeout: float
+    ) -> HealthReply:
+        """Fetch the result of an engine's health check."""
 
     def send_order(
         self,
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -1,6 +1,9 @@
 """Common base of the handlers for calls and streams."""
 
+import http
+import math
 import time
+from collections.abc import Iterable
 
 import msgspec
 
@@ -27,6 +30,8 @@
 SILENCE_RECHECK_SECONDS = 0.03
 REFUSED_RETRY_AFTER_SECONDS = 0.5
 MIN_RETRY_AFTER_SECONDS = 1.0
+# Characters of an endpoint's text that are written to the log.
+MAX_LOGGED_TEXT = 64
 
 
 class RequestContext(msgspec.Struct):
@@ -164,7 +169,9 @@
         context = self.context
         request = context.request
         now = time.monotonic()
-        self.state.limits.record_sent(endpoint, now)
+        for reason in self.state.gate.diversions(self.service, now):
+            self.state.count_event('turned-elsewhere', reason)
+        self.state.gate.record_sent(endpoint, now)
         attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
         forward_context = ForwardContext(
             endpoint=endpoint,
@@ -240,24 +247,43 @@
         )
 
     def read_markers(
-        self, endpoint: Endpoint, status: int, headers: HeaderList
+        self,
+        attempt: EndpointAttempt,
+        endpoint: Endpoint,
+        status: int,
+        headers: HeaderList,
     ) -> ResponseMarkers:
-        """Read the markers of an endpoint's response, and its limit.
+        """Read the markers of an endpoint's response, and act on them."""
+        markers = self.state.wire.read_response_markers(status, headers)
+        self._record_limit(endpoint, markers)
+        # One that is not the expected run does not speak for it.
+        is_other_run = (
+            status == http.HTTPStatus.MISDIRECTED_REQUEST
+            and not markers.fault_address
+        )
+        if not is_other_run:
+            self._record_leaving(endpoint, status, markers)
+            self._record_backoff(attempt, endpoint, markers)
+        return markers
 
-        A response without a limit ends the one named before, unless it may
-        come from elsewhere.
+    def retry_after(
+        self,
+        endpoints: Iterable[Endpoint],
+        otherwise_seconds: float,
+        jitter_seconds: float,
+    ) -> float:
+        """Return when a refused request may come again, in seconds.
+
+        It is when the first of some endpoints may be sent to, if all of them
+        have said when, and a random time that keeps clients from returning
+        all at once.
         """
-        markers = self.state.wire.read_response_markers(status, headers)
-        limit = markers.requests_per_second
-        if limit is not None:
-            self.state.count_event('limit-named')
-        elif markers.request_id != self.context.request.request_id:
-            return markers
         now = time.monotonic()
-        if self.state.limits.record_answer(endpoint.start_id, limit, now):
-            self.note('limit-changed', endpoint=endpoint.start_id, limit=limit)
-            self.state.tell_news()
-        return markers
+        opens_at = self.state.gate.opens_at(endpoints, now)
+        wait_seconds = otherwise_seconds
+        if opens_at is not None and opens_at < math.inf:
+            wait_seconds = max(otherwise_seconds, opens_at - now)
+        return wait_seconds + jitter_seconds * self.state.rng.random()
 
     def is_allowed(self) -> bool:
         """Return whether the current configuration still allows the request."""
@@ -277,6 +303,65 @@
             **facts,
         )
 
+    def _record_limit(
+        self, endpoint: Endpoint, markers: ResponseMarkers
+    ) -> None:
+        """Record the limit that a response names.
+
+        A response without a limit ends the one named before, unless it may
+        come from elsewhere.
+        """
+        limit = markers.requests_per_second
+        if limit is not None:
+            self.state.count_event('limit-named')
+        elif markers.request_id != self.context.request.request_id:
+            return
+        now = time.monotonic()
+        if self.state.limits.record_answer(endpoint.start_id, limit, now):
+            self.note('limit-changed', endpoint=endpoint.start_id, limit=limit)
+            self.state.tell_news()
+
+    def _record_leaving(
+        self, endpoint: Endpoint, status: int, markers: ResponseMarkers
+    ) -> None:
+        if not markers.is_leaving:
+            return
+        self.state.count_event('leaving-named')
+        if self.state.record_leaving(endpoint, f'answer {status}'):
+            self.note('turned-from', endpoint=endpoint.start_id)
+
+    def _record_backoff(
+        self,
+        attempt: EndpointAttempt,
+        endpoint: Endpoint,
+        markers: ResponseMarkers,
+    ) -> None:
+        """Record for how long an endpoint wants nothing, or that it is over."""
+        backoffs = self.state.gate.backoffs
+        start_id = endpoint.start_id
+        seconds = markers.retry_after_seconds
+        if markers.unreadable_retry_after:
+            self.note(
+                'retry-after-unreadable',
+                endpoint=start_id,
+                text=markers.unreadable_retry_after[:MAX_LOGGED_TEXT],
+            )
+        if seconds is None:
+            if backoffs.record_answer(start_id, attempt.sent_at):
+                self.note('backoff-ended', endpoint=start_id)
+            return
+        now = time.monotonic()
+        self.state.count_event('backoff-named')
+        if backoffs.record_refusal(start_id, seconds, attempt.sent_at, now):
+            until = backoffs.find_until(start_id, now) or now
+            self.note(
+                'backoff',
+                endpoint=start_id,
+                named=seconds,
+                waits=round(until - now, 3),
+                sent_ago=round(now - attempt.sent_at, 3),
+            )
+
     def _abort_attempts(self) -> None:
         for attempt in self.open_attempts:
             attempt.abort()
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -6,12 +6,13 @@
 from collections import Counter
 from collections.abc import Callable
 
+from wigeonspoke.core.availability import SendGate
 from wigeonspoke.core.chains import (
     ChainActivity,
     ChainSelector,
     SuspectRegistry,
 )
-from wigeonspoke.core.fleet import Fleet
+from wigeonspoke.core.fleet import Endpoint, Fleet
 from wigeonspoke.core.forwarding import ReplicaSelector, RetryWindowBudget
 from wigeonspoke.core.leases import LeaseRow
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
@@ -40,6 +41,7 @@
         'connection_pool',
         'counters',
         'fleet',
+        'gate',
         'hears_all_peers',
         'lease_holding_peers',
         'leases',
@@ -96,10 +98,11 @@
         self.limits = NamedLimits(
             SenderRegistry(settings.name, domain, self.started_at)
         )
+        self.gate = SendGate(self.fleet, self.limits)
         self.chains = ChainSelector(
-            self.fleet, self.suspects, domain, self.limits
+            self.fleet, self.suspects, domain, self.gate
         )
-        self.replicas = ReplicaSelector(self.fleet, domain, self.limits)
+        self.replicas = ReplicaSelector(self.fleet, domain, self.gate)
         self.connection_pool = ConnectionPool()
         self.budgets: dict[str, RetryWindowBudget] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
@@ -119,6 +122,24 @@
         service_budget.node_share = 1 / self.node_count
         return service_budget
 
+    def record_leaving(self, endpoint: Endpoint, source: str) -> bool:
+        """Record a run's own word that it leaves; return whether it is news."""
+        if not self.fleet.record_leaving(endpoint, time.monotonic()):
+            return False
+        self.log_leaving(endpoint.start_id, source, 0)
+        self.tell_news()
+        return True
+
+    def log_leaving(self, start_id: str, source: str, age: float) -> None:
+        """Write to the log that a run leaves, and who said it when."""
+        self.log.write(
+            'endpoint-leaving',
+            endpoint=start_id,
+            source=source,
+            told_ago=age,
+            revision=self.fleet.revision,
+        )
+
     def record_store_failure(self, now: float) -> None:
         """Record that a call to the store was refused or not answered."""
         self.store_failed_at = now
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -28,6 +28,7 @@
     StreamEvent,
 )
 from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.protocols import ResponseMarkers
 from wigeonspoke.ingress.request_handler import (
     SILENCE_RECHECK_SECONDS,
     RequestContext,
@@ -142,7 +143,7 @@
 
         A part of it may have been quarantined while it waited for a chain.
         """
-        if self.is_refused():
+        if self.is_refused(can_be_sent=self.chain_choice.is_possible()):
             return None
         chain = self.chain_choice.wait()
         return None if self.is_refused() else chain
@@ -233,9 +234,11 @@
             attempt, attempt.read_head, chain
         )
         headers = decode_headers(head)
-        markers = self.read_markers(chain.head, head.status_code, headers)
+        markers = self.read_markers(
+            attempt, chain.head, head.status_code, headers
+        )
         if markers.not_executed:
-            self._record_refusal(chain, head.status_code, markers.fault_address)
+            self._record_refusal(chain, head.status_code, markers)
             return False
         if markers.request_id != self.context.request.request_id:
             raise AttemptError(invalid_response_error(chain.head.address))
@@ -485,12 +488,16 @@
     def _retry_after(self) -> float:
         if self.refusal is not None:
             return refusal_retry_after(self.refusal)
-        jitter = RETRY_AFTER_JITTER_SECONDS * self.state.rng.random()
-        return NO_CHAIN_RETRY_AFTER_SECONDS + jitter
+        return self.retry_after(
+            self.chain_choice.heads(),
+            NO_CHAIN_RETRY_AFTER_SECONDS,
+            RETRY_AFTER_JITTER_SECONDS,
+        )
 
     def _record_refusal(
-        self, chain: Chain, status: int, fault_address: str
+        self, chain: Chain, status: int, markers: ResponseMarkers
     ) -> None:
+        fault_address = markers.fault_address
         self.last_error = StepError(
             Outcome.NOT_RUN,
             Reason.REFUSED,
@@ -509,6 +516,7 @@
         now = time.monotonic()
         self.state.suspects.deprioritize(chain.head.endpoint_id, now)
         is_full = status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        names_time = markers.retry_after_seconds is not None
         if fault_address or not is_full:
             self.prober.check_chain(
                 chain, 'refused', fault_address or chain.head.address
@@ -517,7 +525,8 @@
             # No slot is free at the head, or no memory at the engine named.
             # The request has not run there, and may be admitted when other
             # requests have ended.
-            self.state.chains.record_refusal(chain, now)
+            if not names_time:
+                self.state.chains.record_refusal(chain, now)
             self.chain_choice.excluded.difference_update(chain.endpoint_ids)
 
     def _head_load(self, chain: Chain) -> dict[str, int]:
--- a/wigeonspoke/platform/engine_control.py
+++ b/wigeonspoke/platform/engine_control.py
@@ -10,9 +10,14 @@
 from wigeonspoke.ingress.protocols import (
     EngineFailure,
     EngineState,
+    HealthReply,
     OrderReply,
 )
-from wigeonspoke.platform.headers import LIMIT_HEADER, parse_limit
+from wigeonspoke.platform.headers import (
+    LIMIT_HEADER,
+    parse_limit,
+    says_leaving,
+)
 from wigeonspoke.platform.records import decode_report
 from wigeonspoke.transport import HttpClient, HttpError
 
@@ -45,14 +50,25 @@
         limit = parse_limit(reply.headers.get(LIMIT_HEADER.lower(), ''))
         return (
             decode_report(reply.body)
-            .map(partial(msgspec.structs.replace, requests_per_second=limit))
+            .map(
+                partial(
+                    msgspec.structs.replace,
+                    requests_per_second=limit,
+                    is_leaving=says_leaving(reply.headers),
+                )
+            )
             .alt(EngineFailure)
         )
 
-    def check_health(self, address: str, path: str, timeout: float) -> bool:
-        """Return whether an engine's health check accepts new work."""
+    def check_health(
+        self, address: str, path: str, timeout: float
+    ) -> HealthReply:
+        """Fetch the result of an engine's health check."""
         result = self.client.get(address, path, timeout)
-        return isinstance(result, Success) and result.unwrap().is_ok
+        if not isinstance(result, Success):
+            return HealthReply(accepts_work=False)
+        reply = result.unwrap()
+        return HealthReply(reply.is_ok, says_leaving(reply.headers))
 
     def send_order(
         self,
@@ -84,11 +100,13 @@
         )
         if not isinstance(result, Success):
             return Failure(_describe_error(result.failure()))
-        status = result.unwrap().status
+        reply = result.unwrap()
+        status = reply.status
         return Success(
             OrderReply(
                 is_accepted=status in ACCEPTED_STATUSES,
                 is_fenced_off=status == http.HTTPStatus.PRECONDITION_FAILED,
+                is_leaving=says_leaving(reply.headers),
             ),
         )
 
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import re
+from collections.abc import Mapping
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.ingress.protocols import (
@@ -11,6 +12,7 @@
     ResponseMarkers,
 )
 from wigeonspoke.ingress.responses import HOP_BY_HOP_HEADERS
+from wigeonspoke.transport import parse_retry_after
 
 MILLISECONDS_PER_SECOND = 1000
 EVENT_STREAM_TYPE = 'text/event-stream'
@@ -28,8 +30,10 @@
 SIGNATURE_HEADER = 'Response-Signature'
 FAULT_ADDRESS_HEADER = 'At-Server'
 LIMIT_HEADER = 'Server-Limit'
+LEAVING_HEADER = 'Server-Leaving'
 
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
 
 _DECIMAL = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
 
@@ -136,6 +140,12 @@
         name.lower(): header_value for name, header_value in headers
     }
     content_type = header_values.get('content-type', '')
+    retry_after = ''
+    if status == SERVICE_UNAVAILABLE:
+        retry_after = header_values.get('retry-after', '')
+    retry_seconds = parse_retry_after(
+        retry_after, header_values.get('date', '')
+    )
     return ResponseMarkers(
         request_id=header_values.get(REQUEST_ID_HEADER.lower(), ''),
         is_signed=SIGNATURE_HEADER.lower() in header_values,
@@ -147,9 +157,17 @@
         requests_per_second=parse_limit(
             header_values.get(LIMIT_HEADER.lower(), '')
         ),
+        is_leaving=says_leaving(header_values),
+        retry_after_seconds=retry_seconds,
+        unreadable_retry_after=retry_after if retry_seconds is None else '',
     )
 
 
+def says_leaving(header_values: Mapping[str, str]) -> bool:
+    """Return whether headers, with names in lower case, tell of a leaving."""
+    return header_values.get(LEAVING_HEADER.lower(), '').strip() == '1'
+
+
 def parse_limit(header_value: str) -> float | None:
     """Return a limit in requests a second, None if there is no valid one."""
     if not _DECIMAL.fullmatch(header_value):
--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -8,6 +8,10 @@
 import eventlet
 import msgspec
 
+from wigeonspoke.platform.standins.own_word import (
+    own_word,
+    refusal_for_a_time,
+)
 from wigeonspoke.platform.standins.raw_server import (
     RawConnection,
     RawRequest,
@@ -36,6 +40,7 @@
     """
 
     __slots__ = (
+        'away_until',
         'body_end',
         'born',
         'breaks_off_at_event',
@@ -63,7 +68,9 @@
         'reports',
         'reset_at_event',
         'restart_seconds',
+        'retry_after',
         'runs',
+        'says_leaving',
         'server',
         'service',
         'zone',
@@ -107,6 +114,12 @@
         self.is_up = True
         # Requests a second that its answers name as its limit.
         self.named_limit: float | None = None
+        # Whether all answers say that the engine leaves.
+        self.says_leaving = False
+        # Until when requests are refused with the time that is left, or with
+        # the text ``retry_after`` in its place.
+        self.away_until = 0
+        self.retry_after: str | None = None
         # When the engine ended, on the monotonic clock.
         self.crashes: list[float] = []
         # What marks the end of the body of a stream.
@@ -163,6 +176,8 @@
         self.fence = 0
         self.born += 1
         self.is_up = True
+        self.says_leaving = False
+        self.away_until = 0
         self.server.restart()
 
     def _handle(self, request: RawRequest, connection: RawConnection) -> None:
@@ -192,7 +207,7 @@
         }
         connection.respond(
             http.HTTPStatus.OK,
-            self._limit_headers(),
+            own_word(self),
             msgspec.json.encode(report),
         )
 
@@ -200,7 +215,8 @@
         status = http.HTTPStatus.OK
         if self.is_draining:
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
-        connection.respond(status, {'Instance-Id': self.endpoint_id})
+        headers = {'Instance-Id': self.endpoint_id} | own_word(self)
+        connection.respond(status, headers)
 
     def _handle_order(
         self, request: RawRequest, connection: RawConnection
@@ -213,7 +229,7 @@
         elif order['precondition'] == self.orders:
             self.fence = order['fence']
             self.orders += 1
-            connection.respond(http.HTTPStatus.ACCEPTED, {})
+            connection.respond(http.HTTPStatus.ACCEPTED, own_word(self))
             layers = (order['from'], order['to'])
             eventlet.spawn_after(self.load_seconds, self._set_layers, layers)
         else:
@@ -235,7 +251,7 @@
         refusal = self._find_refusal(expected, hops)
         if refusal is not None:
             status, headers = refusal
-            connection.respond(status, headers | self._limit_headers())
+            connection.respond(status, headers | own_word(self))
             return
         self.runs.append(received)
         self._write_events(received, hops, connection)
@@ -252,6 +268,9 @@
                 http.HTTPStatus.MISDIRECTED_REQUEST,
                 {'At-Server': address},
             )
+        if time.monotonic() < self.away_until:
+            headers = refusal_for_a_time(self)
+            return (http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
         headers = {'Not-Executed': '1'}
         if self.is_full:
             return (http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
@@ -302,10 +321,8 @@
             f'Request-Id: {received.request_id}',
             f'Response-Signature: s.{self.endpoint_id}',
         )
-        limit_lines = (
-            f'{name}: {limit}' for name, limit in self._limit_headers().items()
-        )
-        head = '\r\n'.join((*lines, *limit_lines))
+        own_lines = (f'{name}: {text}' for name, text in own_word(self).items())
+        head = '\r\n'.join((*lines, *own_lines))
         connection.write(f'{head}\r\n\r\n'.encode())
 
     def _ends_under(self, received: ReceivedRequest, written: int) -> bool:
@@ -315,11 +332,6 @@
             self.crash()
         return not self.is_up
 
-    def _limit_headers(self) -> dict[str, str]:
-        if self.named_limit is None:
-            return {}
-        return {'Server-Limit': str(self.named_limit)}
-
     def _write_part(self, part: bytes, connection: RawConnection) -> None:
         if self.body_end is BodyEnd.CLOSE:
             connection.write(part)
--- a/wigeonspoke/platform/standins/replica.py
+++ b/wigeonspoke/platform/standins/replica.py
@@ -9,6 +9,10 @@
 import eventlet
 import msgspec
 
+from wigeonspoke.platform.standins.own_word import (
+    own_word,
+    refusal_for_a_time,
+)
 from wigeonspoke.platform.standins.raw_server import (
     RawConnection,
     RawRequest,
@@ -65,6 +69,7 @@
     """
 
     __slots__ = (
+        'away_until',
         'born',
         'crashes',
         'endpoint_id',
@@ -75,8 +80,10 @@
         'named_limit',
         'received',
         'restart_seconds',
+        'retry_after',
         'run_seconds',
         'runs',
+        'says_leaving',
         'server',
         'service',
         'zone',
@@ -104,6 +111,12 @@
         self.crashes: list[float] = []
         # Requests a second that its answers name as its limit.
         self.named_limit: float | None = None
+        # Whether all answers say that the replica leaves.
+        self.says_leaving = False
+        # Until when requests are refused with the time that is left, or with
+        # the text ``retry_after`` in its place.
+        self.away_until = 0
+        self.retry_after: str | None = None
         self.received: list[ReceivedRequest] = []
         self.runs: list[ReceivedRequest] = []
         self.server = RawServer(self._handle)
@@ -141,9 +154,7 @@
             'Request-Id': request_id,
             'Response-Signature': f'stamp.{self.endpoint_id}',
         }
-        if self.named_limit is not None:
-            headers['Server-Limit'] = str(self.named_limit)
-        return headers
+        return headers | own_word(self)
 
     def _start_again(self) -> None:
         self.born += 1
@@ -151,6 +162,8 @@
             name = self.endpoint_id.partition('+')[0]
             self.endpoint_id = f'{name}+{self.born}'
         self.is_up = True
+        self.says_leaving = False
+        self.away_until = 0
         self.server.restart()
 
     def _handle(self, request: RawRequest, connection: RawConnection) -> None:
@@ -160,14 +173,18 @@
         if expected in {'', self.endpoint_id}:
             self._admit(received, connection)
             return
-        headers = {'Instance-Id': self.endpoint_id}
+        headers = {'Instance-Id': self.endpoint_id} | own_word(self)
         connection.respond(http.HTTPStatus.MISDIRECTED_REQUEST, headers)
 
     def _admit(
         self, received: ReceivedRequest, connection: RawConnection
     ) -> None:
-        if self.fault is ReplicaFault.SHED:
-            headers = {'Not-Executed': '1'}
+        if time.monotonic() < self.away_until:
+            headers = refusal_for_a_time(self)
+            headers['Request-Id'] = received.request_id
+            connection.respond(http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
+        elif self.fault is ReplicaFault.SHED:
+            headers = {'Not-Executed': '1'} | own_word(self)
             connection.respond(http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
         elif self.fault is ReplicaFault.RESET:
             connection.reset()
--- a/wigeonspoke/platform/tests/test_wire_names.py
+++ b/wigeonspoke/platform/tests/test_wire_names.py
@@ -10,7 +10,8 @@
     'Hop-Count|Expect-Instance|Not-Executed|Response-Signature|At-Server|'
     'Token-Usage|Prompt-Prefix|Deadline-Ms|rows-tx|rows-feed|rows-get|'
     '(?<!-)Request-Id|Credential|Weight-Versions|Request-Urgency|Length-Hint|'
-    'Server-Limit|path-prefix|target-latency-ms|WIGEONSPOKE_CONFIG|drain-mode',
+    'Server-Limit|Server-Leaving|path-prefix|target-latency-ms|'
+    'WIGEONSPOKE_CONFIG|drain-mode',
 )
 SOURCE_FILES = sorted(
     source
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -25,6 +25,7 @@
     ResponseReceiver,
     ResponseTooLarge,
 )
+from wigeonspoke.transport.retry_after import parse_retry_after
 from wigeonspoke.transport.socket_options import reset_on_close
 from wigeonspoke.transport.socket_peek import peek
 
@@ -50,6 +51,7 @@
     'ResponseReceiver',
     'ResponseTooLarge',
     'find_body_end',
+    'parse_retry_after',
     'peek',
     'read_lines',
     'read_request_body',
