Let two nodes of a domain read the registry for the others

A calm node also woke some 110 times a second (profile of a node of the grown site: 4,543 timers in 40 s), for placement without a lease, for changes that peers might know, and for leases.

Change: in a domain of six or more nodes of a large deployment, two are chosen by a hash that all compute alike, and the others wait for changes at one of them, by a long poll; without one, or if it lost the store, they ask the store as before, and gossip tells what they miss. Peers pass on changes and not whole tables where they can. Loops wait for what they act on.

Ruled out: relaying the configuration as well (a body of 1,400 routes to 20 nodes takes seconds on a link of 20 Mbit/s); longer pauses between polls alone (the drain time).

The follower's module is split: copies, consumers, versions of peers, subscriptions. The test of an older table reaches the same copy by its new name; no assertion changed. The store's stand-in now ends open polls when it is away, as a store does.

--- a/wigeonspoke/core/chains/peer_load.py
+++ b/wigeonspoke/core/chains/peer_load.py
@@ -23,18 +23,22 @@
 
     def update(self, node: str, streams: Mapping[str, int]) -> None:
         """Replace the counts reported by one node."""
+        known = self.streams_by_node.get(node, {})
         self.streams_by_node[node] = streams
-        self._recount()
+        if known != streams:
+            self._add(known, -1)
+            self._add(streams, 1)
 
     def retain(self, nodes: Collection[str]) -> None:
         """Drop the counts of all nodes except the given ones."""
         removed = self.streams_by_node.keys() - nodes
         for node in removed:
-            self.streams_by_node.pop(node)
-        if removed:
-            self._recount()
-
-    def _recount(self) -> None:
-        self.streams_by_head = Counter()
-        for streams in self.streams_by_node.values():
-            self.streams_by_head.update(streams)
+            self._add(self.streams_by_node.pop(node), -1)
+
+    def _add(self, streams: Mapping[str, int], sign: int) -> None:
+        for head_id, count in streams.items():
+            total = self.streams_by_head[head_id] + sign * count
+            if total:
+                self.streams_by_head[head_id] = total
+            else:
+                self.streams_by_head.pop(head_id)
--- a/wigeonspoke/core/membership/__init__.py
+++ b/wigeonspoke/core/membership/__init__.py
@@ -16,6 +16,7 @@
     MarkState,
     PeerReport,
 )
+from wigeonspoke.core.membership.watchers import choose_watchers, rank_nodes
 
 __all__ = (
     'Contact',
@@ -30,4 +31,6 @@
     'PeerReport',
     'message_size',
     'round_seconds',
+    'choose_watchers',
+    'rank_nodes',
 )
--- a/wigeonspoke/core/placement/controller.py
+++ b/wigeonspoke/core/placement/controller.py
@@ -63,6 +63,7 @@
         'known_ids',
         'last_added_at',
         'last_balanced_at',
+        'last_complete',
         'last_unrelieved',
         'pending',
         'profile',
@@ -78,6 +79,9 @@
         # The last division into copies, and the engines that it was made of.
         self.divided_engines: tuple[Endpoint, ...] = ()
         self.division = Division()
+        # The last division that needed neither a repair nor balancing, and
+        # the slow engines then.
+        self.last_complete: tuple[Division, frozenset[str]] | None = None
         # The last division in which no engine could be relieved.
         self.last_unrelieved: Division | None = None
 
@@ -100,6 +104,9 @@
         if self._is_unsettled(registered, now):
             return ()
         division = self._divide(map(self._with_pending_layers, registered))
+        complete = (division, frozenset(slow_ids))
+        if self._is_known_complete(complete):
+            return ()
         repairs = [
             placement
             for copy in division.copies
@@ -118,7 +125,10 @@
             for copy in division.copies
             for placement in balance_copy(copy, self.profile)
         )
-        return balancing or self._relieve(division)
+        placements = balancing or self._relieve(division)
+        if not placements:
+            self.last_complete = complete
+        return placements
 
     def record_sent(self, placement: Placement, now: float) -> None:
         """Record that an order is being sent."""
@@ -176,6 +186,17 @@
             self.division = divide_engines(key, self.profile)
         return self.division
 
+    def _is_known_complete(
+        self, complete: tuple[Division, frozenset[str]]
+    ) -> bool:
+        """Return whether the same engines needed no order last time."""
+        known = self.last_complete
+        return (
+            known is not None
+            and known[0] is complete[0]
+            and known[1] == complete[1]
+        )
+
     def _relieve(self, division: Division) -> tuple[Placement, ...]:
         """Free an engine for a copy that is wanted; search once a division."""
         if division is self.last_unrelieved:
--- a/wigeonspoke/ingress/lease_loop.py
+++ b/wigeonspoke/ingress/lease_loop.py
@@ -17,6 +17,7 @@
     VersionedLease,
 )
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.store import (
     FeedStore,
     RowPage,
@@ -31,6 +32,8 @@
 # half of it.
 REGISTRATION_SECONDS = 60.0
 ROUND_SECONDS = 0.1
+# The same while this node holds no lease.
+IDLE_ROUND_SECONDS = 0.25
 # Rows are read at least this often, and earlier if a lease seems to be free.
 READ_INTERVAL_SECONDS = 20.0
 # Minimum time between two reads, and the pause after a failed one.
@@ -61,6 +64,7 @@
         'state',
         'store',
         'store_clock_offset',
+        'won',
     )
 
     def __init__(self, state: IngressState, store: FeedStore) -> None:
@@ -81,6 +85,8 @@
         self.next_read_at = 0
         # Store's monotonic clock minus :func:`lease_clock` of this node.
         self.store_clock_offset = 0
+        # Woken when a lease is won.
+        self.won = WakeUp()
 
     def run(self) -> None:
         """Acquire and renew leases; never returns."""
@@ -92,7 +98,9 @@
                 if keeper.renewal_due(lease_clock()):
                     self._write(keeper, keeper.row_version)
             self.state.leases = self._held_leases()
-            eventlet.sleep(ROUND_SECONDS)
+            eventlet.sleep(
+                ROUND_SECONDS if self.state.holds_lease else IDLE_ROUND_SECONDS
+            )
 
     def store_seconds(self) -> float | None:
         """Return the time of the store's clock, None if it is not known."""
@@ -220,6 +228,7 @@
             )
             if is_new:
                 self._log('lease-held', keeper)
+                self.won.wake()
             return
         self._handle_write_error(keeper, written.failure(), sent_at)
 
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -20,18 +20,20 @@
     PartPublisher,
 )
 from wigeonspoke.ingress.peer_gossip import PeerGossip
+from wigeonspoke.ingress.peer_versions import PeerVersions
 from wigeonspoke.ingress.placement_loop import PlacementLoop
 from wigeonspoke.ingress.prober import Prober
 from wigeonspoke.ingress.protocols import EngineControl, WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.ingress.table_followers import (
+from wigeonspoke.ingress.table_consumers import (
     ConfigurationConsumer,
     RegistryConsumer,
     TableConsumer,
-    TableFollower,
 )
-from wigeonspoke.ingress.table_relay import PeerApp, PeerVersions
+from wigeonspoke.ingress.table_followers import TableFollower
+from wigeonspoke.ingress.table_relay import PeerApp
+from wigeonspoke.ingress.table_subscription import TableSubscription
 from wigeonspoke.store import FeedStore
 from wigeonspoke.transport import HttpClient, HttpListener, ListenerLimits
 
@@ -68,7 +70,6 @@
     """An ingress node, which serves client requests on an entry host."""
 
     __slots__ = (
-        'copies',
         'front',
         'gossip',
         'greenlets',
@@ -82,6 +83,7 @@
         'prober',
         'ready',
         'state',
+        'tables',
     )
 
     def __init__(
@@ -132,13 +134,27 @@
         self.part_publisher = PartPublisher(
             self.state, store, part_follower.copy, store_clock
         )
-        self.copies = {
-            follower.consumer.table: follower.copy for follower in followers
+        self.tables = {
+            follower.consumer.table: follower for follower in followers
         }
-        self.gossip = PeerGossip(self.state, client, self.copies, peer_versions)
+        self.gossip = PeerGossip(
+            self.state,
+            client,
+            {name: follower.copy for name, follower in self.tables.items()},
+            peer_versions,
+        )
+        # Bodies of the configuration are large, and its changes few: each node
+        # reads them from the store.
+        subscriptions = [
+            TableSubscription(
+                self.state, client, follower, self.gossip.exchange.node_names
+            )
+            for follower in followers[1:]
+        ]
         self.loops: tuple[Callable[[], None], ...] = (
             *(follower.run for follower in followers),
             *(follower.run_peer_sync for follower in followers),
+            *(subscription.run for subscription in subscriptions),
             self.prober.run,
             self.lease_loop.run,
             *(
@@ -166,7 +182,7 @@
         )
         self.peers = self._listen(
             'peers',
-            PeerApp(self.copies, self.gossip.handle_request),
+            PeerApp(self.tables, self.gossip.handle_request),
             settings.peers,
             PEER_CONNECTIONS,
         )
--- /dev/null
+++ b/wigeonspoke/ingress/peer_versions.py
@@ -0,0 +1,57 @@
+"""Which peers have read newer changes of the store's tables."""
+
+import msgspec
+
+from wigeonspoke.ingress.wake_up import WakeUp
+
+
+class _PeerVersion(msgspec.Struct):
+    """The newest known change of a table, its reporter and the time."""
+
+    version: int
+    peer: str
+    since: float
+
+
+class PeerVersions:
+    """The newest change of each table that a peer has reported.
+
+    ``news`` is woken at each report of a newer one.
+    """
+
+    __slots__ = ('newest', 'news')
+
+    def __init__(self) -> None:
+        self.newest: dict[str, _PeerVersion] = {}
+        self.news = WakeUp()
+
+    def record(self, name: str, version: int, peer: str, now: float) -> None:
+        """Record the newest change of a table that a peer has read."""
+        known = self.newest.get(name)
+        if known is None or version > known.version:
+            self.newest[name] = _PeerVersion(version, peer, now)
+            self.news.wake()
+        elif version == known.version:
+            # The latest reporter is the most likely to be reachable.
+            known.peer = peer
+
+    def has_newer(self, name: str, known: int) -> bool:
+        """Return whether a peer has reported a newer version than ``known``."""
+        heard = self.newest.get(name)
+        return heard is not None and heard.version > known
+
+    def find_newer_peer(
+        self, name: str, known: int, heard_before: float
+    ) -> str:
+        """Return a peer with a newer version than ``known``, empty if none.
+
+        Only changes first reported at or before ``heard_before`` count.
+        """
+        heard = self.newest.get(name)
+        if (
+            heard is None
+            or heard.version <= known
+            or heard.since > heard_before
+        ):
+            return ''
+        return heard.peer
--- a/wigeonspoke/ingress/placement_loop.py
+++ b/wigeonspoke/ingress/placement_loop.py
@@ -16,8 +16,12 @@
     OrderReply,
 )
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.wake_up import WakeUp
 
 ROUND_SECONDS = 0.1
+# Without the lease there is nothing to do until it is won, which wakes the
+# loop.
+MAX_IDLE_SECONDS = 5.0
 ORDER_TIMEOUT_SECONDS = 1.0
 STATE_TIMEOUT_SECONDS = 0.5
 # Pause between polls of an engine that loads layers: a fraction of the load
@@ -30,7 +34,12 @@
 
 
 class Leases(Protocol):
-    """The leases under which orders are sent."""
+    """The leases under which orders are sent.
+
+    ``won`` is woken when one is won.
+    """
+
+    won: WakeUp
 
     def may_order(self, keeper: LeaseKeeper) -> bool:
         """Return whether orders may be sent under a lease now."""
@@ -61,9 +70,11 @@
     def run(self, keeper: LeaseKeeper) -> None:
         """Send the orders of one failure domain; never returns."""
         while True:
-            eventlet.sleep(ROUND_SECONDS)
             if keeper.is_held:
                 self._reconcile(keeper)
+                eventlet.sleep(ROUND_SECONDS)
+            else:
+                self.leases.won.wait(MAX_IDLE_SECONDS)
 
     def _reconcile(self, keeper: LeaseKeeper) -> None:
         for service in self.state.routing_table.services.values():
--- /dev/null
+++ b/wigeonspoke/ingress/table_consumers.py
@@ -0,0 +1,154 @@
+"""Consumers of the store's tables: configuration and endpoint registry."""
+
+import time
+from typing import Protocol
+
+import eventlet
+from returns.result import Success
+
+from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.store import TableRow
+
+# Registry entries that expired during a store outage are re-registered within
+# this time after it, or the endpoint is gone.
+RETENTION_SECONDS = 2.5
+
+
+class TableConsumer(Protocol):
+    """Receives the rows of a table."""
+
+    table: str
+
+    def handle_store_return(self) -> None:
+        """Handle the return of the store after an outage."""
+
+    def replace_all(self, rows: tuple[TableRow, ...]) -> None:
+        """Replace the table by its complete rows."""
+
+    def apply_change(self, row: TableRow) -> None:
+        """Apply one changed row."""
+
+
+class ConfigurationConsumer:
+    """Adopts newer versions of the configuration."""
+
+    __slots__ = ('key', 'state', 'table')
+
+    def __init__(self, state: IngressState, table: str, key: str) -> None:
+        self.state = state
+        self.table = table
+        self.key = key
+
+    def handle_store_return(self) -> None:
+        """Do nothing: the configuration stays in force during an outage."""
+
+    def replace_all(self, rows: tuple[TableRow, ...]) -> None:
+        """Apply every row of the table."""
+        for row in rows:
+            self.apply_change(row)
+
+    def apply_change(self, row: TableRow) -> None:
+        """Adopt a configuration newer than the one in force."""
+        if row.key != self.key or row.is_removed:
+            return
+        decoded = self.state.wire.decode_configuration(bytes(row.content))
+        if not isinstance(decoded, Success):
+            self.state.log.write(
+                'configuration-unreadable',
+                row_version=row.version,
+                problem=decoded.failure(),
+            )
+            return
+        configuration = decoded.unwrap()
+        if self.state.routing_table.adopt(configuration):
+            self.state.count_event('configuration-adopted')
+            self.state.log.write(
+                'configuration-adopted',
+                version=configuration.version,
+                rules=len(configuration.rules),
+                accounts=len(configuration.accounts),
+            )
+
+
+class RegistryConsumer:
+    """Keeps the fleet in step with the endpoint registry.
+
+    Entries expire during a store outage, and live endpoints register again
+    shortly after it.  Missing endpoints are therefore retained for that time.
+    """
+
+    __slots__ = ('missing', 'retained_until', 'state', 'table')
+
+    def __init__(self, state: IngressState, table: str) -> None:
+        self.state = state
+        self.table = table
+        self.missing: set[str] = set()
+        self.retained_until = 0
+
+    def handle_store_return(self) -> None:
+        """Retain missing endpoints for a while after a store outage."""
+        self._retain_until(time.monotonic() + RETENTION_SECONDS)
+
+    def replace_all(self, rows: tuple[TableRow, ...]) -> None:
+        """Apply the complete list; endpoints not listed are missing."""
+        for row in rows:
+            self.apply_change(row)
+        listed = {entry.key for entry in rows if not entry.is_removed}
+        for endpoint_id in list(self.state.fleet.endpoints):
+            if endpoint_id not in listed:
+                self._mark_missing(endpoint_id)
+
+    def apply_change(self, row: TableRow) -> None:
+        """Apply an entry; one that cannot be decoded drops its endpoint."""
+        if row.is_removed:
+            self._mark_missing(row.key)
+            return
+        decoded = self.state.wire.decode_endpoint(row.key, bytes(row.content))
+        if not isinstance(decoded, Success):
+            self._drop(row.key, decoded.failure())
+            return
+        endpoint = decoded.unwrap()
+        self.missing.discard(endpoint.endpoint_id)
+        known = self.state.fleet.endpoints.get(endpoint.endpoint_id)
+        if known is not None and endpoint.born > known.born:
+            self.state.part_watch.record_engine_end(known, 'started again')
+        self.state.part_watch.record_listed(endpoint)
+        if self.state.fleet.put(endpoint):
+            self.state.log.write(
+                'endpoint',
+                endpoint=endpoint.endpoint_id,
+                address=endpoint.address,
+                leaving=endpoint.is_leaving,
+                layers=endpoint.layers.describe() if endpoint.layers else '',
+                row_version=row.version,
+            )
+
+    def _retain_until(self, until: float) -> None:
+        if until > self.retained_until:
+            self.retained_until = until
+            wait_seconds = until - time.monotonic()
+            eventlet.spawn_after(wait_seconds, self._drop_missing)
+
+    def _mark_missing(self, endpoint_id: str) -> None:
+        # A failed call of any component counts: the store may only just
+        # have returned.
+        self._retain_until(self.state.store_failed_at + RETENTION_SECONDS)
+        if time.monotonic() < self.retained_until:
+            self.missing.add(endpoint_id)
+            return
+        self._drop(endpoint_id, 'removed')
+
+    def _drop_missing(self) -> None:
+        if time.monotonic() < self.retained_until:
+            return
+        for endpoint_id in self.missing:
+            self._drop(endpoint_id, 'not registered again after store outage')
+        self.missing.clear()
+
+    def _drop(self, endpoint_id: str, reason: str) -> None:
+        if self.state.fleet.drop(endpoint_id) is not None:
+            self.state.log.write(
+                'endpoint-gone',
+                endpoint=endpoint_id,
+                reason=reason,
+            )
--- /dev/null
+++ b/wigeonspoke/ingress/table_copy.py
@@ -0,0 +1,139 @@
+"""This node's copy of a store table, from which peers may learn changes."""
+
+import time
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from wigeonspoke.store import TableRow
+
+# Changes remembered to tell peers; one that knows less gets the whole table.
+MAX_CHANGES = 512
+
+
+class RelayedRow(msgspec.Struct, frozen=True, array_like=True):
+    """A row with its content as written, empty if it was removed."""
+
+    key: str
+    version: int
+    content: bytes
+    is_removed: bool = False
+
+
+class RelayedTable(msgspec.Struct, frozen=True):
+    """A table, or its changes since a version that a peer knows.
+
+    ``age`` is the seconds since the node read it.
+    """
+
+    version: int
+    age: float
+    rows: tuple[RelayedRow, ...]
+    is_complete: bool = True
+
+
+class TableCopy:
+    """This node's copy of a table, which peers may read.
+
+    ``version`` is the store version up to which the table was read, and
+    ``newest_change`` the version of the newest change in the table.
+    ``changes`` are all changes after version ``changes_since``.
+    """
+
+    __slots__ = (
+        'changes',
+        'changes_since',
+        'newest_change',
+        'read_at',
+        'rows',
+        'version',
+    )
+
+    def __init__(self) -> None:
+        self.rows: dict[str, TableRow] = {}
+        self.version: int | None = None
+        self.newest_change = 0
+        self.read_at = 0
+        self.changes: deque[TableRow] = deque()
+        self.changes_since = 0
+
+    @property
+    def known_version(self) -> int:
+        """Version of the copy, -1 if the table was never read."""
+        return -1 if self.version is None else self.version
+
+    def replace(self, rows: Iterable[TableRow], version: int) -> None:
+        """Replace the copy by a complete table."""
+        self.rows = {row.key: row for row in rows if not row.is_removed}
+        # Rows may have been removed that the complete table cannot name.
+        self.changes.clear()
+        self.changes_since = version
+        self._update_newest_change(self.rows.values())
+        self._mark_read(version)
+
+    def apply_changes(
+        self,
+        rows: Iterable[TableRow],
+        version: int,
+    ) -> tuple[TableRow, ...]:
+        """Apply changes; return those that were not known yet.
+
+        A table adopted from a peer in the meantime may be newer than these
+        changes.
+        """
+        changes = tuple(row for row in rows if row.version > self.known_version)
+        for row in changes:
+            if row.is_removed:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row
+        self._remember(changes)
+        self._update_newest_change(changes)
+        if version > self.known_version:
+            self._mark_read(version)
+        return changes
+
+    def snapshot_after(self, known: int) -> RelayedTable | None:
+        """Return what a peer that knows a version lacks, None if nothing."""
+        if self.version is None or self.version <= known:
+            return None
+        is_complete = known < self.changes_since
+        rows = self.rows.values()
+        if not is_complete:
+            rows = [row for row in self.changes if row.version > known]
+        return RelayedTable(
+            version=self.version,
+            age=time.monotonic() - self.read_at,
+            rows=tuple(
+                RelayedRow(
+                    row.key,
+                    row.version,
+                    b'' if row.is_removed else bytes(row.content),
+                    row.is_removed,
+                )
+                for row in rows
+            ),
+            is_complete=is_complete,
+        )
+
+    def _remember(self, changes: tuple[TableRow, ...]) -> None:
+        self.changes.extend(changes)
+        while len(self.changes) > MAX_CHANGES:
+            self.changes_since = self.changes.popleft().version
+
+    def _update_newest_change(self, rows: Iterable[TableRow]) -> None:
+        for row in rows:
+            self.newest_change = max(self.newest_change, row.version)
+
+    def _mark_read(self, version: int) -> None:
+        self.version = version
+        self.read_at = time.monotonic()
+
+
+def decode_rows(table: RelayedTable) -> tuple[TableRow, ...]:
+    """Return the rows of a table that a peer has sent."""
+    return tuple(
+        TableRow(row.key, row.version, msgspec.Raw(row.content), row.is_removed)
+        for row in table.rows
+    )
--- /dev/null
+++ b/wigeonspoke/ingress/table_subscription.py
@@ -0,0 +1,125 @@
+"""A table that a node follows through a watcher instead of the store."""
+
+import time
+
+import eventlet
+
+from wigeonspoke.core.membership import choose_watchers, rank_nodes
+from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.table_consumers import RETENTION_SECONDS
+from wigeonspoke.ingress.table_followers import TableFollower
+from wigeonspoke.ingress.table_relay import WatcherAnswer, fetch_changes
+from wigeonspoke.transport import HttpClient
+
+# Changes come at once, and so does the end of a connection.  A watcher that
+# hangs is noticed after this time, and what it misses by gossip before.
+WAIT_SECONDS = 4
+# A copy counts as current for this long after an answer of a watcher.
+FRESH_SECONDS = WAIT_SECONDS + 1.0
+# A watcher that did not answer, or does not read the store, is left for this
+# long.
+AVOID_SECONDS = 3.0
+CHECK_SECONDS = 1.0
+# Nodes that have just started do not know their peers yet.
+DISCOVERY_SECONDS = 2.0
+
+
+class TableSubscription:
+    """Keeps a follower's copy current through a watcher of its domain.
+
+    A node that is a watcher, holds a lease or knows too few peers has none.
+    The store is asked again as soon as no watcher is left.
+    """
+
+    __slots__ = ('addresses', 'avoided_until', 'client', 'follower', 'state')
+
+    def __init__(
+        self,
+        state: IngressState,
+        client: HttpClient,
+        follower: TableFollower,
+        addresses: dict[str, str],
+    ) -> None:
+        self.state = state
+        self.client = client
+        self.follower = follower
+        # Instance ids of nodes by the address at which they listen for peers.
+        self.addresses = addresses
+        self.avoided_until: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Follow the table through watchers; never returns."""
+        while True:
+            watcher = self._choose()
+            if not watcher:
+                self.follower.mark_stale()
+                eventlet.sleep(CHECK_SECONDS)
+            elif not self._ask(watcher):
+                self.avoided_until[watcher] = time.monotonic() + AVOID_SECONDS
+
+    def _choose(self) -> str:
+        """Return the address of a watcher, empty if there is none."""
+        state = self.state
+        now = time.monotonic()
+        is_new = now < state.started_at + DISCOVERY_SECONDS
+        if state.hears_all_peers or state.holds_lease or is_new:
+            return ''
+        by_address = self._local_nodes()
+        own_name = state.settings.name
+        watchers = choose_watchers(
+            state.settings.failure_domain, {*by_address, own_name}
+        )
+        if own_name in watchers:
+            return ''
+        for name in rank_nodes(own_name, watchers):
+            address = by_address[name]
+            if self.avoided_until.get(address, 0) <= now:
+                return address
+        return ''
+
+    def _local_nodes(self) -> dict[str, str]:
+        """Return the addresses of the live peers in the domain, by name."""
+        live = self.state.peers.peers
+        domain = self.state.settings.failure_domain
+        return {
+            instance_id.partition('#')[0]: address
+            for address, instance_id in self.addresses.items()
+            if instance_id in live
+            and live[instance_id].report.failure_domain == domain
+        }
+
+    def _ask(self, watcher: str) -> bool:
+        """Wait for changes at a watcher; return whether it may be asked on."""
+        follower = self.follower
+        answer = fetch_changes(
+            self.client,
+            self.state.log,
+            watcher,
+            follower.consumer.table,
+            follower.copy.known_version,
+            WAIT_SECONDS,
+        )
+        if answer is None:
+            return False
+        self._apply(answer)
+        if not answer.reads_store:
+            return False
+        was_stale = follower.fresh_until <= time.monotonic()
+        follower.mark_fresh(FRESH_SECONDS)
+        if was_stale:
+            self.state.log.write(
+                'follows-watcher',
+                peer=watcher,
+                table=follower.consumer.table,
+                version=follower.copy.known_version,
+            )
+        return True
+
+    def _apply(self, answer: WatcherAnswer) -> None:
+        outage_age = answer.seconds_since_outage
+        if outage_age is not None and outage_age < RETENTION_SECONDS:
+            # Entries may be missing that will come back.
+            self.state.record_store_failure(time.monotonic() - outage_age)
+            self.follower.consumer.handle_store_return()
+        if answer.table is not None:
+            self.follower.adopt(answer.table)
--- a/wigeonspoke/platform/standins/store.py
+++ b/wigeonspoke/platform/standins/store.py
@@ -67,6 +67,7 @@
         'fault',
         'page_rows',
         'requested_paths',
+        'requested_tables',
         'rows',
         'server',
         'version',
@@ -80,6 +81,8 @@
         self.after_page: Callable[[], None] | None = None
         self.fault = StoreFault.NONE
         self.requested_paths: list[str] = []
+        # The tables that reads and feeds asked for.
+        self.requested_tables: list[str] = []
         self.server = RawServer(self._handle)
 
     @property
@@ -121,6 +124,7 @@
             for name, query_values in parse_qs(parts.query).items()
         }
         self.requested_paths.append(parts.path)
+        self.requested_tables.append(query.get('table', ''))
         if self._inject_fault(connection):
             return
         if parts.path == '/v1/rows-get':
@@ -160,7 +164,7 @@
         )
         changed = self._changed_rows(query['table'], after)
         while not changed and time.monotonic() < deadline:
-            if connection.is_closed_by_peer():
+            if connection.is_closed_by_peer() or self._inject_fault(connection):
                 return
             eventlet.sleep(POLL_SECONDS)
             changed = self._changed_rows(query['table'], after)
--- a/wigeonspoke/platform/tests/test_table_relay.py
+++ b/wigeonspoke/platform/tests/test_table_relay.py
@@ -86,8 +86,8 @@
 
 def test_an_older_table_of_a_peer_changes_nothing(harness, node_without_store):
     harness.wait_until(lambda: node_without_store.is_ready)
-    harness.node.copies['op'].version = 0
-    harness.node.copies['op'].rows.clear()
+    harness.node.tables['op'].copy.version = 0
+    harness.node.tables['op'].copy.rows.clear()
     eventlet.sleep(1.0)
     assert node_without_store.state.routing_table.version == 1
 
