Tell leases of others by gossip, and ask the store seldom in large fleets

Cause: a lease is known from the store's rows or from its holder's own messages. With 195 nodes few hear from a holder within the 10 s that its lease lasts, so that a lease in force seems free and each of them reads the rows, about every 10 s (from the code; the share of these reads was not measured apart). Watchers were chosen among peers heard from within 5 s, which differ from node to node.

Change: messages of large fleets carry the leases of others with their expiry, which only makes nodes wait; registrations are read every 60 s and last 180 s there once the first 20 s are over; a node that the store refuses asks again after 2 to 4 s, since one that reaches it tells the others; watchers are chosen among all known nodes that have not departed, and one that was silent is left for 15 s. Small fleets are unchanged.

--- a/wigeonspoke/ingress/lease_loop.py
+++ b/wigeonspoke/ingress/lease_loop.py
@@ -31,11 +31,14 @@
 # Lifetime of a node's registration, which is renewed at the first read after
 # half of it.
 REGISTRATION_SECONDS = 60.0
+LARGE_REGISTRATION_SECONDS = 180.0
 ROUND_SECONDS = 0.1
 # The same while this node holds no lease.
 IDLE_ROUND_SECONDS = 0.25
 # Rows are read at least this often, and earlier if a lease seems to be free.
 READ_INTERVAL_SECONDS = 20.0
+# The same where hundreds of nodes read, which learn of leases by gossip.
+LARGE_READ_INTERVAL_SECONDS = 60.0
 # Minimum time between two reads, and the pause after a failed one.
 MIN_READ_INTERVAL_SECONDS = 1.5
 READ_JITTER = 0.25
@@ -126,6 +129,18 @@
         self._log('fenced-off', keeper)
         keeper.record_lost()
 
+    @property
+    def _read_interval(self) -> float:
+        if self.state.hears_all_peers:
+            return READ_INTERVAL_SECONDS
+        return LARGE_READ_INTERVAL_SECONDS
+
+    @property
+    def _registration_seconds(self) -> float:
+        if self.state.hears_all_peers:
+            return REGISTRATION_SECONDS
+        return LARGE_REGISTRATION_SECONDS
+
     def _held_leases(self) -> dict[str, float]:
         return {
             domain: self.lease_rows[domain].row.until
@@ -181,7 +196,7 @@
             for keeper in self.keepers.values():
                 keeper.record_store_failure(now)
             return
-        self.next_read_at = now + READ_INTERVAL_SECONDS * jitter
+        self.next_read_at = now + self._read_interval * jitter
         self._process_page(page.unwrap())
 
     def _process_page(self, page: RowPage) -> None:
@@ -205,8 +220,9 @@
             row.address for row in current_rows.values() if row.address
         }
         own_row = self.lease_rows.get(own_key, VersionedLease(0))
-        if not _is_current(own_row, store_now + REGISTRATION_SECONDS / 2):
-            expires_at = store_now + REGISTRATION_SECONDS
+        lifetime = self._registration_seconds
+        if not _is_current(own_row, store_now + lifetime / 2):
+            expires_at = store_now + lifetime
             settings = self.state.settings
             row = LeaseRow(settings.name, expires_at, settings.peers)
             content = msgspec.json.encode(row)
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -147,7 +147,7 @@
         # reads them from the store.
         subscriptions = [
             TableSubscription(
-                self.state, client, follower, self.gossip.exchange.node_names
+                self.state, client, follower, self.gossip.exchange
             )
             for follower in followers[1:]
         ]
--- a/wigeonspoke/ingress/peer_gossip.py
+++ b/wigeonspoke/ingress/peer_gossip.py
@@ -18,6 +18,7 @@
 from returns.result import Success
 
 from wigeonspoke.core.fleet import LeavingReport
+from wigeonspoke.core.leases import LeaseRow
 from wigeonspoke.core.limits import LimitReport
 from wigeonspoke.core.membership import (
     GossipMessage,
@@ -54,6 +55,8 @@
     which engines ended, and ``served_parts`` are parts with which answers
     went well for the first time.  ``limits`` are limits that endpoints named
     or ended in their answers, and ``leaving`` the runs that said they leave.
+    ``heard_leases`` are the leases of other nodes, as their holders told them,
+    by failure domain.
     """
 
     gossip: GossipMessage
@@ -64,6 +67,7 @@
     served_parts: tuple[str, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     leaving: tuple[LeavingReport, ...] = ()
+    heard_leases: dict[str, LeaseRow] = {}
 
 
 class PeerGossip:
@@ -169,6 +173,7 @@
             parts.sound.recent_news(now),
             self.state.limits.reports(now),
             self.state.fleet.leaving.reports(now),
+            self.state.heard_leases(),
         )
 
     def apply_update(self, update: PeerUpdate) -> None:
@@ -216,6 +221,8 @@
             self.state.lease_holding_peers.add(instance_id)
         for domain, until in update.leases.items():
             self.state.record_peer_lease(domain, node_name(instance_id), until)
+        for domain, lease in update.heard_leases.items():
+            self.state.record_peer_lease(domain, lease.holder, lease.until)
         limits = self.state.limits
         limits.senders.record(
             node_name(instance_id), update.gossip.report.failure_domain, now
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -159,6 +159,19 @@
         if existing is None or until > existing.until:
             self.peer_leases[domain] = LeaseRow(holder, until)
 
+    def heard_leases(self) -> dict[str, LeaseRow]:
+        """Return the leases of other nodes to tell peers, in a large fleet.
+
+        There, few nodes exchange messages with the holder itself in time.
+        """
+        if self.hears_all_peers:
+            return {}
+        return {
+            domain: lease
+            for domain, lease in self.peer_leases.items()
+            if domain not in self.leases
+        }
+
     @property
     def holds_lease(self) -> bool:
         """Whether this node holds the lease of any failure domain."""
--- a/wigeonspoke/ingress/table_followers.py
+++ b/wigeonspoke/ingress/table_followers.py
@@ -109,21 +109,18 @@
 
     def run(self) -> None:
         """Follow the table; never returns."""
-        shortest, longest = MIN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS
-        if not self.watches_closely:
-            shortest, longest = SELDOM_BACKOFF_SECONDS, SELDOM_BACKOFF_SECONDS
-        backoff = shortest
+        backoff = self._shortest_backoff
         while True:
             fresh_seconds = self.fresh_until - time.monotonic()
             if fresh_seconds > 0 and not self.needs_full_read:
                 self.turned_stale.wait(fresh_seconds)
-                continue
-            if self._follow_once():
-                backoff = shortest
+            elif self._follow_once():
+                backoff = self._shortest_backoff
                 eventlet.sleep(self._batch_seconds())
-                continue
-            eventlet.sleep(backoff * (1 + self.state.rng.random()))
-            backoff = min(longest, backoff * BACKOFF_FACTOR)
+            else:
+                eventlet.sleep(backoff * (1 + self.state.rng.random()))
+                longer = backoff * BACKOFF_FACTOR
+                backoff = min(self._longest_backoff, longer)
 
     def run_peer_sync(self) -> None:
         """Fetch the table from peers that are ahead; never returns."""
@@ -179,6 +176,22 @@
             return
         self._apply_changes(rows, relayed.version)
 
+    @property
+    def _shortest_backoff(self) -> float:
+        if self.watches_closely:
+            return MIN_BACKOFF_SECONDS
+        return SELDOM_BACKOFF_SECONDS
+
+    @property
+    def _longest_backoff(self) -> float:
+        """The longest pause: hundreds of nodes ask seldom.
+
+        One that reaches the store tells the others.
+        """
+        if self.watches_closely and self.state.hears_all_peers:
+            return MAX_BACKOFF_SECONDS
+        return SELDOM_BACKOFF_SECONDS
+
     def _batch_seconds(self) -> float:
         """Return how long to collect changes, which is longer in a burst."""
         seconds = BATCH_SECONDS * (1 + self.consecutive_change_pages)
--- a/wigeonspoke/ingress/table_subscription.py
+++ b/wigeonspoke/ingress/table_subscription.py
@@ -4,8 +4,12 @@
 
 import eventlet
 
-from wigeonspoke.core.membership import choose_watchers, rank_nodes
-from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.core.membership import (
+    GossipState,
+    choose_watchers,
+    rank_nodes,
+)
+from wigeonspoke.ingress.state import IngressState, node_name
 from wigeonspoke.ingress.table_consumers import RETENTION_SECONDS
 from wigeonspoke.ingress.table_followers import TableFollower
 from wigeonspoke.ingress.table_relay import WatcherAnswer, fetch_changes
@@ -16,9 +20,10 @@
 WAIT_SECONDS = 4
 # A copy counts as current for this long after an answer of a watcher.
 FRESH_SECONDS = WAIT_SECONDS + 1.0
-# A watcher that did not answer, or does not read the store, is left for this
+# A watcher that does not read the store, or did not answer, is left for this
 # long.
 AVOID_SECONDS = 3.0
+AVOID_SILENT_SECONDS = 15.0
 CHECK_SECONDS = 1.0
 # Nodes that have just started do not know their peers yet.
 DISCOVERY_SECONDS = 2.0
@@ -31,31 +36,30 @@
     The store is asked again as soon as no watcher is left.
     """
 
-    __slots__ = ('addresses', 'avoided_until', 'client', 'follower', 'state')
+    __slots__ = ('avoided_until', 'client', 'exchange', 'follower', 'state')
 
     def __init__(
         self,
         state: IngressState,
         client: HttpClient,
         follower: TableFollower,
-        addresses: dict[str, str],
+        exchange: GossipState,
     ) -> None:
         self.state = state
         self.client = client
         self.follower = follower
-        # Instance ids of nodes by the address at which they listen for peers.
-        self.addresses = addresses
+        self.exchange = exchange
         self.avoided_until: dict[str, float] = {}
 
     def run(self) -> None:
         """Follow the table through watchers; never returns."""
         while True:
             watcher = self._choose()
-            if not watcher:
-                self.follower.mark_stale()
-                eventlet.sleep(CHECK_SECONDS)
-            elif not self._ask(watcher):
-                self.avoided_until[watcher] = time.monotonic() + AVOID_SECONDS
+            if watcher:
+                self._ask(watcher)
+                continue
+            self.follower.mark_stale()
+            eventlet.sleep(CHECK_SECONDS)
 
     def _choose(self) -> str:
         """Return the address of a watcher, empty if there is none."""
@@ -78,18 +82,22 @@
         return ''
 
     def _local_nodes(self) -> dict[str, str]:
-        """Return the addresses of the live peers in the domain, by name."""
-        live = self.state.peers.peers
+        """Return the addresses of the known nodes of the domain, by name.
+
+        Those not heard from lately count as well: in a large domain a round of
+        gossip reaches few of them, and all nodes must choose alike.
+        """
+        departed = self.state.peers.departures
+        contacts = self.exchange.contacts
         domain = self.state.settings.failure_domain
         return {
-            instance_id.partition('#')[0]: address
-            for address, instance_id in self.addresses.items()
-            if instance_id in live
-            and live[instance_id].report.failure_domain == domain
+            node_name(instance_id): address
+            for address, instance_id in self.exchange.node_names.items()
+            if contacts.get(address) == domain and instance_id not in departed
         }
 
-    def _ask(self, watcher: str) -> bool:
-        """Wait for changes at a watcher; return whether it may be asked on."""
+    def _ask(self, watcher: str) -> None:
+        """Wait for changes at a watcher, which is avoided if it has none."""
         follower = self.follower
         answer = fetch_changes(
             self.client,
@@ -99,11 +107,14 @@
             follower.copy.known_version,
             WAIT_SECONDS,
         )
+        now = time.monotonic()
         if answer is None:
-            return False
+            self.avoided_until[watcher] = now + AVOID_SILENT_SECONDS
+            return
         self._apply(answer)
         if not answer.reads_store:
-            return False
+            self.avoided_until[watcher] = now + AVOID_SECONDS
+            return
         was_stale = follower.fresh_until <= time.monotonic()
         follower.mark_fresh(FRESH_SECONDS)
         if was_stale:
@@ -113,7 +124,6 @@
                 table=follower.consumer.table,
                 version=follower.copy.known_version,
             )
-        return True
 
     def _apply(self, answer: WatcherAnswer) -> None:
         outage_age = answer.seconds_since_outage
