Spread the return of clients that wait for the same endpoint

A call refused because all replicas named a time got exactly that time, as a stream got a random one more: clients that are refused would come back at once. The time now has a random second more; the test of refusals asks for it.

--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -322,7 +322,6 @@
             self.retry_after(
                 self.state.fleet.of_service(self.service),
                 REFUSED_RETRY_AFTER_SECONDS,
-                0,
             ),
         )
 
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -30,6 +30,8 @@
 SILENCE_RECHECK_SECONDS = 0.03
 REFUSED_RETRY_AFTER_SECONDS = 0.5
 MIN_RETRY_AFTER_SECONDS = 1.0
+# Clients that wait for the same endpoint return within this time.
+RETURN_SPREAD_SECONDS = 1.0
 # Characters of an endpoint's text that are written to the log.
 MAX_LOGGED_TEXT = 64
 
@@ -270,19 +272,20 @@
         self,
         endpoints: Iterable[Endpoint],
         otherwise_seconds: float,
-        jitter_seconds: float,
+        jitter_seconds: float = 0,
     ) -> float:
         """Return when a refused request may come again, in seconds.
 
         It is when the first of some endpoints may be sent to, if all of them
-        have said when, and a random time that keeps clients from returning
-        all at once.
+        have said when.  A random time keeps clients from returning all at
+        once; the time that endpoints named is the same for all of them.
         """
         now = time.monotonic()
         opens_at = self.state.gate.opens_at(endpoints, now)
         wait_seconds = otherwise_seconds
         if opens_at is not None and opens_at < math.inf:
             wait_seconds = max(otherwise_seconds, opens_at - now)
+            jitter_seconds = max(jitter_seconds, RETURN_SPREAD_SECONDS)
         return wait_seconds + jitter_seconds * self.state.rng.random()
 
     def is_allowed(self) -> bool:
--- a/wigeonspoke/platform/tests/test_endpoints_own_word.py
+++ b/wigeonspoke/platform/tests/test_endpoints_own_word.py
@@ -29,6 +29,8 @@
 QUIET_SECONDS = 3.0
 INTERVAL_SECONDS = 0.04
 WARM_UP_REQUESTS = 8
+# What the returns of some clients must at least differ by.
+SPREAD_SECONDS = 0.1
 SERVED = 200
 REFUSED = 503
 
@@ -233,8 +235,15 @@
     assert load.send(placed_harness.node) == REFUSED
     # Known that nothing can take it: refused at once.
     assert time.monotonic() - asked_at < QUIET_SECONDS / 2
-    sent_at, _, retry_after = load.responses[-1]
-    assert sent_at + retry_after >= end - 0.1
+    load.run(0.2)
+    returns = [
+        sent_at + retry_after
+        for sent_at, status, retry_after in load.responses
+        if sent_at > asked_at and status == REFUSED
+    ]
+    assert min(returns) >= end - 0.1
+    # Clients do not return all at once.
+    assert max(returns) - min(returns) > SPREAD_SECONDS
     deployment.close()
 
 
