Leave and resume a silent attempt in one place

The handlers of calls and streams both saved and restored what is watched of a silent attempt, and counted it as a run.

--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/call_handler.py
@@ -182,17 +182,11 @@
 
         Return without an effect if none of them answers.
         """
-        watch = self.answer_watch
-        answer, endpoints = watch.answer, watch.endpoints
-        # The silent attempt counts as a run beside the other ones.
-        self.context.possible_executions += 1
+        silent = self.leave_silent()
         response = self._try_replicas()
-        self.context.possible_executions -= 1
-        watch.answer = answer
-        watch.endpoints = endpoints
+        self.return_to(silent)
         if response is not None:
             raise CallTakenOver(response)
-        self.refusal = None
 
     def _find_silent_at(self, now: float) -> float:
         """Return when another replica is tried if this one does not answer."""
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -11,7 +11,7 @@
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.forwarding import RetryWindowBudget
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.core.quarantine import Refusal, is_request_key
+from wigeonspoke.core.quarantine import Answer, Refusal, is_request_key
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.disconnect_monitor import DisconnectMonitor
@@ -52,6 +52,13 @@
     possible_executions: int = 0
 
 
+class SilentAttempt(msgspec.Struct, frozen=True):
+    """What is watched of an attempt left open while others are tried."""
+
+    answer: Answer | None
+    endpoints: tuple[Endpoint, ...]
+
+
 class RequestHandler:
     """Attempts, retry budget and logging shared by all request kinds."""
 
@@ -204,6 +211,25 @@
         self.open_attempts.remove(attempt)
         attempt.close()
 
+    def leave_silent(self) -> SilentAttempt:
+        """Begin to try others beside a silent attempt.
+
+        It counts as a run from then on.
+        """
+        self.context.possible_executions += 1
+        watch = self.answer_watch
+        return SilentAttempt(watch.answer, watch.endpoints)
+
+    def return_to(self, silent: SilentAttempt) -> None:
+        """Go on with a silent attempt: no other one has taken over.
+
+        If it fails later, it has reasons of its own.
+        """
+        self.context.possible_executions -= 1
+        self.answer_watch.answer = silent.answer
+        self.answer_watch.endpoints = silent.endpoints
+        self.refusal = None
+
     def has_earlier_input(self, current: EndpointAttempt | None = None) -> bool:
         """Return whether an open attempt other than the current one goes on."""
         return any(
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -186,23 +186,16 @@
         Return without an effect if no other chain has taken over.
         """
         monitor = self.chain_monitor
-        watch = self.answer_watch
-        answer, endpoints = watch.answer, watch.endpoints
+        silent_attempt = self.leave_silent()
         self.chain_monitor = ChainMonitor(self.state, self.context.rule)
-        # The silent attempt counts as a run beside the other one.
-        self.context.possible_executions += 1
         is_complete = False
         chain = self._reserve_chain()
         if chain is not None:
             is_complete = yield from self._attempt(chain)
         if silent not in self.chains_in_use:
             raise StreamTakenOver(is_complete=is_complete)
-        self.context.possible_executions -= 1
+        self.return_to(silent_attempt)
         self.chain_monitor = monitor
-        watch.answer = answer
-        watch.endpoints = endpoints
-        # A later failure of the silent chain has reasons of its own.
-        self.refusal = None
 
     def _end_silent_attempts(self, current: EndpointAttempt) -> None:
         """End the attempts from which the current one takes over."""
