--- a/wigeonspoke/core/availability/__init__.py
+++ b/wigeonspoke/core/availability/__init__.py
@@ -1,7 +1,9 @@
 """Whether a node may send a request to a run of an endpoint now."""
 
 from wigeonspoke.core.availability.backoffs import Backoffs
-from wigeonspoke.core.availability.gate import SendGate
+from wigeonspoke.core.availability.endpoint_availability import (
+    EndpointAvailability,
+)
 from wigeonspoke.core.availability.records import Obstacle, ObstacleReason
 
-__all__ = ('Backoffs', 'Obstacle', 'ObstacleReason', 'SendGate')
+__all__ = ('Backoffs', 'Obstacle', 'ObstacleReason', 'EndpointAvailability')
--- a/wigeonspoke/core/availability/backoffs.py
+++ b/wigeonspoke/core/availability/backoffs.py
@@ -40,9 +40,9 @@
     ) -> bool:
         """Record a refusal that named a time; return whether it changes any.
 
-        ``sent_at`` is when the refused request was sent.  The latest word
+        ``sent_at`` is when the refused request was sent.  The latest refusal
         counts.  A refusal of a request that was on its way when an earlier one
-        arrived may be the older word, so that it cannot shorten the time.
+        arrived may be the older one, so that it cannot shorten the time.
         """
         until = now + min(seconds, MAX_BACKOFF_SECONDS)
         known = self.backoffs.get(start_id)
--- a/wigeonspoke/core/availability/gate.py
+++ b/wigeonspoke/core/availability/endpoint_availability.py
@@ -1,9 +1,9 @@
 """The one answer to whether a request may be sent to a run of an endpoint.
 
-Load: many requests at once for a service whose endpoints leave, ask for quiet
-or name a limit.  Calls and streams ask here before each send, also of a second
-attempt, and the probes and trials of a node do so too.  Whether a request may
-be sent to any endpoint at all is up to the quarantine.
+Load: many requests at once for a service whose endpoints leave, refuse for a
+time or name a limit.  Calls and streams ask here before each send, also of a
+second attempt, and the probes and trials of a node do so too.  Whether a
+request may be sent to any endpoint at all is up to the quarantine.
 """
 
 import math
@@ -15,8 +15,8 @@
 from wigeonspoke.core.limits import NamedLimits
 
 
-class SendGate:
-    """Joins what endpoints said of themselves: leaving, backoffs, limits."""
+class EndpointAvailability:
+    """What endpoints reported of themselves: leaving, backoffs, limits."""
 
     __slots__ = ('backoffs', 'fleet', 'limits')
 
@@ -41,17 +41,17 @@
         """Return whether a request may be sent to this run now."""
         return self.find_obstacle(endpoint, now) is None
 
-    def wants_quiet(self, endpoint: Endpoint, now: float) -> bool:
+    def is_backing_off(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether a run wants nothing now, not even a probe."""
         return self.backoffs.find_until(endpoint.start_id, now) is not None
 
-    def diversions(self, service: str, now: float) -> set[ObstacleReason]:
+    def blocked_reasons(self, service: str, now: float) -> set[ObstacleReason]:
         """Return what keeps requests of a service from some endpoint now."""
         reasons: set[ObstacleReason] = set()
         if self.fleet.has_leaving(service):
             reasons.add(ObstacleReason.LEAVING)
         if self.backoffs.backoffs and any(
-            self.wants_quiet(endpoint, now)
+            self.is_backing_off(endpoint, now)
             for endpoint in self.fleet.of_service(service)
         ):
             reasons.add(ObstacleReason.BACKOFF)
@@ -62,7 +62,7 @@
         self.limits.record_sent(endpoint, now)
         self.backoffs.record_sent(endpoint.start_id, now)
 
-    def opens_at(
+    def next_send_at(
         self, endpoints: Iterable[Endpoint], now: float
     ) -> float | None:
         """Return when one of some endpoints may be sent to, if none may now.
--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from wigeonspoke.core.availability import SendGate
+from wigeonspoke.core.availability import EndpointAvailability
 from wigeonspoke.core.chains.capacity import estimate_capacities
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
 from wigeonspoke.core.chains.paths import (
@@ -52,7 +52,7 @@
         'concurrency_limits',
         'failure_domain',
         'fleet',
-        'gate',
+        'availability',
         'in_flight',
         'peer_load',
         'suspects',
@@ -63,12 +63,12 @@
         fleet: Fleet,
         suspects: SuspectRegistry,
         failure_domain: str,
-        gate: SendGate | None = None,
+        availability: EndpointAvailability | None = None,
     ) -> None:
         self.fleet = fleet
         self.suspects = suspects
         # What the heads of chains said of themselves, if that counts.
-        self.gate = gate
+        self.availability = availability
         self.failure_domain = failure_domain
         self.in_flight: Counter[str] = Counter()
         self.peer_load = PeerLoad()
@@ -138,7 +138,9 @@
 
         The head may also have said that this node must not send to it now.
         """
-        if self.gate is not None and not self.gate.may_send(chain.head, now):
+        if self.availability is not None and not self.availability.may_send(
+            chain.head, now
+        ):
             return False
         head_id = chain.head.endpoint_id
         return self.concurrency_limits.has_capacity(
--- a/wigeonspoke/core/fleet/registry.py
+++ b/wigeonspoke/core/fleet/registry.py
@@ -70,13 +70,13 @@
         self.put(msgspec.structs.replace(known, layers=layers))
 
     def record_leaving(self, endpoint: Endpoint, now: float) -> bool:
-        """Record a run's own word that it leaves; return whether it is news."""
+        """Record that a run reported its leaving; return whether it is news."""
         is_news = self.leaving.record_answer(endpoint.start_id, now)
         self.revision += is_news
         return is_news
 
     def merge_leaving(self, report: LeavingReport, now: float) -> bool:
-        """Merge a peer's word on a run that leaves, in the same way."""
+        """Merge a peer's report of a run that leaves, in the same way."""
         is_news = self.leaving.merge(report, now)
         self.revision += is_news
         return is_news
--- a/wigeonspoke/core/forwarding/replicas.py
+++ b/wigeonspoke/core/forwarding/replicas.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Collection
 
-from wigeonspoke.core.availability import SendGate
+from wigeonspoke.core.availability import EndpointAvailability
 from wigeonspoke.core.fleet import Endpoint, Fleet
 from wigeonspoke.core.health import EndpointHealth
 
@@ -32,7 +32,7 @@
         'failure_domain',
         'failure_rates',
         'fleet',
-        'gate',
+        'availability',
         'health',
         'in_flight',
     )
@@ -41,11 +41,11 @@
         self,
         fleet: Fleet,
         failure_domain: str,
-        gate: SendGate | None = None,
+        availability: EndpointAvailability | None = None,
     ) -> None:
         self.fleet = fleet
         # What replicas said of themselves, if that counts.
-        self.gate = gate
+        self.availability = availability
         self.failure_domain = failure_domain
         self.in_flight: Counter[str] = Counter()
         self.health: dict[str, EndpointHealth] = {}
@@ -114,7 +114,9 @@
         return health.record_failure(reason, now)
 
     def _may_send(self, replica: Endpoint, now: float) -> bool:
-        return self.gate is None or self.gate.may_send(replica, now)
+        return self.availability is None or self.availability.may_send(
+            replica, now
+        )
 
     def _cost(self, replica: Endpoint, now: float) -> float:
         cost = self.in_flight[replica.endpoint_id] / max(1, replica.slots)
--- a/wigeonspoke/core/tests/test_availability.py
+++ b/wigeonspoke/core/tests/test_availability.py
@@ -10,7 +10,7 @@
 from wigeonspoke.core.availability import (
     Backoffs,
     ObstacleReason,
-    SendGate,
+    EndpointAvailability,
 )
 from wigeonspoke.core.fleet import Endpoint, Fleet, LeavingReport
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
@@ -23,24 +23,28 @@
 FUZZ_SEED = int(os.environ.get('WIGEONSPOKE_FUZZ_SEED', '7'))
 
 
-def make_gate() -> SendGate:
-    """Create a gate that knows two replicas of a service."""
+def make_availability() -> EndpointAvailability:
+    """Create the availability that knows two replicas of a service."""
     fleet = Fleet()
     for endpoint in (REPLICA, OTHER):
         fleet.put(endpoint)
-    return SendGate(fleet, NamedLimits(SenderRegistry('node', 'one', 0)))
+    return EndpointAvailability(
+        fleet, NamedLimits(SenderRegistry('node', 'one', 0))
+    )
 
 
-def _leave(gate: SendGate) -> None:
-    gate.fleet.record_leaving(REPLICA, STARTED)
+def _leave(availability: EndpointAvailability) -> None:
+    availability.fleet.record_leaving(REPLICA, STARTED)
 
 
-def _ask_for_quiet(gate: SendGate) -> None:
-    gate.backoffs.record_refusal(REPLICA.start_id, 4.0, STARTED - 0.1, STARTED)
+def _name_backoff(availability: EndpointAvailability) -> None:
+    availability.backoffs.record_refusal(
+        REPLICA.start_id, 4.0, STARTED - 0.1, STARTED
+    )
 
 
-def _name_limit(gate: SendGate) -> None:
-    gate.limits.record_answer(REPLICA.start_id, 0.5, STARTED)
+def _name_limit(availability: EndpointAvailability) -> None:
+    availability.limits.record_answer(REPLICA.start_id, 0.5, STARTED)
 
 
 @pytest.mark.parametrize(
@@ -48,7 +52,7 @@
     [
         pytest.param(_leave, ObstacleReason.LEAVING, math.inf, id='leaving'),
         pytest.param(
-            _ask_for_quiet, ObstacleReason.BACKOFF, STARTED + 4, id='quiet'
+            _name_backoff, ObstacleReason.BACKOFF, STARTED + 4, id='backoff'
         ),
         pytest.param(
             _name_limit, ObstacleReason.LIMIT, STARTED + 2, id='limit'
@@ -56,15 +60,17 @@
     ],
 )
 def test_an_obstacle_tells_why_and_until_when(say, reason, until):
-    gate = make_gate()
-    assert gate.may_send(REPLICA, STARTED)
-    say(gate)
-    obstacle = gate.find_obstacle(REPLICA, STARTED)
+    availability = make_availability()
+    assert availability.may_send(REPLICA, STARTED)
+    say(availability)
+    obstacle = availability.find_obstacle(REPLICA, STARTED)
     assert obstacle.reason is reason
     assert obstacle.until == pytest.approx(until)
-    assert gate.may_send(OTHER, STARTED)
-    assert gate.opens_at((REPLICA, OTHER), STARTED) is None
-    assert gate.opens_at((REPLICA,), STARTED) == pytest.approx(until)
+    assert availability.may_send(OTHER, STARTED)
+    assert availability.next_send_at((REPLICA, OTHER), STARTED) is None
+    assert availability.next_send_at((REPLICA,), STARTED) == pytest.approx(
+        until
+    )
 
 
 @pytest.mark.parametrize(
@@ -75,23 +81,23 @@
     ],
     ids=['same id', 'new id'],
 )
-@pytest.mark.parametrize('say', [_leave, _ask_for_quiet, _name_limit])
+@pytest.mark.parametrize('say', [_leave, _name_backoff, _name_limit])
 def test_what_a_run_said_ends_with_it(say, next_run):
-    gate = make_gate()
-    say(gate)
-    gate.fleet.put(next_run)
-    assert gate.may_send(next_run, STARTED)
-    assert not gate.may_send(REPLICA, STARTED)
+    availability = make_availability()
+    say(availability)
+    availability.fleet.put(next_run)
+    assert availability.may_send(next_run, STARTED)
+    assert not availability.may_send(REPLICA, STARTED)
 
 
 def test_a_row_that_still_says_ready_does_not_end_a_leaving():
-    gate = make_gate()
-    _leave(gate)
-    gate.fleet.put(msgspec.structs.replace(REPLICA, slots=9))
-    assert gate.fleet.of_service('ledger') == (OTHER,)
-    gate.fleet.drop(REPLICA.endpoint_id)
-    gate.fleet.put(REPLICA)
-    assert gate.fleet.of_service('ledger') == (OTHER,)
+    availability = make_availability()
+    _leave(availability)
+    availability.fleet.put(msgspec.structs.replace(REPLICA, slots=9))
+    assert availability.fleet.of_service('ledger') == (OTHER,)
+    availability.fleet.drop(REPLICA.endpoint_id)
+    availability.fleet.put(REPLICA)
+    assert availability.fleet.of_service('ledger') == (OTHER,)
 
 
 def test_a_peers_word_ends_in_time_and_own_knowledge_does_not():
@@ -201,7 +207,7 @@
             self.forget()
 
     def replay_refusal(self, at: float, sent_at: float, seconds: float) -> None:
-        """Take the latest word, or the longer of two at the same time."""
+        """Take the latest refusal, or the longer of two at the same time."""
         if sent_at < self.heard_at:
             self.until = max(self.until, at + seconds)
             return
@@ -217,7 +223,7 @@
 
 
 class Walk:
-    """Random events of one run, at a gate and at the naive model."""
+    """Random events of one run, at a availability and at the naive model."""
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
@@ -227,7 +233,7 @@
 
     def start_run(self) -> None:
         """Begin with a run of which nothing is known."""
-        self.gate = make_gate()
+        self.availability = make_availability()
         self.model = NaiveModel()
         self.open_sends.clear()
 
@@ -235,12 +241,12 @@
         """Compare both, and let one thing happen."""
         self.now += self.rng.choice((0.01, 0.1, 0.4, 2.0))
         until = self.model.find_until(self.now)
-        obstacle = self.gate.find_obstacle(REPLICA, self.now)
-        if self.gate.fleet.is_leaving(REPLICA):
+        obstacle = self.availability.find_obstacle(REPLICA, self.now)
+        if self.availability.fleet.is_leaving(REPLICA):
             until = math.inf
         found = -math.inf if obstacle is None else obstacle.until
         assert found == pytest.approx(until)
-        if not self.gate.backoffs.backoffs:
+        if not self.availability.backoffs.backoffs:
             self.model.events.clear()
         self.rng.choices(
             (self.send, self.answer, self.refuse, self.leave, self.start_run),
@@ -248,9 +254,11 @@
         )[0]()
 
     def send(self) -> None:
-        """Send a request, at times also against the gate's word."""
-        if self.gate.may_send(REPLICA, self.now) or not self.rng.randrange(10):
-            self.gate.record_sent(REPLICA, self.now)
+        """Send a request, at times also against the availability."""
+        if self.availability.may_send(
+            REPLICA, self.now
+        ) or not self.rng.randrange(10):
+            self.availability.record_sent(REPLICA, self.now)
             self.model.record('sent', self.now)
             self.open_sends.append(self.now)
 
@@ -258,7 +266,7 @@
         """Answer a request that is open."""
         if self.open_sends:
             sent_at = self._take_open()
-            self.gate.backoffs.record_answer(REPLICA.start_id, sent_at)
+            self.availability.backoffs.record_answer(REPLICA.start_id, sent_at)
             self.model.record('answered', self.now, sent_at)
 
     def refuse(self) -> None:
@@ -266,14 +274,14 @@
         if self.open_sends:
             sent_at = self._take_open()
             seconds = self.rng.choice((0, 0.3, 1.5, 5.0))
-            self.gate.backoffs.record_refusal(
+            self.availability.backoffs.record_refusal(
                 REPLICA.start_id, seconds, sent_at, self.now
             )
             self.model.record('refused', self.now, sent_at, seconds)
 
     def leave(self) -> None:
         """Let the run say that it leaves."""
-        self.gate.fleet.record_leaving(REPLICA, self.now)
+        self.availability.fleet.record_leaving(REPLICA, self.now)
 
     def _take_open(self) -> float:
         return self.open_sends.pop(self.rng.randrange(len(self.open_sends)))
@@ -286,20 +294,20 @@
 
 
 @pytest.mark.parametrize('count', [1, 40, 200])
-def test_a_replica_that_asks_for_quiet_gets_what_was_on_its_way(count):
-    gate = make_gate()
+def test_a_replica_that_names_a_backoff_gets_what_was_on_its_way(count):
+    availability = make_availability()
     for number in range(count):
-        gate.record_sent(REPLICA, STARTED + number / 1000)
+        availability.record_sent(REPLICA, STARTED + number / 1000)
     refused_at = STARTED + 0.3
     for number in range(count):
-        gate.backoffs.record_refusal(
+        availability.backoffs.record_refusal(
             REPLICA.start_id, 4.0, STARTED + number / 1000, refused_at
         )
     sent = []
     for step in range(250):
         at = refused_at + step / 50
-        if gate.may_send(REPLICA, at):
-            gate.record_sent(REPLICA, at)
+        if availability.may_send(REPLICA, at):
+            availability.record_sent(REPLICA, at)
             sent.append(at)
     assert sent[0] >= refused_at + 4.0
     # Without an answer, one request tries at a time.
--- a/wigeonspoke/ingress/chain_choice.py
+++ b/wigeonspoke/ingress/chain_choice.py
@@ -84,10 +84,10 @@
     def _stays_closed(self, now: float) -> bool:
         """Return whether no head may be sent to for longer than is waited."""
         heads = self.heads()
-        opens_at = self.state.gate.opens_at(heads, now)
-        if not heads or opens_at is None:
+        next_send_at = self.state.availability.next_send_at(heads, now)
+        if not heads or next_send_at is None:
             return False
-        return opens_at > now + self._max_wait()
+        return next_send_at > now + self._max_wait()
 
     def _select(self, now: float) -> Chain | None:
         if self.profile is None:
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/prober.py
@@ -57,7 +57,7 @@
             endpoint = hop.endpoint
             if fault_address not in {'', endpoint.address}:
                 continue
-            if self.state.gate.wants_quiet(endpoint, now):
+            if self.state.availability.is_backing_off(endpoint, now):
                 continue
             last = self.probed_at.get(endpoint.endpoint_id, 0)
             if now - last >= MIN_PROBE_INTERVAL_SECONDS:
@@ -76,7 +76,7 @@
         one, or at once if it ``is_urgent``.
         """
         now = time.monotonic()
-        if self._is_known(endpoint) or self.state.gate.wants_quiet(
+        if self._is_known(endpoint) or self.state.availability.is_backing_off(
             endpoint, now
         ):
             return
@@ -119,7 +119,7 @@
 
     def _probe_suspects(self, now: float) -> None:
         for suspicion in self.state.suspects.take_due(now):
-            if self.state.gate.wants_quiet(suspicion.endpoint, now):
+            if self.state.availability.is_backing_off(suspicion.endpoint, now):
                 continue
             reason = REFUSED if suspicion.refuses else 'suspect'
             eventlet.spawn(self._probe, suspicion.endpoint, reason)
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -58,7 +58,7 @@
     the requests of all nodes together, None if it names none.  ``is_leaving``
     is whether the endpoint says that it leaves.  ``retry_after_seconds`` is how
     long one that refused the request wants nothing from this node, None if it
-    does not say so; ``unreadable_retry_after`` is its word if that has no
+    does not say so; ``unreadable_retry_after`` is the text if that has no
     meaning.
     """
 
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/request_handler.py
@@ -178,9 +178,11 @@
         context = self.context
         request = context.request
         now = time.monotonic()
-        for reason in self.state.gate.diversions(self.service, now):
+        for reason in self.state.availability.blocked_reasons(
+            self.service, now
+        ):
             self.state.count_event('turned-elsewhere', reason)
-        self.state.gate.record_sent(endpoint, now)
+        self.state.availability.record_sent(endpoint, now)
         attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
         forward_context = ForwardContext(
             endpoint=endpoint,
@@ -307,10 +309,10 @@
         once; the time that endpoints named is the same for all of them.
         """
         now = time.monotonic()
-        opens_at = self.state.gate.opens_at(endpoints, now)
+        next_send_at = self.state.availability.next_send_at(endpoints, now)
         wait_seconds = otherwise_seconds
-        if opens_at is not None and opens_at < math.inf:
-            wait_seconds = max(otherwise_seconds, opens_at - now)
+        if next_send_at is not None and next_send_at < math.inf:
+            wait_seconds = max(otherwise_seconds, next_send_at - now)
             jitter_seconds = max(jitter_seconds, RETURN_SPREAD_SECONDS)
         return wait_seconds + jitter_seconds * self.state.rng.random()
 
@@ -366,7 +368,7 @@
         markers: ResponseMarkers,
     ) -> None:
         """Record for how long an endpoint wants nothing, or that it is over."""
-        backoffs = self.state.gate.backoffs
+        backoffs = self.state.availability.backoffs
         start_id = endpoint.start_id
         seconds = markers.retry_after_seconds
         if markers.unreadable_retry_after:
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from wigeonspoke.core.availability import SendGate
+from wigeonspoke.core.availability import EndpointAvailability
 from wigeonspoke.core.chains import (
     ChainActivity,
     ChainSelector,
@@ -41,7 +41,7 @@
         'connection_pool',
         'counters',
         'fleet',
-        'gate',
+        'availability',
         'hears_all_peers',
         'lease_holding_peers',
         'leases',
@@ -98,11 +98,11 @@
         self.limits = NamedLimits(
             SenderRegistry(settings.name, domain, self.started_at)
         )
-        self.gate = SendGate(self.fleet, self.limits)
+        self.availability = EndpointAvailability(self.fleet, self.limits)
         self.chains = ChainSelector(
-            self.fleet, self.suspects, domain, self.gate
+            self.fleet, self.suspects, domain, self.availability
         )
-        self.replicas = ReplicaSelector(self.fleet, domain, self.gate)
+        self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
         self.budgets: dict[str, RetryWindowBudget] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
@@ -123,7 +123,7 @@
         return service_budget
 
     def record_leaving(self, endpoint: Endpoint, source: str) -> bool:
-        """Record a run's own word that it leaves; return whether it is news."""
+        """Record that a run reported its leaving; return whether it is news."""
         if not self.fleet.record_leaving(endpoint, time.monotonic()):
             return False
         self.log_leaving(endpoint.start_id, source, 0)
--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -8,9 +8,9 @@
 import eventlet
 import msgspec
 
-from wigeonspoke.platform.standins.own_word import (
-    own_word,
-    refusal_for_a_time,
+from wigeonspoke.platform.standins.report_headers import (
+    report_headers,
+    backoff_headers,
 )
 from wigeonspoke.platform.standins.raw_server import (
     RawConnection,
@@ -207,7 +207,7 @@
         }
         connection.respond(
             http.HTTPStatus.OK,
-            own_word(self),
+            report_headers(self),
             msgspec.json.encode(report),
         )
 
@@ -215,7 +215,7 @@
         status = http.HTTPStatus.OK
         if self.is_draining:
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
-        headers = {'Instance-Id': self.endpoint_id} | own_word(self)
+        headers = {'Instance-Id': self.endpoint_id} | report_headers(self)
         connection.respond(status, headers)
 
     def _handle_order(
@@ -229,7 +229,7 @@
         elif order['precondition'] == self.orders:
             self.fence = order['fence']
             self.orders += 1
-            connection.respond(http.HTTPStatus.ACCEPTED, own_word(self))
+            connection.respond(http.HTTPStatus.ACCEPTED, report_headers(self))
             layers = (order['from'], order['to'])
             eventlet.spawn_after(self.load_seconds, self._set_layers, layers)
         else:
@@ -251,7 +251,7 @@
         refusal = self._find_refusal(expected, hops)
         if refusal is not None:
             status, headers = refusal
-            connection.respond(status, headers | own_word(self))
+            connection.respond(status, headers | report_headers(self))
             return
         self.runs.append(received)
         self._write_events(received, hops, connection)
@@ -269,7 +269,7 @@
                 {'At-Server': address},
             )
         if time.monotonic() < self.away_until:
-            headers = refusal_for_a_time(self)
+            headers = backoff_headers(self)
             return (http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
         headers = {'Not-Executed': '1'}
         if self.is_full:
@@ -321,8 +321,10 @@
             f'Request-Id: {received.request_id}',
             f'Response-Signature: s.{self.endpoint_id}',
         )
-        own_lines = (f'{name}: {text}' for name, text in own_word(self).items())
-        head = '\r\n'.join((*lines, *own_lines))
+        report_lines = (
+            f'{name}: {text}' for name, text in report_headers(self).items()
+        )
+        head = '\r\n'.join((*lines, *report_lines))
         connection.write(f'{head}\r\n\r\n'.encode())
 
     def _ends_under(self, received: ReceivedRequest, written: int) -> bool:
--- a/wigeonspoke/platform/standins/replica.py
+++ b/wigeonspoke/platform/standins/replica.py
@@ -9,9 +9,9 @@
 import eventlet
 import msgspec
 
-from wigeonspoke.platform.standins.own_word import (
-    own_word,
-    refusal_for_a_time,
+from wigeonspoke.platform.standins.report_headers import (
+    report_headers,
+    backoff_headers,
 )
 from wigeonspoke.platform.standins.raw_server import (
     RawConnection,
@@ -154,7 +154,7 @@
             'Request-Id': request_id,
             'Response-Signature': f'stamp.{self.endpoint_id}',
         }
-        return headers | own_word(self)
+        return headers | report_headers(self)
 
     def _start_again(self) -> None:
         self.born += 1
@@ -173,18 +173,18 @@
         if expected in {'', self.endpoint_id}:
             self._admit(received, connection)
             return
-        headers = {'Instance-Id': self.endpoint_id} | own_word(self)
+        headers = {'Instance-Id': self.endpoint_id} | report_headers(self)
         connection.respond(http.HTTPStatus.MISDIRECTED_REQUEST, headers)
 
     def _admit(
         self, received: ReceivedRequest, connection: RawConnection
     ) -> None:
         if time.monotonic() < self.away_until:
-            headers = refusal_for_a_time(self)
+            headers = backoff_headers(self)
             headers['Request-Id'] = received.request_id
             connection.respond(http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
         elif self.fault is ReplicaFault.SHED:
-            headers = {'Not-Executed': '1'} | own_word(self)
+            headers = {'Not-Executed': '1'} | report_headers(self)
             connection.respond(http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
         elif self.fault is ReplicaFault.RESET:
             connection.reset()
--- a/wigeonspoke/platform/standins/own_word.py
+++ b/wigeonspoke/platform/standins/report_headers.py
@@ -6,7 +6,7 @@
 MIN_AWAY_SECONDS = 0.01
 
 
-class SpeakingStandin(Protocol):
+class ReportingStandin(Protocol):
     """An endpoint whose answers say something of itself."""
 
     named_limit: float | None
@@ -15,7 +15,7 @@
     retry_after: str | None
 
 
-def own_word(standin: SpeakingStandin) -> dict[str, str]:
+def report_headers(standin: ReportingStandin) -> dict[str, str]:
     """Return the headers in which each answer speaks of its endpoint."""
     headers: dict[str, str] = {}
     if standin.named_limit is not None:
@@ -25,13 +25,13 @@
     return headers
 
 
-def refusal_for_a_time(standin: SpeakingStandin) -> dict[str, str]:
+def backoff_headers(standin: ReportingStandin) -> dict[str, str]:
     """Return the headers of a refusal that names the time to stay away."""
     left = max(MIN_AWAY_SECONDS, standin.away_until - time.monotonic())
     retry_after = standin.retry_after
     if retry_after is None:
         retry_after = f'{left:.2f}'
-    return own_word(standin) | {
+    return report_headers(standin) | {
         'Not-Executed': '1',
         'Retry-After': retry_after,
     }
--- a/wigeonspoke/platform/tests/test_endpoints_own_word.py
+++ b/wigeonspoke/platform/tests/test_reported_leaving_and_backoff.py
@@ -1,4 +1,4 @@
-"""An endpoint that says it leaves, or asks for quiet, gets what it wants.
+"""An endpoint that reports its leaving, or a backoff, gets no new request.
 
 The registry goes on listing it as ready.
 """
@@ -21,12 +21,12 @@
 from wigeonspoke.platform.tests.stream_requests import request_stream
 
 # The targets.  A node that has had an answer that says leaving sends nothing
-# more after the first time; one that was asked for quiet sends at most two
+# more after the first time; one that was told a backoff sends at most two
 # requests between the second one and the end of the time that was named.
 DRAIN_SECONDS = 2.0
-QUIET_SLACK_SECONDS = 0.5
-MAX_QUIET_REQUESTS = 2
-QUIET_SECONDS = 3.0
+BACKOFF_SLACK_SECONDS = 0.5
+MAX_BACKOFF_REQUESTS = 2
+BACKOFF_SECONDS = 3.0
 INTERVAL_SECONDS = 0.04
 WARM_UP_REQUESTS = 8
 # What the returns of some clients must at least differ by.
@@ -199,19 +199,19 @@
 
 
 @pytest.mark.parametrize('kind', KINDS)
-def test_an_endpoint_that_asks_for_quiet_gets_it(deployment, kind):
+def test_an_endpoint_that_names_a_backoff_gets_it(deployment, kind):
     load = Load(deployment, kind)
     away = load.warm_up()
     first_at = time.monotonic()
-    away.away_until = first_at + QUIET_SECONDS
+    away.away_until = first_at + BACKOFF_SECONDS
     reports = getattr(away, 'reports', 0)
-    statuses = load.run(QUIET_SECONDS)
+    statuses = load.run(BACKOFF_SECONDS)
     inside = [
         one
         for one in away.received
-        if first_at + QUIET_SLACK_SECONDS < one.received_at < away.away_until
+        if first_at + BACKOFF_SLACK_SECONDS < one.received_at < away.away_until
     ]
-    assert len(inside) <= MAX_QUIET_REQUESTS * len(deployment.nodes)
+    assert len(inside) <= MAX_BACKOFF_REQUESTS * len(deployment.nodes)
     # The lease holder may read the state of an engine before it orders.
     assert getattr(away, 'reports', 0) <= reports + 1
     assert statuses.count(SERVED) >= 0.9 * len(statuses)
@@ -226,7 +226,7 @@
     deployment = Deployment(placed_harness, 1)
     load = Load(deployment, kind)
     load.warm_up()
-    end = time.monotonic() + QUIET_SECONDS
+    end = time.monotonic() + BACKOFF_SECONDS
     for endpoint in (*placed_harness.replicas, *placed_harness.engines):
         endpoint.away_until = end
     # The first ones find out.
@@ -234,7 +234,7 @@
     asked_at = time.monotonic()
     assert load.send(placed_harness.node) == REFUSED
     # Known that nothing can take it: refused at once.
-    assert time.monotonic() - asked_at < QUIET_SECONDS / 2
+    assert time.monotonic() - asked_at < BACKOFF_SECONDS / 2
     load.run(0.2)
     returns = [
         sent_at + retry_after
@@ -257,7 +257,7 @@
     away.retry_after = text
     away.away_until = time.monotonic() + 0.3
     load.run(0.3)
-    assert not placed_harness.node.state.gate.backoffs.backoffs
+    assert not placed_harness.node.state.availability.backoffs.backoffs
     placed_harness.wait_until(
         lambda: (
             load.send(placed_harness.node) == SERVED
