--- a/wigeonspoke/platform/tests/test_reported_leaving_and_backoff.py
+++ b/wigeonspoke/platform/tests/test_reported_leaving_and_backoff.py
@@ -187,8 +187,7 @@
     load.warm_up()
     for replica in placed_harness.replicas:
         replica.says_leaving = True
-    while load.send(placed_harness.node) == SERVED:
-        eventlet.sleep(INTERVAL_SECONDS)
+    placed_harness.wait_until(lambda: load.send(placed_harness.node) == REFUSED)
     before = sum(len(one.received) for one in placed_harness.replicas)
     statuses = load.run(0.4)
     assert set(statuses) == {REFUSED}
