Use one hash order, one fetch and one decimal for the same work

Read once more, what the change wrote again: rank_nodes beside the order of senders (core.rendezvous now serves both), two fetches from a peer with the same errors, and the pattern of a decimal number in two headers. A stream looked for a chain twice, also without any quarantine; it now does so only if it is quarantined. Retry-After is read only from a 503. Imports in order.

No behaviour is changed but one log field: an unreadable answer of a watcher names the step 'table', not 'changes'.

--- a/wigeonspoke/core/limits/senders.py
+++ b/wigeonspoke/core/limits/senders.py
@@ -6,7 +6,7 @@
 agreement: rendezvous hashing changes few of them when a node comes or goes.
 """
 
-import zlib
+from wigeonspoke.core.rendezvous import rank_names
 
 # A node that is not heard from keeps its place for this long: it may only be
 # partitioned, and would then go on sending.
@@ -66,10 +66,7 @@
         local = [
             name for name, known in self.domains.items() if known == domain
         ]
-        ranked = sorted(
-            local or self.domains,
-            key=lambda name: (zlib.crc32(f'{start_id} {name}'.encode()), name),
-        )
+        ranked = rank_names(start_id, local or self.domains)
         senders = ranked[: max_senders(limit)]
         return 1 / len(senders) if self.own_name in senders else 0
 
--- a/wigeonspoke/core/membership/__init__.py
+++ b/wigeonspoke/core/membership/__init__.py
@@ -16,7 +16,7 @@
     MarkState,
     PeerReport,
 )
-from wigeonspoke.core.membership.watchers import choose_watchers, rank_nodes
+from wigeonspoke.core.membership.watchers import choose_watchers
 
 __all__ = (
     'Contact',
@@ -32,5 +32,4 @@
     'message_size',
     'round_seconds',
     'choose_watchers',
-    'rank_nodes',
 )
--- a/wigeonspoke/core/membership/watchers.py
+++ b/wigeonspoke/core/membership/watchers.py
@@ -7,8 +7,9 @@
 node that is asked says that it does not read the table itself.
 """
 
-import zlib
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
+
+from wigeonspoke.core.rendezvous import rank_names
 
 # Two, so that one may fail without a detour.
 WATCHERS_PER_DOMAIN = 2
@@ -26,13 +27,4 @@
     """
     if len(nodes) < MIN_DOMAIN_NODES:
         return ()
-    return rank_nodes(domain, nodes)[:WATCHERS_PER_DOMAIN]
-
-
-def rank_nodes(key: str, nodes: Iterable[str]) -> tuple[str, ...]:
-    """Order nodes by a hash, so that few places change with a node."""
-    return tuple(
-        sorted(
-            nodes, key=lambda name: (zlib.crc32(f'{key} {name}'.encode()), name)
-        )
-    )
+    return rank_names(domain, nodes)[:WATCHERS_PER_DOMAIN]
--- a/wigeonspoke/core/tests/test_availability.py
+++ b/wigeonspoke/core/tests/test_availability.py
@@ -9,8 +9,8 @@
 
 from wigeonspoke.core.availability import (
     Backoffs,
-    ObstacleReason,
     EndpointAvailability,
+    ObstacleReason,
 )
 from wigeonspoke.core.fleet import Endpoint, Fleet, LeavingReport
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/stream_handler.py
@@ -143,11 +143,15 @@
 
         A part of it may have been quarantined while it waited for a chain.
         """
-        if self.is_refused(can_be_sent=self.chain_choice.is_possible()):
+        if self.is_refused(can_be_sent=False) and not self._claims_trial():
             return None
         chain = self.chain_choice.wait()
         return None if self.is_refused() else chain
 
+    def _claims_trial(self) -> bool:
+        """Return whether a quarantined stream becomes the trial that is due."""
+        return self.chain_choice.is_possible() and not self.is_refused()
+
     def _attempt(self, chain: Chain) -> Iterator[bytes]:
         """Try a chain; the generator returns whether it served the stream."""
         self.chain_choice.excluded.update(chain.endpoint_ids)
--- a/wigeonspoke/ingress/table_followers.py
+++ b/wigeonspoke/ingress/table_followers.py
@@ -6,8 +6,8 @@
 import eventlet
 from returns.result import Success
 
-from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.peer_versions import PeerVersions
+from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.table_consumers import TableConsumer
 from wigeonspoke.ingress.table_copy import (
     RelayedTable,
--- a/wigeonspoke/ingress/table_relay.py
+++ b/wigeonspoke/ingress/table_relay.py
@@ -9,7 +9,7 @@
 import math
 import time
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -30,6 +30,9 @@
 STORE_GRACE_SECONDS = 0.6
 
 
+Reply = TypeVar('Reply')
+
+
 class FollowedTable(Protocol):
     """A table that this node follows."""
 
@@ -126,16 +129,9 @@
     known: int,
 ) -> RelayedTable | None:
     """Fetch a table newer than ``known`` from a peer, or return None."""
-    result = client.get(
-        peer, f'{TABLES_PATH}{name}?after={known}', FETCH_TIMEOUT_SECONDS
-    )
-    if not isinstance(result, Success) or not result.unwrap().is_ok:
-        return None
-    try:
-        return msgspec.json.decode(result.unwrap().body, type=RelayedTable)
-    except msgspec.MsgspecError:
-        log.write('peer-unreadable', peer=peer, step='table', table=name)
-        return None
+    path = f'{TABLES_PATH}{name}?after={known}'
+    body = _fetch(client, peer, path, FETCH_TIMEOUT_SECONDS)
+    return _decode(body, RelayedTable, log, peer, name)
 
 
 def fetch_changes(
@@ -147,17 +143,34 @@
     wait_seconds: int,
 ) -> WatcherAnswer | None:
     """Wait for changes of a table at a watcher; None if it did not answer."""
-    result = client.get(
-        watcher,
-        f'{CHANGES_PATH}{name}?after={known}&wait={wait_seconds}',
-        wait_seconds + FETCH_TIMEOUT_SECONDS,
-    )
+    path = f'{CHANGES_PATH}{name}?after={known}&wait={wait_seconds}'
+    timeout = wait_seconds + FETCH_TIMEOUT_SECONDS
+    body = _fetch(client, watcher, path, timeout)
+    return _decode(body, WatcherAnswer, log, watcher, name)
+
+
+def _fetch(
+    client: HttpClient, peer: str, path: str, timeout: float
+) -> bytes | None:
+    result = client.get(peer, path, timeout)
     if not isinstance(result, Success) or not result.unwrap().is_ok:
         return None
+    return result.unwrap().body
+
+
+def _decode(
+    body: bytes | None,
+    kind: type[Reply],
+    log: DecisionLog,
+    peer: str,
+    table: str,
+) -> Reply | None:
+    if body is None:
+        return None
     try:
-        return msgspec.json.decode(result.unwrap().body, type=WatcherAnswer)
+        return msgspec.json.decode(body, type=kind)
     except msgspec.MsgspecError:
-        log.write('peer-unreadable', peer=watcher, step='changes', table=name)
+        log.write('peer-unreadable', peer=peer, step='table', table=table)
         return None
 
 
--- a/wigeonspoke/ingress/table_subscription.py
+++ b/wigeonspoke/ingress/table_subscription.py
@@ -4,11 +4,8 @@
 
 import eventlet
 
-from wigeonspoke.core.membership import (
-    GossipState,
-    choose_watchers,
-    rank_nodes,
-)
+from wigeonspoke.core.membership import GossipState, choose_watchers
+from wigeonspoke.core.rendezvous import rank_names
 from wigeonspoke.ingress.state import IngressState, node_name
 from wigeonspoke.ingress.table_consumers import RETENTION_SECONDS
 from wigeonspoke.ingress.table_followers import TableFollower
@@ -75,7 +72,7 @@
         )
         if own_name in watchers:
             return ''
-        for name in rank_nodes(own_name, watchers):
+        for name in rank_names(own_name, watchers):
             address = by_address[name]
             if self.avoided_until.get(address, 0) <= now:
                 return address
--- a/wigeonspoke/platform/engine_control.py
+++ b/wigeonspoke/platform/engine_control.py
@@ -13,13 +13,9 @@
     HealthReply,
     OrderReply,
 )
-from wigeonspoke.platform.headers import (
-    LIMIT_HEADER,
-    parse_limit,
-    says_leaving,
-)
+from wigeonspoke.platform.headers import LIMIT_HEADER, says_leaving
 from wigeonspoke.platform.records import decode_report
-from wigeonspoke.transport import HttpClient, HttpError
+from wigeonspoke.transport import HttpClient, HttpError, parse_decimal
 
 ACCEPTED_STATUSES = frozenset((http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED))
 
@@ -47,7 +43,7 @@
         reply = result.unwrap()
         if not reply.is_ok:
             return Failure(EngineFailure(f'status {reply.status}'))
-        limit = parse_limit(reply.headers.get(LIMIT_HEADER.lower(), ''))
+        limit = parse_decimal(reply.headers.get(LIMIT_HEADER.lower(), ''))
         return (
             decode_report(reply.body)
             .map(
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -1,7 +1,6 @@
 """Request and response headers of the platform's wire format."""
 
 import hashlib
-import re
 from collections.abc import Mapping
 
 from wigeonspoke.core.chains import Chain
@@ -12,7 +11,7 @@
     ResponseMarkers,
 )
 from wigeonspoke.ingress.responses import HOP_BY_HOP_HEADERS
-from wigeonspoke.transport import parse_retry_after
+from wigeonspoke.transport import parse_decimal, parse_retry_after
 
 MILLISECONDS_PER_SECOND = 1000
 EVENT_STREAM_TYPE = 'text/event-stream'
@@ -35,8 +34,6 @@
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 
-_DECIMAL = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
-
 # Clients choose the ids of the parts of their prompts, and the node keeps
 # some of them, so that both length and number are limited.
 MAX_PART_ID_LENGTH = 32
@@ -141,11 +138,11 @@
     }
     content_type = header_values.get('content-type', '')
     retry_after = ''
+    retry_seconds = None
     if status == SERVICE_UNAVAILABLE:
         retry_after = header_values.get('retry-after', '')
-    retry_seconds = parse_retry_after(
-        retry_after, header_values.get('date', '')
-    )
+        date = header_values.get('date', '')
+        retry_seconds = parse_retry_after(retry_after, date)
     return ResponseMarkers(
         request_id=header_values.get(REQUEST_ID_HEADER.lower(), ''),
         is_signed=SIGNATURE_HEADER.lower() in header_values,
@@ -154,7 +151,7 @@
         not_executed=NOT_EXECUTED_HEADER.lower() in header_values
         or status == MISDIRECTED_REQUEST,
         fault_address=header_values.get(FAULT_ADDRESS_HEADER.lower(), ''),
-        requests_per_second=parse_limit(
+        requests_per_second=parse_decimal(
             header_values.get(LIMIT_HEADER.lower(), '')
         ),
         is_leaving=says_leaving(header_values),
@@ -168,13 +165,6 @@
     return header_values.get(LEAVING_HEADER.lower(), '').strip() == '1'
 
 
-def parse_limit(header_value: str) -> float | None:
-    """Return a limit in requests a second, None if there is no valid one."""
-    if not _DECIMAL.fullmatch(header_value):
-        return None
-    return float(header_value)
-
-
 def _parse_milliseconds(header_value: str) -> float | None:
     if not header_value.isdecimal():
         return None
--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -8,10 +8,6 @@
 import eventlet
 import msgspec
 
-from wigeonspoke.platform.standins.report_headers import (
-    report_headers,
-    backoff_headers,
-)
 from wigeonspoke.platform.standins.raw_server import (
     RawConnection,
     RawRequest,
@@ -22,6 +18,10 @@
     ends_never,
     record_request,
 )
+from wigeonspoke.platform.standins.report_headers import (
+    backoff_headers,
+    report_headers,
+)
 from wigeonspoke.transport import BodyEnd
 
 STALL_SECONDS = 2.0
--- a/wigeonspoke/platform/standins/replica.py
+++ b/wigeonspoke/platform/standins/replica.py
@@ -9,15 +9,15 @@
 import eventlet
 import msgspec
 
-from wigeonspoke.platform.standins.report_headers import (
-    report_headers,
-    backoff_headers,
-)
 from wigeonspoke.platform.standins.raw_server import (
     RawConnection,
     RawRequest,
     RawServer,
 )
+from wigeonspoke.platform.standins.report_headers import (
+    backoff_headers,
+    report_headers,
+)
 
 POLL_SECONDS = 0.01
 HANG_SECONDS = 30.0
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -8,6 +8,7 @@
     EndCause,
     Phase,
 )
+from wigeonspoke.transport.decimal_text import parse_decimal
 from wigeonspoke.transport.http_client import (
     HttpClient,
     HttpError,
@@ -51,6 +52,7 @@
     'ResponseReceiver',
     'ResponseTooLarge',
     'find_body_end',
+    'parse_decimal',
     'parse_retry_after',
     'peek',
     'read_lines',
--- a/wigeonspoke/transport/retry_after.py
+++ b/wigeonspoke/transport/retry_after.py
@@ -1,17 +1,16 @@
 """The header ``Retry-After`` of HTTP: a number of seconds, or a date."""
 
-import re
 import time
 from datetime import UTC, datetime
 from email.utils import parsedate_to_datetime
 
-# HTTP allows whole seconds only; fractions are common between services.
-_SECONDS = re.compile('[0-9]{1,9}([.][0-9]{1,9})?')
+from wigeonspoke.transport.decimal_text import parse_decimal
 
 
 def parse_retry_after(text: str, date: str = '') -> float | None:
     """Return a time in seconds, None if the header has no meaning.
 
+    HTTP allows whole seconds only; fractions are common between services.
     ``date`` is the header of that name in the same response.  It is preferred
     to the clock of this host, which may differ.  A date in the past is 0.
 
@@ -21,8 +20,9 @@
     True
     """
     stripped = text.strip()
-    if _SECONDS.fullmatch(stripped):
-        return float(stripped)
+    seconds = parse_decimal(stripped)
+    if seconds is not None:
+        return seconds
     until = _parse_date(stripped)
     if until is None:
         return None
