Keep the last failure of the store when a watcher tells of an earlier one

Found while reading: a follower records the outage that a watcher tells of, which set the time of the last failure back if the node had seen a later one itself, so that entries missing after the outage would be dropped sooner than they may be. The later time now counts. A table of three orders, one of which failed before; for a node's own failures nothing changes, since their times rise.

--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -142,7 +142,7 @@
 
     def record_store_failure(self, now: float) -> None:
         """Record that a call to the store was refused or not answered."""
-        self.store_failed_at = now
+        self.store_failed_at = max(self.store_failed_at, now)
 
     @property
     def node_count(self) -> int:
--- a/wigeonspoke/platform/tests/test_table_watchers.py
+++ b/wigeonspoke/platform/tests/test_table_watchers.py
@@ -8,7 +8,9 @@
 import pytest
 
 from wigeonspoke.core.membership import choose_watchers
+from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress import IngressNode
+from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.table_followers import WATCHER_WAIT_SECONDS
 from wigeonspoke.platform.standins import StoreFault, StoreStandin
 from wigeonspoke.platform.tests.harness import (
@@ -165,6 +167,20 @@
     domain.change('ready')
 
 
+# What a watcher tells of an outage may be older than what the node saw itself.
+@pytest.mark.parametrize(
+    ('failures', 'last'),
+    [((5.0,), 5.0), ((5.0, 3.0), 5.0), ((3.0, 5.0), 5.0)],
+)
+def test_the_last_failure_of_the_store_is_kept(harness, failures, last):
+    state = IngressState(
+        harness.node.state.settings, harness.node.state.wire, DecisionLog('x')
+    )
+    for failed_at in failures:
+        state.record_store_failure(failed_at)
+    assert state.store_failed_at == pytest.approx(last)
+
+
 def test_a_small_domain_has_no_watchers(harness):
     nodes = [start_node(harness, f'node-{number}') for number in range(2, 5)]
     eventlet.sleep(4.0)
