Divide the ingress package by job

The package was one flat folder of 33 modules, in which the caller of a decision was hard to find. Requests, streams, calls, peers, tables and the fleet are packages of their own now. Only modules and their imports moved; the parts that both kinds of request share are in requests.

Checked: formatter and linter; the tests of ingress and of calls, streams and names on the platform pass.

--- a/wigeonspoke/core/tests/test_ingress_fuzz.py
+++ b/wigeonspoke/core/tests/test_ingress_fuzz.py
@@ -34,7 +34,7 @@
     domain_engines,
     make_engine,
 )
-from wigeonspoke.ingress.event_splitter import EventSplitter
+from wigeonspoke.ingress.streams.event_splitter import EventSplitter
 
 EXAMPLES = int(os.environ.get('WIGEONSPOKE_FUZZ_EXAMPLES', '40'))
 FUZZ = settings(
--- /dev/null
+++ b/wigeonspoke/ingress/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Requests with one complete response from a replica."""
--- a/wigeonspoke/ingress/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -10,14 +10,14 @@
 
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.ingress.answer_watch import ClaimTrial
-from wigeonspoke.ingress.endpoint_attempt import (
+from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
+from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
 )
-from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import ResponseMarkers
-from wigeonspoke.ingress.request_handler import (
+from wigeonspoke.ingress.requests.request_handler import (
     REFUSED_RETRY_AFTER_SECONDS,
     RequestContext,
     RequestHandler,
@@ -26,7 +26,10 @@
     refusal_retry_after,
     timeout_error,
 )
-from wigeonspoke.ingress.responses import EndpointResponse, NodeResponse
+from wigeonspoke.ingress.requests.responses import (
+    EndpointResponse,
+    NodeResponse,
+)
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.transport import BodyEnd, ReadTimeout
 
--- /dev/null
+++ b/wigeonspoke/ingress/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints of the deployment: probes, leases and placement orders."""
--- a/wigeonspoke/ingress/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -7,7 +7,10 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import Endpoint
-from wigeonspoke.ingress.endpoint_attempt import AttemptError, EndpointAttempt
+from wigeonspoke.ingress.requests.endpoint_attempt import (
+    AttemptError,
+    EndpointAttempt,
+)
 from wigeonspoke.ingress.protocols import (
     EngineControl,
     EngineFailure,
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -6,19 +6,19 @@
 from typing import Any
 
 from wigeonspoke.core.routing import ClientAccount, RequestKind, Rule
-from wigeonspoke.ingress.answer_watch import ClaimTrial
-from wigeonspoke.ingress.call_handler import CallHandler
-from wigeonspoke.ingress.disconnect_monitor import DisconnectMonitor
-from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
+from wigeonspoke.ingress.calls.call_handler import CallHandler
+from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
+from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import ClientRequest
-from wigeonspoke.ingress.request_handler import RequestContext
-from wigeonspoke.ingress.responses import (
+from wigeonspoke.ingress.requests.request_handler import RequestContext
+from wigeonspoke.ingress.requests.responses import (
     EndpointResponse,
     NodeResponse,
     begin_response,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.ingress.stream_handler import StreamHandler
+from wigeonspoke.ingress.streams.stream_handler import StreamHandler
 from wigeonspoke.transport import RequestError, read_request_body
 
 StartResponse = Callable[..., Any]
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -10,30 +10,30 @@
 import eventlet
 
 from wigeonspoke.decisions import DecisionLog
-from wigeonspoke.ingress.chain_reporter import ChainReporter
-from wigeonspoke.ingress.connection_reporter import ConnectionReporter
+from wigeonspoke.ingress.fleet.chain_reporter import ChainReporter
+from wigeonspoke.ingress.requests.connection_reporter import ConnectionReporter
 from wigeonspoke.ingress.front_app import FrontApp
-from wigeonspoke.ingress.lease_loop import LeaseLoop
+from wigeonspoke.ingress.fleet.lease_loop import LeaseLoop
 from wigeonspoke.ingress.metrics_page import render_counters
-from wigeonspoke.ingress.part_table import (
+from wigeonspoke.ingress.tables.part_table import (
     PartConsumer,
     PartPublisher,
 )
-from wigeonspoke.ingress.peer_gossip import PeerGossip
-from wigeonspoke.ingress.peer_versions import PeerVersions
-from wigeonspoke.ingress.placement_loop import PlacementLoop
-from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.peers.peer_gossip import PeerGossip
+from wigeonspoke.ingress.peers.peer_versions import PeerVersions
+from wigeonspoke.ingress.fleet.placement_loop import PlacementLoop
+from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import EngineControl, WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.ingress.table_consumers import (
+from wigeonspoke.ingress.tables.table_consumers import (
     ConfigurationConsumer,
     RegistryConsumer,
     TableConsumer,
 )
-from wigeonspoke.ingress.table_followers import TableFollower
-from wigeonspoke.ingress.table_relay import PeerApp
-from wigeonspoke.ingress.table_subscription import TableSubscription
+from wigeonspoke.ingress.tables.table_followers import TableFollower
+from wigeonspoke.ingress.tables.table_relay import PeerApp
+from wigeonspoke.ingress.tables.table_subscription import TableSubscription
 from wigeonspoke.store import FeedStore
 from wigeonspoke.transport import HttpClient, HttpListener, ListenerLimits
 
--- /dev/null
+++ b/wigeonspoke/ingress/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of news between the nodes of a deployment."""
--- a/wigeonspoke/ingress/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -28,9 +28,9 @@
 )
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.quarantine import PartReport
-from wigeonspoke.ingress.peer_versions import PeerVersions
+from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.state import IngressState, node_name
-from wigeonspoke.ingress.table_copy import TableCopy
+from wigeonspoke.ingress.tables.table_copy import TableCopy
 from wigeonspoke.transport import HttpClient, HttpError
 
 GOSSIP_PATH = '/peers/v1/talk'
--- /dev/null
+++ b/wigeonspoke/ingress/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of clients: attempts at endpoints and their responses."""
--- a/wigeonspoke/ingress/answer_watch.py
+++ b/wigeonspoke/ingress/requests/answer_watch.py
@@ -10,7 +10,7 @@
     is_request_key,
     request_key,
 )
-from wigeonspoke.ingress.part_watch import PartWatch
+from wigeonspoke.ingress.fleet.part_watch import PartWatch
 from wigeonspoke.ingress.protocols import ClientRequest
 
 # May one request with this key be sent now, as a trial for all nodes?
--- a/wigeonspoke/ingress/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -17,7 +17,7 @@
 from eventlet.green import socket as green_socket
 
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.ingress.connection_pool import ConnectionPool
+from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
 from wigeonspoke.ingress.protocols import HeaderList
 from wigeonspoke.transport import (
     MAX_INFORMATIONAL_HEADS,
--- a/wigeonspoke/ingress/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -13,10 +13,10 @@
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.quarantine import Answer, Refusal, is_request_key
 from wigeonspoke.core.routing import Rule, choose_target
-from wigeonspoke.ingress.answer_watch import AnswerWatch, ClaimTrial
-from wigeonspoke.ingress.disconnect_monitor import DisconnectMonitor
-from wigeonspoke.ingress.endpoint_attempt import EndpointAttempt
-from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.requests.answer_watch import AnswerWatch, ClaimTrial
+from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
+from wigeonspoke.ingress.requests.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
     ForwardContext,
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -19,8 +19,8 @@
 from wigeonspoke.core.membership import PeerRegistry
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
-from wigeonspoke.ingress.connection_pool import ConnectionPool
-from wigeonspoke.ingress.part_watch import PartWatch
+from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
+from wigeonspoke.ingress.fleet.part_watch import PartWatch
 from wigeonspoke.ingress.protocols import WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
 
--- /dev/null
+++ b/wigeonspoke/ingress/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Requests whose response is a stream of events from a chain."""
--- a/wigeonspoke/ingress/chain_choice.py
+++ b/wigeonspoke/ingress/streams/chain_choice.py
@@ -6,7 +6,7 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
-from wigeonspoke.ingress.request_handler import RequestContext
+from wigeonspoke.ingress.requests.request_handler import RequestContext
 from wigeonspoke.ingress.state import IngressState
 
 # How long a request waits for a complete chain, as a fraction of the rule's
--- a/wigeonspoke/ingress/event_cursor.py
+++ b/wigeonspoke/ingress/streams/event_cursor.py
@@ -1,6 +1,6 @@
 """Position of a client in an event stream."""
 
-from wigeonspoke.ingress.event_splitter import StreamEvent
+from wigeonspoke.ingress.streams.event_splitter import StreamEvent
 from wigeonspoke.transport import BodyEnd
 
 
--- a/wigeonspoke/ingress/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -13,23 +13,23 @@
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.ingress.answer_watch import ClaimTrial
-from wigeonspoke.ingress.call_handler import decode_headers, read_body
-from wigeonspoke.ingress.chain_choice import ChainChoice
-from wigeonspoke.ingress.chain_monitor import ChainMonitor
-from wigeonspoke.ingress.endpoint_attempt import (
+from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
+from wigeonspoke.ingress.calls.call_handler import decode_headers, read_body
+from wigeonspoke.ingress.streams.chain_choice import ChainChoice
+from wigeonspoke.ingress.streams.chain_monitor import ChainMonitor
+from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
 )
-from wigeonspoke.ingress.event_cursor import EventCursor
-from wigeonspoke.ingress.event_splitter import (
+from wigeonspoke.ingress.streams.event_cursor import EventCursor
+from wigeonspoke.ingress.streams.event_splitter import (
     EventSplitter,
     EventTooLarge,
     StreamEvent,
 )
-from wigeonspoke.ingress.prober import Prober
+from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import ResponseMarkers
-from wigeonspoke.ingress.request_handler import (
+from wigeonspoke.ingress.requests.request_handler import (
     SILENCE_RECHECK_SECONDS,
     RequestContext,
     RequestHandler,
@@ -38,7 +38,7 @@
     refusal_retry_after,
     timeout_error,
 )
-from wigeonspoke.ingress.responses import (
+from wigeonspoke.ingress.requests.responses import (
     EndpointResponse,
     NodeResponse,
     begin_response,
--- /dev/null
+++ b/wigeonspoke/ingress/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the store: followed, relayed to peers and applied."""
--- a/wigeonspoke/ingress/part_table.py
+++ b/wigeonspoke/ingress/tables/part_table.py
@@ -21,7 +21,7 @@
     service_of,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.ingress.table_copy import TableCopy
+from wigeonspoke.ingress.tables.table_copy import TableCopy
 from wigeonspoke.store import FeedStore, RowWrite, TableRow
 
 PART_TABLE = 'quarantine'
--- a/wigeonspoke/ingress/table_followers.py
+++ b/wigeonspoke/ingress/tables/table_followers.py
@@ -6,15 +6,18 @@
 import eventlet
 from returns.result import Success
 
-from wigeonspoke.ingress.peer_versions import PeerVersions
+from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.ingress.table_consumers import TableConsumer
-from wigeonspoke.ingress.table_copy import (
+from wigeonspoke.ingress.tables.table_consumers import TableConsumer
+from wigeonspoke.ingress.tables.table_copy import (
     RelayedTable,
     TableCopy,
     decode_rows,
 )
-from wigeonspoke.ingress.table_relay import STORE_GRACE_SECONDS, fetch_table
+from wigeonspoke.ingress.tables.table_relay import (
+    STORE_GRACE_SECONDS,
+    fetch_table,
+)
 from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.store import (
     FeedStore,
--- a/wigeonspoke/ingress/table_relay.py
+++ b/wigeonspoke/ingress/tables/table_relay.py
@@ -16,7 +16,7 @@
 from returns.result import Success
 
 from wigeonspoke.decisions import DecisionLog
-from wigeonspoke.ingress.table_copy import RelayedTable, TableCopy
+from wigeonspoke.ingress.tables.table_copy import RelayedTable, TableCopy
 from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.transport import HttpClient
 
--- a/wigeonspoke/ingress/table_subscription.py
+++ b/wigeonspoke/ingress/tables/table_subscription.py
@@ -7,9 +7,9 @@
 from wigeonspoke.core.membership import GossipState, choose_watchers
 from wigeonspoke.core.rendezvous import rank_names
 from wigeonspoke.ingress.state import IngressState, node_name
-from wigeonspoke.ingress.table_consumers import RETENTION_SECONDS
-from wigeonspoke.ingress.table_followers import TableFollower
-from wigeonspoke.ingress.table_relay import WatcherAnswer, fetch_changes
+from wigeonspoke.ingress.tables.table_consumers import RETENTION_SECONDS
+from wigeonspoke.ingress.tables.table_followers import TableFollower
+from wigeonspoke.ingress.tables.table_relay import WatcherAnswer, fetch_changes
 from wigeonspoke.transport import HttpClient
 
 # Changes come at once, and so does the end of a connection.  A watcher that
--- a/wigeonspoke/ingress/tests/test_endless_responses.py
+++ b/wigeonspoke/ingress/tests/test_endless_responses.py
@@ -6,12 +6,15 @@
 import pytest
 from returns.result import Success
 
-from wigeonspoke.ingress.call_handler import read_body
-from wigeonspoke.ingress.endpoint_attempt import (
+from wigeonspoke.ingress.calls.call_handler import read_body
+from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
 )
-from wigeonspoke.ingress.event_splitter import EventSplitter, EventTooLarge
+from wigeonspoke.ingress.streams.event_splitter import (
+    EventSplitter,
+    EventTooLarge,
+)
 from wigeonspoke.platform.standins.raw_server import RawServer
 from wigeonspoke.transport import HttpClient, ReadTimeout, ResponseReceiver
 from wigeonspoke.transport.response_receiver import MAX_LATE_BYTES
--- a/wigeonspoke/ingress/tests/test_endpoint_attempt.py
+++ b/wigeonspoke/ingress/tests/test_endpoint_attempt.py
@@ -5,8 +5,11 @@
 import eventlet
 import pytest
 
-from wigeonspoke.ingress.call_handler import read_body
-from wigeonspoke.ingress.endpoint_attempt import AttemptError, EndpointAttempt
+from wigeonspoke.ingress.calls.call_handler import read_body
+from wigeonspoke.ingress.requests.endpoint_attempt import (
+    AttemptError,
+    EndpointAttempt,
+)
 from wigeonspoke.platform.standins.raw_server import RawConnection
 
 RECEIVE_BYTES = 1000
--- a/wigeonspoke/ingress/tests/test_event_cursor.py
+++ b/wigeonspoke/ingress/tests/test_event_cursor.py
@@ -2,8 +2,11 @@
 
 import pytest
 
-from wigeonspoke.ingress.event_cursor import EventCursor
-from wigeonspoke.ingress.event_splitter import EventSplitter, StreamEvent
+from wigeonspoke.ingress.streams.event_cursor import EventCursor
+from wigeonspoke.ingress.streams.event_splitter import (
+    EventSplitter,
+    StreamEvent,
+)
 from wigeonspoke.transport import BodyEnd
 
 
--- a/wigeonspoke/ingress/tests/test_table_copy.py
+++ b/wigeonspoke/ingress/tests/test_table_copy.py
@@ -3,7 +3,11 @@
 import msgspec
 import pytest
 
-from wigeonspoke.ingress.table_copy import MAX_CHANGES, TableCopy, decode_rows
+from wigeonspoke.ingress.tables.table_copy import (
+    MAX_CHANGES,
+    TableCopy,
+    decode_rows,
+)
 from wigeonspoke.store import TableRow
 
 
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -10,7 +10,7 @@
     HeaderList,
     ResponseMarkers,
 )
-from wigeonspoke.ingress.responses import HOP_BY_HOP_HEADERS
+from wigeonspoke.ingress.requests.responses import HOP_BY_HOP_HEADERS
 from wigeonspoke.transport import parse_decimal, parse_retry_after
 
 MILLISECONDS_PER_SECOND = 1000
--- a/wigeonspoke/platform/tests/test_broken_answers.py
+++ b/wigeonspoke/platform/tests/test_broken_answers.py
@@ -3,7 +3,7 @@
 import pytest
 from eventlet.hubs import trampoline
 
-from wigeonspoke.ingress.event_splitter import MAX_EVENT_BYTES
+from wigeonspoke.ingress.streams.event_splitter import MAX_EVENT_BYTES
 from wigeonspoke.platform.tests.harness import (
     TIMEOUT_SECONDS,
     Client,
--- a/wigeonspoke/platform/tests/test_part_rows.py
+++ b/wigeonspoke/platform/tests/test_part_rows.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from wigeonspoke.ingress.part_table import PartConsumer, PartRow
+from wigeonspoke.ingress.tables.part_table import PartConsumer, PartRow
 from wigeonspoke.store import TableRow
 
 PART = 'drafting/part'
--- a/wigeonspoke/platform/tests/test_table_watchers.py
+++ b/wigeonspoke/platform/tests/test_table_watchers.py
@@ -11,7 +11,7 @@
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress import IngressNode
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.ingress.table_followers import WATCHER_WAIT_SECONDS
+from wigeonspoke.ingress.tables.table_followers import WATCHER_WAIT_SECONDS
 from wigeonspoke.platform.standins import StoreFault, StoreStandin
 from wigeonspoke.platform.tests.harness import (
     Harness,
