Replay load patterns against the choice of chains in virtual time

Cause: what queueing, reservation and the choice of chains do for ranks, accounts and sizes on uneven load could only be seen in runs on sockets.

--- /dev/null
+++ b/wigeonspoke/bench/line/host.py
@@ -0,0 +1,224 @@
+"""Model of an ingress host: what it knows, and the streams that it sends.
+
+What the host decides is up to its policy.  Its knowledge is kept by the code
+of the nodes: the chains, their load and limits, the suspected engines and the
+retry budget.
+"""
+
+import random
+from functools import partial
+from typing import Protocol
+
+from wigeonspoke.bench.line.chain import EngineRun, VirtualChain
+from wigeonspoke.bench.line.fleet import SERVICE
+from wigeonspoke.bench.line.streams import LineStream
+from wigeonspoke.bench.scheduler import Scheduler
+from wigeonspoke.core.chains import Chain, ChainSelector, SuspectRegistry
+from wigeonspoke.core.fleet import EngineProfile, Fleet
+from wigeonspoke.core.forwarding import RetryWindowBudget
+from wigeonspoke.core.routing import RoutingTable
+
+# Limits of the retry budget on the users' platform.
+RETRY_RATIO = 0.2
+RETRY_EXTRA = 400.0
+RETRY_WINDOW_SECONDS = 10.0
+# How long it takes to detect that a chain has stopped, or does not answer:
+# the connect timeout of a node and about the silence timeout of a chain.
+DETECTION_SECONDS = 0.3
+
+
+class Clients(Protocol):
+    """The clients of the hosts, as far as a host deals with them."""
+
+    def receive_refusal(
+        self, stream: LineStream, host: 'LineHost', retry_after: float
+    ) -> None:
+        """Take a refusal of a stream."""
+
+    def receive_end(self, stream: LineStream, *, is_complete: bool) -> None:
+        """Take the end of a stream that has reached an engine."""
+
+
+class LinePolicy(Protocol):
+    """What a host does with the streams that arrive."""
+
+    def submit(self, stream: LineStream) -> None:
+        """Send a stream to a chain now or later, or refuse it."""
+
+    def cancel(self, stream: LineStream) -> None:
+        """Forget a stream whose client has left."""
+
+    def notice_change(self) -> None:
+        """Look for room after a stream has ended or news has arrived."""
+
+    def has_unreserved_room(self, stream: LineStream) -> bool:
+        """Return whether a known chain has room that is not reserved."""
+
+    def queue_length(self) -> int:
+        """Return the number of streams that wait."""
+
+
+class LineHost:
+    """A host with its own clock, which may jump.
+
+    ``runs`` holds the streams in progress by their number.
+    """
+
+    __slots__ = (
+        'budget',
+        'chains',
+        'clients',
+        'clock_offset',
+        'died_at',
+        'domain',
+        'is_alive',
+        'live_hosts',
+        'name',
+        'policy',
+        'rng',
+        'routing_table',
+        'runs',
+        'scheduler',
+        'selector',
+        'suspects',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        scheduler: Scheduler,
+        fleet: Fleet,
+        routing_table: RoutingTable,
+        chains: dict[str, VirtualChain],
+        clients: Clients,
+        seed: int,
+    ) -> None:
+        self.name = name
+        self.domain = domain
+        self.scheduler = scheduler
+        self.routing_table = routing_table
+        self.chains = chains
+        self.clients = clients
+        self.rng = random.Random(f'{name} {seed}')
+        self.clock_offset: float = 0
+        self.is_alive = True
+        self.died_at: float = 0
+        self.live_hosts = 1
+        self.suspects = SuspectRegistry()
+        self.selector = ChainSelector(fleet, self.suspects, domain)
+        # It begins in the past, so that the budget is not ramped up.
+        self.budget = RetryWindowBudget(
+            RETRY_RATIO,
+            RETRY_EXTRA,
+            RETRY_WINDOW_SECONDS,
+            -RETRY_WINDOW_SECONDS,
+        )
+        self.runs: dict[int, tuple[EngineRun, VirtualChain]] = {}
+        self.policy: LinePolicy | None = None
+
+    @property
+    def now(self) -> float:
+        """The time on the clock of the host."""
+        return self.scheduler.now + self.clock_offset
+
+    @property
+    def profile(self) -> EngineProfile:
+        """Engine profile of the service."""
+        return self.routing_table.services[SERVICE].engine
+
+    def known_chains(self) -> tuple[Chain, ...]:
+        """Return the chains that the host knows."""
+        return self.selector.chains(SERVICE, self.profile)
+
+    def has_room(self, chain: Chain, reserved: float = 0) -> bool:
+        """Return whether a chain has unreserved room, as the host knows."""
+        head = chain.head
+        streams = self.selector.streams_at(head.endpoint_id)
+        is_allowed = self.selector.has_capacity(chain, self.now)
+        return is_allowed and streams + 1 <= head.slots - reserved
+
+    def send(
+        self, stream: LineStream, chain: Chain, urgency: int | None = None
+    ) -> bool:
+        """Send a stream to a chain; return whether the chain admits it.
+
+        A chain that does not answer counts as one that breaks off later.
+        """
+        self.selector.begin(chain)
+        virtual = self.chains[chain.head.endpoint_id]
+        done = stream.events * virtual.speed.settings['stride']
+        run = EngineRun(
+            stream,
+            min(done, stream.output - 1),
+            partial(self._handle_end, stream, chain),
+            self.name,
+        )
+        if not virtual.is_alive:
+            self._handle_end(stream, chain, is_complete=False)
+            return True
+        if virtual.start(run, urgency):
+            self.runs[stream.number] = (run, virtual)
+            return True
+        self.suspects.deprioritize(chain.head.endpoint_id, self.now)
+        self.selector.record_refusal(chain, self.now)
+        self.selector.end(chain)
+        return False
+
+    def refuse(self, stream: LineStream, retry_after: float) -> None:
+        """Refuse a stream."""
+        self.clients.receive_refusal(stream, self, retry_after)
+
+    def drop(self, stream: LineStream) -> None:
+        """End a stream whose client has left."""
+        self.policy.cancel(stream)
+        entry = self.runs.get(stream.number)
+        if entry is not None:
+            run, virtual = entry
+            run.on_end = partial(self._handle_drop, stream, virtual.head_id)
+            virtual.end(run, is_complete=False)
+
+    def die(self) -> None:
+        """End with all streams."""
+        self.is_alive = False
+        self.died_at = self.scheduler.now
+        for run, virtual in tuple(self.runs.values()):
+            run.on_end = _ignore_end
+            virtual.end(run, is_complete=False)
+
+    def _handle_drop(
+        self, stream: LineStream, head_id: str, is_complete: bool
+    ) -> None:
+        self.runs.pop(stream.number, None)
+        self.selector.in_flight[head_id] -= 1
+        self.policy.notice_change()
+
+    def _handle_end(
+        self, stream: LineStream, chain: Chain, is_complete: bool
+    ) -> None:
+        self.runs.pop(stream.number, None)
+        if not is_complete:
+            self.scheduler.call_later(
+                DETECTION_SECONDS, self._handle_break, stream, chain
+            )
+            return
+        self.selector.end(chain)
+        self.clients.receive_end(stream, is_complete=True)
+        self.policy.notice_change()
+
+    def _handle_break(self, stream: LineStream, chain: Chain) -> None:
+        """Suspect the engines of a chain, and send the stream elsewhere."""
+        self.selector.end(chain)
+        for hop in chain.hops:
+            self.suspects.suspect(hop.endpoint, 'silent', self.now)
+        if not self.is_alive or stream.is_ended:
+            return
+        stream.excluded.update(chain.endpoint_ids)
+        if self.budget.withdraw(self.now):
+            self.policy.submit(stream)
+        else:
+            self.clients.receive_end(stream, is_complete=False)
+
+
+def _ignore_end(_is_complete: bool) -> None:
+    """Do nothing: the host has died."""
--- a/wigeonspoke/cli/bench.py
+++ b/wigeonspoke/cli/bench.py
@@ -7,6 +7,14 @@
 
 from wigeonspoke.bench.capacity import measure_all
 from wigeonspoke.bench.capacity_page import insert_tables, render_tables
+from wigeonspoke.bench.line import (
+    POLICIES as LINE_POLICIES,
+    LineReplay,
+    LineResult,
+    LineResults,
+    read_patterns,
+    render_table,
+)
 from wigeonspoke.bench.membership import NODE_COUNTS, measure_membership
 from wigeonspoke.bench.runner import (
     POLICIES,
@@ -161,6 +169,68 @@
     )
 
 
+@bench.command()
+@click.argument('names', nargs=-1)
+@click.option(
+    '--policy',
+    'policies',
+    multiple=True,
+    type=click.Choice(tuple(LINE_POLICIES)),
+    help='Policy to replay with; repeatable.  All by default.',
+)
+@click.option('--seed', default=1, show_default=True)
+@click.option(
+    '--hosts',
+    default=100,
+    show_default=True,
+    type=click.IntRange(1, 1000),
+    help='Number of hosts.',
+)
+@click.option(
+    '--seconds',
+    default=30.0,
+    show_default=True,
+    type=click.FloatRange(5, 600),
+    help='Virtual seconds in which streams arrive.',
+)
+@click.option(
+    '--json', 'json_file', type=OutputFile, help='Write the results as JSON.'
+)
+def line(
+    names: tuple[str, ...],
+    policies: tuple[str, ...],
+    seed: int,
+    hosts: int,
+    seconds: float,
+    json_file: Path | None,
+) -> None:
+    """Replay load patterns with several policies, in virtual time.
+
+    All patterns are replayed if none is named.  Prints the shares of the
+    streams that were served in time, and the targets that were missed.
+
+    \b
+    Example:
+      wigeonspoke bench line two-ranks large-account --seed 1 --hosts 100
+    """
+    known = {pattern.name: pattern for pattern in read_patterns()}
+    unknown = set(names) - known.keys()
+    if unknown:
+        raise click.UsageError(
+            f'unknown pattern {", ".join(sorted(unknown))}; there are: '
+            f'{", ".join(known)}'
+        )
+    replayed: list[LineResult] = [
+        LineReplay(known[name], policy, seed, hosts, seconds).run()
+        for name in names or known
+        for policy in policies or LINE_POLICIES
+    ]
+    click.echo(render_table(replayed))
+    if json_file:
+        body = msgspec.json.encode(LineResults(tuple(replayed)))
+        json_file.write_bytes(msgspec.json.format(body))
+
+
 @bench.command()
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 def wire(as_json: bool) -> None:
