--- a/wigeonspoke/bench/line/policies.py
+++ b/wigeonspoke/bench/line/policies.py
@@ -88,7 +88,7 @@
         chain = host.selector.select(
             SERVICE, host.profile, stream.excluded, host.now
         )
-        if chain is not None:
+        if chain:
             self._send(stream, chain, since)
         elif host.now >= since + FULL_CHAIN_WAIT_FRACTION * stream.kind.target:
             self._refuse(stream)
