Explain where a request would go, without sending it

Cause: on call, the reason for which a chain or replica is passed over could only be gathered from several log lines after a request had failed. Change: core/explanation collects the candidates with their load, times, age of news and what is known against them; a node serves it as GET /explain on its metrics listener, from a copy of what decisions depend on, since reading refills token buckets and drops expired limits; wigeonspoke explain prints it.

--- a/wigeonspoke/cli/commands.py
+++ b/wigeonspoke/cli/commands.py
@@ -5,6 +5,7 @@
 from wigeonspoke import __version__
 from wigeonspoke.cli.bench import bench
 from wigeonspoke.cli.demo import demo
+from wigeonspoke.cli.explain import explain
 from wigeonspoke.cli.load import load
 from wigeonspoke.cli.node import node
 from wigeonspoke.cli.operator import (
@@ -26,6 +27,7 @@
     bench,
     demo,
     endpoints,
+    explain,
     load,
     node,
     questionnaire,
--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -86,6 +86,12 @@
         """
         return self._cached(service, profile).chains
 
+    def capacities(
+        self, service: str, profile: EngineProfile
+    ) -> dict[str, float]:
+        """Return the capacity of each chain by the endpoint id of its head."""
+        return self._cached(service, profile).capacities
+
     def describe_domains(
         self,
         service: str,
--- /dev/null
+++ b/wigeonspoke/core/explanation/chains.py
@@ -0,0 +1,186 @@
+"""Explanation of the choice of a chain."""
+
+from collections.abc import Iterator, Mapping
+
+from wigeonspoke.core.chains import Chain, ChainSelector, Suspicion
+from wigeonspoke.core.chains.concurrency_limits import LIMIT_EXPIRY_SECONDS
+from wigeonspoke.core.explanation.endpoints import (
+    DIGITS,
+    find_distance,
+    find_obstacles,
+    seconds_until,
+)
+from wigeonspoke.core.explanation.records import (
+    Candidate,
+    Finding,
+    FindingReason,
+    ServiceExplanation,
+)
+from wigeonspoke.core.fleet import Endpoint, EngineProfile
+
+
+class ChainExplainer:
+    """Explains what a selector would choose.
+
+    It is given a copy of the selector: a choice refills token buckets, and
+    drops what has expired.  ``peer_ages`` are the seconds since the last
+    report of each peer.
+    """
+
+    __slots__ = ('peer_ages', 'selector')
+
+    def __init__(
+        self, selector: ChainSelector, peer_ages: Mapping[str, float]
+    ) -> None:
+        self.selector = selector
+        self.peer_ages = peer_ages
+
+    def explain(
+        self,
+        service: str,
+        profile: EngineProfile,
+        share: float,
+        now: float,
+    ) -> ServiceExplanation:
+        """Return the chains of a service and the one that is chosen."""
+        chains = self.selector.chains(service, profile)
+        capacities = self.selector.capacities(service, profile)
+        used = {
+            endpoint_id
+            for chain in chains
+            for endpoint_id in chain.endpoint_ids
+        }
+        chosen = self.selector.select(service, profile, (), now)
+        return ServiceExplanation(
+            service=service,
+            share=share,
+            chosen='' if chosen is None else chosen.head.endpoint_id,
+            reserved=0,
+            candidates=tuple(
+                self._describe(chain, capacities[chain.head.endpoint_id], now)
+                for chain in chains
+            ),
+            left_out=tuple(
+                self._describe_unused(engine, now)
+                for engine in self.selector.fleet.endpoints.values()
+                if engine.service == service and engine.endpoint_id not in used
+            ),
+        )
+
+    def _describe(self, chain: Chain, capacity: float, now: float) -> Candidate:
+        head = chain.head
+        head_id = head.endpoint_id
+        load = self.selector.peer_load
+        return Candidate(
+            endpoint_id=head_id,
+            address=head.address,
+            failure_domain=head.failure_domain,
+            engines=tuple(hop.endpoint.endpoint_id for hop in chain.hops),
+            capacity=round(capacity, DIGITS),
+            own=self.selector.in_flight[head_id],
+            peers=load.streams_by_head[head_id],
+            expected_first_event_seconds=None,
+            expected_gap_seconds=None,
+            news_age=self._news_age(head_id),
+            findings=tuple(self._find(chain, capacity, now)),
+        )
+
+    def _describe_unused(self, engine: Endpoint, now: float) -> Candidate:
+        return Candidate(
+            endpoint_id=engine.endpoint_id,
+            address=engine.address,
+            failure_domain=engine.failure_domain,
+            engines=(),
+            capacity=engine.slots,
+            own=self.selector.in_flight[engine.endpoint_id],
+            peers=self.selector.peer_load.streams_by_head[engine.endpoint_id],
+            expected_first_event_seconds=None,
+            expected_gap_seconds=None,
+            news_age=self._news_age(engine.endpoint_id),
+            findings=tuple(self._find_unused(engine, now)),
+        )
+
+    def _news_age(self, head_id: str) -> float | None:
+        """Return the age of the oldest report of streams on a chain."""
+        ages = [
+            self.peer_ages[node]
+            for node, streams in self.selector.peer_load.streams_by_node.items()
+            if head_id in streams and node in self.peer_ages
+        ]
+        return max(ages, default=None)
+
+    def _find(
+        self, chain: Chain, capacity: float, now: float
+    ) -> Iterator[Finding]:
+        selector = self.selector
+        head = chain.head
+        head_id = head.endpoint_id
+        yield from find_obstacles(selector.availability, head, now)
+        yield from self._find_concurrency_limit(head_id, now)
+        for hop in chain.hops:
+            if selector.suspects.is_slow(hop.endpoint):
+                slow = selector.suspects.slow[hop.endpoint.endpoint_id]
+                yield _of_suspicion(FindingReason.SLOW, slow, now)
+        if selector.suspects.is_deprioritized(head_id, now):
+            until = selector.suspects.deprioritized_until[head_id]
+            yield Finding(
+                FindingReason.DEPRIORITIZED,
+                rules_out=False,
+                ends_in=seconds_until(until, now),
+            )
+        streams = selector.streams_at(head_id)
+        if streams >= capacity:
+            yield Finding(
+                FindingReason.FULL,
+                rules_out=False,
+                detail=f'{streams} streams on capacity for {capacity:.1f}',
+            )
+        yield from find_distance(head, selector.failure_domain)
+
+    def _find_concurrency_limit(
+        self, head_id: str, now: float
+    ) -> Iterator[Finding]:
+        """Yield the limit learned from refusals, if it is reached."""
+        limits = self.selector.concurrency_limits
+        limit = limits.limits.get(head_id)
+        streams = self.selector.streams_at(head_id)
+        if limits.has_capacity(head_id, streams, now):
+            return
+        yield Finding(
+            FindingReason.CONCURRENCY_LIMIT,
+            rules_out=True,
+            detail=f'{streams} streams',
+            ends_in=seconds_until(limit.set_at + LIMIT_EXPIRY_SECONDS, now),
+            age=round(now - limit.set_at, DIGITS),
+        )
+
+    def _find_unused(self, engine: Endpoint, now: float) -> Iterator[Finding]:
+        selector = self.selector
+        yield from find_obstacles(selector.availability, engine, now)
+        if selector.suspects.is_suspect(engine):
+            suspicion = selector.suspects.suspicions[engine.endpoint_id]
+            yield _of_suspicion(
+                FindingReason.SUSPECT, suspicion, now, rules_out=True
+            )
+        layers = engine.layers
+        holds = 'no layers'
+        if layers is not None:
+            holds = f'layers {layers.first} to {layers.end}'
+        yield Finding(FindingReason.NO_CHAIN, rules_out=True, detail=holds)
+
+
+def _of_suspicion(
+    reason: FindingReason,
+    suspicion: Suspicion,
+    now: float,
+    *,
+    rules_out: bool = False,
+) -> Finding:
+    engine_id = suspicion.endpoint.endpoint_id
+    return Finding(
+        reason,
+        rules_out=rules_out,
+        detail=f'{engine_id}: {suspicion.reason}',
+        ends_in=seconds_until(suspicion.probe_at, now),
+        age=round(now - suspicion.since, DIGITS),
+    )
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -10,6 +10,7 @@
 import eventlet
 
 from wigeonspoke.decisions import DecisionLog
+from wigeonspoke.ingress.explain import EXPLAIN_PATH, ExplainApp
 from wigeonspoke.ingress.fleet.chain_reporter import ChainReporter
 from wigeonspoke.ingress.requests.connection_reporter import ConnectionReporter
 from wigeonspoke.ingress.front_app import FrontApp
@@ -70,6 +71,7 @@
     """An ingress node, which serves client requests on an entry host."""
 
     __slots__ = (
+        'explain',
         'front',
         'gossip',
         'greenlets',
@@ -137,6 +139,7 @@
         self.tables = {
             follower.consumer.table: follower for follower in followers
         }
+        self.explain = ExplainApp(self.state, self.tables[tables.registry].copy)
         self.gossip = PeerGossip(
             self.state,
             client,
@@ -317,9 +320,11 @@
 
     def _serve_metrics(
         self,
-        _environ: dict[str, Any],
+        environ: dict[str, Any],
         start_response: Callable[..., Any],
     ) -> list[bytes]:
+        if environ['PATH_INFO'] == EXPLAIN_PATH:
+            return self.explain(environ, start_response)
         page = render_counters(self.state)
         start_response('200 OK', [('Content-Type', page.content_type)])
         return [page.body]
