Tell engines the urgency of a request

Account and rule priorities were decoded, but nothing read them, so that engines admitted requests in any order. RankTable takes the rank of a request from its account, or else from its rule, and the header Request-Urgency tells it to the head of a chain. It is sent only where requests of the service can have more than one rank. A client's own header of this name is no longer forwarded.

--- a/wigeonspoke/core/routing/__init__.py
+++ b/wigeonspoke/core/routing/__init__.py
@@ -1,5 +1,6 @@
 """The active routing configuration and the lookup of rules in it."""
 
+from wigeonspoke.core.routing.ranks import RankTable
 from wigeonspoke.core.routing.rules import (
     ClientAccount,
     ClientLimits,
@@ -14,6 +15,7 @@
 __all__ = (
     'ClientAccount',
     'ClientLimits',
+    'RankTable',
     'RequestKind',
     'RoutingConfiguration',
     'RoutingTable',
--- a/wigeonspoke/core/routing/table.py
+++ b/wigeonspoke/core/routing/table.py
@@ -1,5 +1,6 @@
 """Lookup of the rule and the account of a request."""
 
+from wigeonspoke.core.routing.ranks import RankTable
 from wigeonspoke.core.routing.rules import (
     ClientAccount,
     ClientLimits,
@@ -16,13 +17,20 @@
     Configurations whose version is not newer are ignored.
     """
 
-    __slots__ = ('accounts', 'configuration', 'rules_by_host', 'services')
+    __slots__ = (
+        'accounts',
+        'configuration',
+        'ranks',
+        'rules_by_host',
+        'services',
+    )
 
     def __init__(self) -> None:
         self.configuration: RoutingConfiguration | None = None
         self.rules_by_host: dict[str, list[Rule]] = {}
         self.accounts: dict[str, ClientAccount] = {}
         self.services: dict[str, ServiceProfile] = {}
+        self.ranks = RankTable()
 
     @property
     def version(self) -> int:
@@ -50,6 +58,7 @@
         self.services = {
             service.name: service for service in configuration.services
         }
+        self.ranks = RankTable(configuration)
         return True
 
     def find_rule(self, host: str, path: str) -> Rule | None:
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -40,13 +40,18 @@
 
 
 class ForwardContext(msgspec.Struct, frozen=True):
-    """Per-endpoint data added to a request when it is forwarded."""
+    """Per-endpoint data added to a request when it is forwarded.
+
+    ``urgency`` tells engines which requests to admit first, the least ones;
+    it is None where all requests of the service have the same rank.
+    """
 
     endpoint: Endpoint
     remaining_seconds: float
     account: str
     chain: Chain | None = None
     last_event_id: str = ''
+    urgency: int | None = None
 
 
 class ResponseMarkers(msgspec.Struct, frozen=True):
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -190,6 +190,7 @@
             account=context.account,
             chain=chain,
             last_event_id=last_event_id,
+            urgency=None if chain is None else self._urgency(),
         )
         attempt.send(
             request.method,
@@ -334,6 +335,13 @@
             **facts,
         )
 
+    def _urgency(self) -> int | None:
+        """Return the urgency to tell engines, None if ranks don't differ."""
+        ranks = self.state.routing_table.ranks
+        context = self.context
+        rank = ranks.rank(self.service, context.rule, context.account)
+        return ranks.urgency(self.service, rank)
+
     def _record_limit(
         self, endpoint: Endpoint, markers: ResponseMarkers
     ) -> None:
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -25,6 +25,7 @@
 CHAIN_HEADER = 'Hop-Count'
 TOKEN_USAGE_HEADER = 'Token-Usage'
 PROMPT_PARTS_HEADER = 'Prompt-Prefix'
+URGENCY_HEADER = 'Request-Urgency'
 NOT_EXECUTED_HEADER = 'Not-Executed'
 SIGNATURE_HEADER = 'Response-Signature'
 FAULT_ADDRESS_HEADER = 'At-Server'
@@ -51,6 +52,7 @@
         INSTANCE_HEADER.lower(),
         CHAIN_HEADER.lower(),
         LAST_EVENT_ID_HEADER.lower(),
+        URGENCY_HEADER.lower(),
     ),
 )
 
@@ -112,6 +114,8 @@
         added_headers.append(
             (CHAIN_HEADER, encode_chain(forward_context.chain))
         )
+    if forward_context.urgency is not None:
+        added_headers.append((URGENCY_HEADER, str(forward_context.urgency)))
     last_event_id = forward_context.last_event_id or request.last_event_id
     if last_event_id:
         added_headers.append((LAST_EVENT_ID_HEADER, last_event_id))
