Pass the demand of a request and its admission to the choice of a chain

The queue needs to say on which chains a request may start, and the choice by expected time needs the length and the targets of the request. ChainSelector.select gets both as optional arguments; without them chains are ranked as before. The demand is not read yet.

--- a/wigeonspoke/core/chains/__init__.py
+++ b/wigeonspoke/core/chains/__init__.py
@@ -3,6 +3,7 @@
 from wigeonspoke.core.chains.activity import ChainActivity
 from wigeonspoke.core.chains.capacity import estimate_capacities
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
+from wigeonspoke.core.chains.demand import PromptPart, RequestDemand
 from wigeonspoke.core.chains.paths import (
     Chain,
     Hop,
@@ -21,6 +22,8 @@
     'ChainSelector',
     'Hop',
     'PeerLoad',
+    'PromptPart',
+    'RequestDemand',
     'SuspectRegistry',
     'Suspicion',
     'estimate_capacities',
--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -9,13 +9,14 @@
 """
 
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import msgspec
 
 from wigeonspoke.core.availability import EndpointAvailability
 from wigeonspoke.core.chains.capacity import estimate_capacities
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
+from wigeonspoke.core.chains.demand import RequestDemand
 from wigeonspoke.core.chains.paths import (
     Chain,
     explain_missing_chain,
@@ -115,14 +116,21 @@
         profile: EngineProfile,
         excluded_ids: Collection[str],
         now: float,
+        demand: RequestDemand | None = None,
+        admits: Callable[[Chain, int, float], bool] | None = None,
     ) -> Chain | None:
-        """Select the best chain with capacity and no excluded engine."""
+        """Select the best chain with capacity and no excluded engine.
+
+        ``admits`` gets a chain, the streams of all nodes there and its
+        capacity in requests, and returns whether the request may start there.
+        """
         cached = self._cached(service, profile)
         usable = [
             chain
             for chain in cached.chains
             if chain.endpoint_ids.isdisjoint(excluded_ids)
             and self.has_capacity(chain, now)
+            and self._is_admitted(chain, cached, admits)
         ]
         if not usable:
             return None
@@ -191,6 +199,18 @@
             self.cached_chains[service] = cached
         return cached
 
+    def _is_admitted(
+        self,
+        chain: Chain,
+        cached: CachedChains,
+        admits: Callable[[Chain, int, float], bool] | None,
+    ) -> bool:
+        if admits is None:
+            return True
+        head_id = chain.head.endpoint_id
+        streams = self.streams_at(head_id)
+        return admits(chain, streams, cached.capacities[head_id])
+
     def _has_slow_engine(self, chain: Chain) -> bool:
         return any(self.suspects.is_slow(hop.endpoint) for hop in chain.hops)
 
--- a/wigeonspoke/core/tests/test_chains.py
+++ b/wigeonspoke/core/tests/test_chains.py
@@ -113,6 +113,23 @@
     assert selector.has_capacity(chain, 0)
 
 
+def test_chain_that_does_not_admit_a_request_is_not_selected():
+    selector = _selector('one')
+    own = selector.select('drafting', PROFILE, (), 0)
+    selector.in_flight[own.head.endpoint_id] = 2
+    selector.peer_load.update('peer', {own.head.endpoint_id: 3})
+    asked = {}
+
+    def admits(chain, streams, capacity):
+        asked[chain.head.failure_domain] = (streams, capacity > streams)
+        return chain != own
+
+    other = selector.select('drafting', PROFILE, (), 0, admits=admits)
+    assert other not in {None, own}
+    assert asked['one'] == (5, True)
+    assert not selector.select('drafting', PROFILE, (), 0, None, lambda *_: 0)
+
+
 @pytest.mark.parametrize('domain', DOMAINS)
 def test_own_domain_is_preferred(domain):
     selector = _selector(domain)
