Reserve capacity of chains by rank across nodes

With many nodes, most queues hold one stream or none, so that the order at a node decides little. RankReservation leaves free on each chain what is expected for more urgent ranks at all nodes before their news arrives. ChainChoice asks it where ranks are in force. A stream that may have begun is not held back, since refusing it would lose what it was served. A limit that a chain's refusals set counts as its capacity.

--- a/wigeonspoke/core/admission/__init__.py
+++ b/wigeonspoke/core/admission/__init__.py
@@ -1,6 +1,13 @@
-"""Admission control: account limits and fair queueing of requests."""
+"""Admission control: account limits, fair queueing, reserved capacity."""
 
 from wigeonspoke.core.admission.accounts import AccountLimits
 from wigeonspoke.core.admission.fair_queue import FairQueue, QueuedRequest
+from wigeonspoke.core.admission.reservation import ChainLoad, RankReservation
 
-__all__ = ('AccountLimits', 'FairQueue', 'QueuedRequest')
+__all__ = (
+    'AccountLimits',
+    'ChainLoad',
+    'FairQueue',
+    'QueuedRequest',
+    'RankReservation',
+)
--- a/wigeonspoke/core/chains/concurrency_limits.py
+++ b/wigeonspoke/core/chains/concurrency_limits.py
@@ -7,6 +7,8 @@
 refusal.
 """
 
+import math
+
 import msgspec
 
 # Applied to the number of requests in flight at a refusal.  It is below 1
@@ -51,5 +53,12 @@
             return True
         return in_flight < self._current_limit(limit, now)
 
+    def limit(self, head_id: str, now: float) -> float:
+        """Return the current limit of a chain, infinite if it has none."""
+        limit = self.limits.get(head_id)
+        if limit is None or now >= limit.set_at + LIMIT_EXPIRY_SECONDS:
+            return math.inf
+        return self._current_limit(limit, now)
+
     def _current_limit(self, limit: _Limit, now: float) -> float:
         return limit.requests + INCREASE_PER_SECOND * (now - limit.set_at)
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from wigeonspoke.core.admission import RankReservation
 from wigeonspoke.core.availability import EndpointAvailability
 from wigeonspoke.core.chains import (
     ChainActivity,
@@ -53,6 +54,7 @@
         'peers',
         'registered_node_count',
         'replicas',
+        'reservations',
         'rng',
         'routing_table',
         'settings',
@@ -105,6 +107,8 @@
         self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
         self.budgets: dict[str, RetryWindowBudget] = {}
+        # By service, for services whose requests have different ranks.
+        self.reservations: dict[str, RankReservation] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
         self.rng = random.Random(settings.name)
 
--- a/wigeonspoke/ingress/streams/chain_choice.py
+++ b/wigeonspoke/ingress/streams/chain_choice.py
@@ -8,6 +8,7 @@
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 from wigeonspoke.ingress.requests.request_handler import RequestContext
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.streams.chain_admission import ChainAdmission
 
 # How long a request waits for a complete chain, as a fraction of the rule's
 # target latency.  Up to an eighth of it makes no difference to users.
@@ -25,7 +26,7 @@
     failed.
     """
 
-    __slots__ = ('context', 'excluded', 'service', 'state')
+    __slots__ = ('admission', 'context', 'excluded', 'service', 'state')
 
     def __init__(
         self, state: IngressState, context: RequestContext, service: str
@@ -34,6 +35,7 @@
         self.context = context
         self.service = service
         self.excluded: set[str] = set()
+        self.admission = ChainAdmission(state, context, service)
 
     @property
     def profile(self) -> EngineProfile | None:
@@ -46,9 +48,12 @@
         wait_since = time.monotonic()
         if self._stays_closed(wait_since):
             return None
+        self.admission.begin_wait(wait_since)
         while self.profile is not None:
             now = time.monotonic()
             chain = self._select(now)
+            if chain is not None:
+                self.admission.record_start(chain, now)
             if (
                 chain is not None
                 or self.context.disconnect_monitor.is_disconnected
@@ -97,6 +102,7 @@
             self.profile,
             self.excluded,
             now,
+            admits=self.admission.admits(self.profile, now),
         )
 
     def _max_wait(self) -> float:
--- a/wigeonspoke/platform/tests/stream_requests.py
+++ b/wigeonspoke/platform/tests/stream_requests.py
@@ -17,12 +17,17 @@
     return [int(found) for found in re.findall(rb'^id: (\d+)$', body, re.M)]
 
 
-def request_stream(harness: Harness, request_id: str = 'id1', **headers: Any):
+def request_stream(
+    harness: Harness,
+    request_id: str = 'id1',
+    path: str = '/draft/x',
+    **headers: Any,
+):
     """Request a stream on a new connection and return the response."""
     return send_request(
         harness,
         'POST',
-        '/draft/x',
+        path,
         request_id,
         body=b'prompt',
         Model='m',
--- a/wigeonspoke/platform/tests/test_ranks.py
+++ b/wigeonspoke/platform/tests/test_ranks.py
@@ -1,7 +1,11 @@
 """Engines are told the urgency of a request where ranks differ."""
 
+import time
+
 import pytest
 
+from wigeonspoke.core.admission.reservation import UNUSED_SECONDS
+from wigeonspoke.ingress.streams.chain_choice import ChainChoice
 from wigeonspoke.platform.tests.harness import make_configuration, make_route
 from wigeonspoke.platform.tests.stream_requests import (
     head_engine,
@@ -50,3 +54,44 @@
     assert status == 200
     run = head_engine(placed_harness, 'one').runs[-1]
     assert run.headers.get('request-urgency') == urgency
+
+
+def _fill_chains(harness, free):
+    """Leave some capacity free on each chain, as peers report."""
+    chains = harness.node.state.chains
+    capacities = chains.cached_chains['drafting'].capacities
+    streams = {
+        head_id: int(capacity) - free
+        for head_id, capacity in capacities.items()
+    }
+    chains.peer_load.update('peer#1', streams)
+
+
+@pytest.fixture
+def waits(monkeypatch):
+    """Return a list of the seconds for which each stream waits for a chain."""
+    waited: list[float] = []
+    wait = ChainChoice.wait
+
+    def wait_timed(choice):
+        began_at = time.monotonic()
+        chain = wait(choice)
+        waited.append(time.monotonic() - began_at)
+        return chain
+
+    monkeypatch.setattr(ChainChoice, 'wait', wait_timed)
+    return waited
+
+
+def test_a_less_urgent_stream_leaves_reserved_capacity_for_a_moment(
+    placed_harness, waits
+):
+    _configure(placed_harness, (2, None))
+    assert request_stream(placed_harness)[0] == 200
+    reservation = placed_harness.node.state.reservations['drafting']
+    for _ in range(400):
+        reservation.record_arrival(1, time.monotonic())
+    _fill_chains(placed_harness, 1)
+    for path in ('/draft/x', '/bulk/x'):
+        assert request_stream(placed_harness, path=path)[0] == 200
+    assert waits[1] < UNUSED_SECONDS <= waits[2]
