Decode the speeds of engines and the lengths of requests

The configuration names how long engines take to read prompts and to generate, and requests name the tokens of prompt and answer, what the client expects of the answer and the tokens of each part of the prompt. All of it was ignored. Speeds are decoded apart from the rest of the configuration, so that one with unreadable speeds is served without them. Counts of more than eight digits are ignored; a number of some thousand digits in Token-Usage raised an error.

--- a/wigeonspoke/core/fleet/__init__.py
+++ b/wigeonspoke/core/fleet/__init__.py
@@ -8,12 +8,14 @@
     EngineProfile,
 )
 from wigeonspoke.core.fleet.registry import Fleet
+from wigeonspoke.core.fleet.speeds import EngineSpeeds
 
 __all__ = (
     'BYTES_PER_MEGABYTE',
     'Accelerator',
     'Endpoint',
     'EngineProfile',
+    'EngineSpeeds',
     'Fleet',
     'LeavingReport',
     'LeavingRuns',
--- a/wigeonspoke/core/fleet/records.py
+++ b/wigeonspoke/core/fleet/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from wigeonspoke.core.deployment import LayerRange
+from wigeonspoke.core.fleet.speeds import EngineSpeeds
 
 BYTES_PER_MEGABYTE = 1000000.0
 
@@ -56,7 +57,7 @@
     ``kv_token_bytes`` is the size of a token's key-value cache over all
     layers, and ``mean_request_tokens`` the mean length of prompt and answer
     together.  Engines refuse a request whose chain has more than ``max_hops``
-    engines.
+    engines.  ``speeds`` is None if the configuration does not name them.
     """
 
     model: str
@@ -68,6 +69,7 @@
     mean_request_tokens: float
     accelerators: tuple[Accelerator, ...]
     max_hops: int
+    speeds: EngineSpeeds | None = None
 
     def accelerator(self, name: str) -> Accelerator | None:
         """Return the kind of accelerator with a name, if there is one."""
--- a/wigeonspoke/ingress/protocols.py
+++ b/wigeonspoke/ingress/protocols.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Result
 
-from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.chains import Chain, PromptPart
 from wigeonspoke.core.deployment import LayerRange
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.placement import Placement
@@ -23,6 +23,11 @@
     credential that identifies the client account.  ``shared_parts`` are the
     ids of the parts of its prompt that other requests may have, too, which
     are all but the last one.
+
+    ``prompt_tokens``, ``output_tokens`` (the most that the answer may have)
+    and ``length_hint`` (what the client expects of it) are 0 if the client
+    does not tell them; ``tokens`` is the sum of the first two.
+    ``prompt_parts`` are all parts with their tokens, in order.
     """
 
     request_id: str
@@ -37,6 +42,10 @@
     tokens: int
     shared_parts: tuple[str, ...] = ()
     body: bytes = b''
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    length_hint: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
 
 
 class ForwardContext(msgspec.Struct, frozen=True):
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Mapping
 
-from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.chains import Chain, PromptPart
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
     ForwardContext,
@@ -24,6 +24,7 @@
 INSTANCE_HEADER = 'Expect-Instance'
 CHAIN_HEADER = 'Hop-Count'
 TOKEN_USAGE_HEADER = 'Token-Usage'
+LENGTH_HINT_HEADER = 'Length-Hint'
 PROMPT_PARTS_HEADER = 'Prompt-Prefix'
 NOT_EXECUTED_HEADER = 'Not-Executed'
 SIGNATURE_HEADER = 'Response-Signature'
@@ -38,6 +39,9 @@
 # some of them, so that both length and number are limited.
 MAX_PART_ID_LENGTH = 32
 MAX_SHARED_PARTS = 16
+# Greater counts of tokens are ignored: no model reads so many, and Python
+# refuses to convert numbers of some thousand digits.
+MAX_COUNT_DIGITS = 8
 
 # Headers that are not copied from a client's request to an endpoint:
 # hop-by-hop headers, those that the node sets itself, and ``Expect``, which
@@ -69,6 +73,10 @@
         for option in header_values.get('connection', '').split(',')
     }
     path = target.partition('?')[0]
+    prompt_tokens, output_tokens = _parse_token_usage(
+        header_values.get(TOKEN_USAGE_HEADER.lower(), '')
+    )
+    prompt_parts = header_values.get(PROMPT_PARTS_HEADER.lower(), '')
     return ClientRequest(
         request_id=header_values.get(REQUEST_ID_HEADER.lower(), ''),
         method=method,
@@ -86,12 +94,14 @@
             header_values.get(DEADLINE_HEADER.lower(), '')
         ),
         last_event_id=header_values.get(LAST_EVENT_ID_HEADER.lower(), ''),
-        tokens=_sum_token_counts(
-            header_values.get(TOKEN_USAGE_HEADER.lower(), '')
-        ),
-        shared_parts=_parse_shared_parts(
-            header_values.get(PROMPT_PARTS_HEADER.lower(), '')
+        tokens=prompt_tokens + output_tokens,
+        shared_parts=_parse_shared_parts(prompt_parts),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        length_hint=_parse_count(
+            header_values.get(LENGTH_HINT_HEADER.lower(), '')
         ),
+        prompt_parts=_parse_prompt_parts(prompt_parts),
     )
 
 
@@ -194,8 +204,34 @@
     return digest.hexdigest()
 
 
-def _sum_token_counts(header_value: str) -> int:
-    counts = [
-        part for part in header_value.split(',') if part.strip().isdecimal()
-    ]
-    return sum(map(int, counts))
+def _parse_token_usage(header_value: str) -> tuple[int, int]:
+    """Return the tokens of a prompt and the most tokens of the answer.
+
+    A count that is missing or unreadable is 0.
+    """
+    prompt_tokens, _, output_tokens = header_value.partition(',')
+    return _parse_count(prompt_tokens), _parse_count(output_tokens)
+
+
+def _parse_count(text: str) -> int:
+    digits = text.strip()
+    if not digits.isdecimal() or len(digits) > MAX_COUNT_DIGITS:
+        return 0
+    return int(digits)
+
+
+def _parse_prompt_parts(header_value: str) -> tuple[PromptPart, ...]:
+    """Return the first parts of a prompt in order, with their tokens.
+
+    Parts after one without an id or a count are left out, because it is not
+    known where they begin.
+    """
+    parts: list[PromptPart] = []
+    for entry in header_value.split(',')[:MAX_SHARED_PARTS]:
+        part_id, _, count = entry.rpartition(':')
+        tokens = _parse_count(count)
+        part_id = _limit_length(part_id.strip().lower())
+        if not part_id or not tokens:
+            break
+        parts.append(PromptPart(part_id, tokens))
+    return tuple(parts)
--- a/wigeonspoke/platform/records.py
+++ b/wigeonspoke/platform/records.py
@@ -11,7 +11,12 @@
 from returns.result import Failure, Result, Success
 
 from wigeonspoke.core.deployment import LayerRange
-from wigeonspoke.core.fleet import Accelerator, Endpoint, EngineProfile
+from wigeonspoke.core.fleet import (
+    Accelerator,
+    Endpoint,
+    EngineProfile,
+    EngineSpeeds,
+)
 from wigeonspoke.core.routing import (
     ClientAccount,
     ClientLimits,
@@ -22,6 +27,7 @@
     Target,
 )
 from wigeonspoke.ingress.protocols import EngineState
+from wigeonspoke.platform.speeds import decode_speeds
 
 MILLISECONDS_PER_SECOND = 1000
 CONFIGURATION_KEY = 'config'
@@ -157,11 +163,15 @@
     if not isinstance(decoded, Success):
         return decoded
     wire = decoded.unwrap()
+    speeds = decode_speeds(body)
     return Success(
         RoutingConfiguration(
             version=wire.version,
             rules=tuple(map(_convert_rule, wire.routes)),
-            services=tuple(map(_convert_service, wire.services)),
+            services=tuple(
+                _convert_service(service, speeds.get(service.name))
+                for service in wire.services
+            ),
             accounts=tuple(map(_convert_account, wire.tenants or ())),
             has_accounts=bool(wire.tenants),
             limits=_convert_limits(wire.limits),
@@ -244,16 +254,20 @@
     )
 
 
-def _convert_service(wire: _WireService) -> ServiceProfile:
+def _convert_service(
+    wire: _WireService, speeds: EngineSpeeds | None
+) -> ServiceProfile:
     return ServiceProfile(
         name=wire.name,
         health_path=wire.health_path,
         max_connections=wire.max_connections,
-        engine=_convert_engine(wire.engine) if wire.engine else None,
+        engine=_convert_engine(wire.engine, speeds) if wire.engine else None,
     )
 
 
-def _convert_engine(wire: _WireEngine) -> EngineProfile | None:
+def _convert_engine(
+    wire: _WireEngine, speeds: EngineSpeeds | None
+) -> EngineProfile | None:
     if not wire.layers:
         return None
     model = wire.models[0] if wire.models else _WireModel('')
@@ -270,6 +284,7 @@
             for kind in wire.kinds
         ),
         max_hops=MAX_CHAIN_PARTS,
+        speeds=speeds,
     )
 
 
