Estimate the times of a request on each chain and choose by them

Chains were ranked by their number of streams, so that slow chains and those with long prompts before a request made it late, and other failure domains were used only once the own chains were full. Where the configuration names speeds, the node now estimates the time to the first event and the gap between events from streams and tokens there, corrects them by observed ones, counts memory in tokens, and takes the chain that is on time. Requests that peers send until their news arrive are distributed over the chains first, so that nodes do not all take the same one. Without speeds, chains are ranked as before. Nothing passes a demand yet.

--- a/wigeonspoke/core/chains/demand.py
+++ b/wigeonspoke/core/chains/demand.py
@@ -25,3 +25,15 @@
     target_event_gap_seconds: float
     parts: tuple[PromptPart, ...] = ()
     yields: bool = False
+
+
+def expected_answer_tokens(
+    max_tokens: int, length_hint: int, usual_tokens: float
+) -> int:
+    """Return the length that an answer is expected to have.
+
+    This is what the client expects, or else the usual length, but not more
+    than the maximum.  An argument of 0 is not known.
+    """
+    expected = length_hint or int(usual_tokens)
+    return min(expected, max_tokens) if max_tokens else expected
--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -6,17 +6,24 @@
 of another domain.  Requests are not split across domains, because the
 activations of a prompt would saturate the link between domains, while the
 text of a response does not.
+
+Where the configuration names the speeds of engines, the chain is chosen by the
+expected times of the request instead of by the number of requests there, and
+other domains are used as soon as the own one would be late.
 """
 
+import random
 from collections import Counter
 from collections.abc import Callable, Collection
 
-import msgspec
-
 from wigeonspoke.core.availability import EndpointAvailability
-from wigeonspoke.core.chains.capacity import estimate_capacities
 from wigeonspoke.core.chains.concurrency_limits import ChainConcurrencyLimits
 from wigeonspoke.core.chains.demand import RequestDemand
+from wigeonspoke.core.chains.known_chains import (
+    CachedChains,
+    KnownChain,
+    describe_chains,
+)
 from wigeonspoke.core.chains.paths import (
     Chain,
     explain_missing_chain,
@@ -25,27 +32,16 @@
 )
 from wigeonspoke.core.chains.peer_load import PeerLoad
 from wigeonspoke.core.chains.suspicion import SuspectRegistry
+from wigeonspoke.core.chains.times import ChainTimes, ChainUse
 from wigeonspoke.core.fleet import Endpoint, EngineProfile, Fleet
 
 
-class CachedChains(msgspec.Struct):
-    """The chains of a service and the input versions they depend on.
-
-    ``capacities`` holds the requests that a chain has slots and memory for, by
-    the endpoint id of its head.
-    """
-
-    fleet_revision: int
-    suspects_revision: int
-    chains: tuple[Chain, ...]
-    capacities: dict[str, float]
-
-
 class ChainSelector:
     """Caches the chains of each service and selects one per request.
 
     ``in_flight`` counts this node's requests and ``peer_load`` those of the
     other nodes, both by the endpoint id of the chain's head.
+    ``times`` estimates when a request would have its events.
     """
 
     __slots__ = (
@@ -57,6 +53,7 @@
         'in_flight',
         'peer_load',
         'suspects',
+        'times',
     )
 
     def __init__(
@@ -65,6 +62,8 @@
         suspects: SuspectRegistry,
         failure_domain: str,
         availability: EndpointAvailability | None = None,
+        rng: random.Random | None = None,
+        count_nodes: Callable[[], int] | None = None,
     ) -> None:
         self.fleet = fleet
         self.suspects = suspects
@@ -75,6 +74,12 @@
         self.peer_load = PeerLoad()
         self.concurrency_limits = ChainConcurrencyLimits()
         self.cached_chains: dict[str, CachedChains] = {}
+        self.times = ChainTimes(
+            self.in_flight,
+            self.peer_load,
+            rng or random.Random(0),
+            count_nodes or _count_one,
+        )
 
     def chains(
         self,
@@ -124,22 +129,18 @@
         ``admits`` gets a chain, the streams of all nodes there and its
         capacity in requests, and returns whether the request may start there.
         """
-        cached = self._cached(service, profile)
         usable = [
-            chain
-            for chain in cached.chains
-            if chain.endpoint_ids.isdisjoint(excluded_ids)
-            and self.has_capacity(chain, now)
-            and self._is_admitted(chain, cached, admits)
+            known
+            for known in self._cached(service, profile).known
+            if known.endpoint_ids.isdisjoint(excluded_ids)
+            and self.has_capacity(known.chain, now)
+            and self._is_admitted(known, admits)
         ]
         if not usable:
             return None
-        return min(
-            usable,
-            key=lambda chain: self._rank(
-                chain, cached.capacities[chain.head.endpoint_id], now
-            ),
-        )
+        if demand is None or profile.speeds is None:
+            return min(usable, key=lambda known: self._rank(known, now)).chain
+        return self._select_by_time(usable, demand, now)
 
     def has_capacity(self, chain: Chain, now: float) -> bool:
         """Return whether a chain is expected to accept one more request.
@@ -169,16 +170,29 @@
         others = self.streams_at(head_id) - 1
         self.concurrency_limits.record_refusal(head_id, others, now)
 
-    def begin(self, chain: Chain) -> None:
+    def begin(
+        self,
+        chain: Chain,
+        demand: RequestDemand | None = None,
+        now: float = 0,
+    ) -> ChainUse:
         """Count a request as in flight on a chain."""
+        cached = self.cached_chains.get(chain.head.service)
+        known = cached.find(chain) if cached else None
+        use = self.times.begin(chain, known, demand, now)
         self.in_flight[chain.head.endpoint_id] += 1
+        return use
 
-    def end(self, chain: Chain) -> None:
+    def end(
+        self, chain: Chain, use: ChainUse | None = None, now: float = 0
+    ) -> None:
         """Stop counting a request as in flight on a chain."""
         head_id = chain.head.endpoint_id
         self.in_flight[head_id] -= 1
         if not self.in_flight[head_id]:
             self.in_flight.pop(head_id)
+        if use is not None:
+            self.times.end(use, now)
 
     def _cached(self, service: str, profile: EngineProfile) -> CachedChains:
         cached = self.cached_chains.get(service)
@@ -188,44 +202,71 @@
             cached is None
             or cached.fleet_revision != fleet_revision
             or cached.suspects_revision != suspects_revision
+            or cached.profile is not profile
         ):
-            found = self._find_chains(service, profile)
-            cached = CachedChains(
-                fleet_revision,
-                suspects_revision,
-                found,
-                estimate_capacities(found, profile),
-            )
-            self.cached_chains[service] = cached
+            cached = self._build_cache(service, profile)
+            self._replace_cache(service, cached)
         return cached
 
+    def _build_cache(
+        self, service: str, profile: EngineProfile
+    ) -> CachedChains:
+        found = self._find_chains(service, profile)
+        return CachedChains(
+            self.fleet.revision,
+            self.suspects.revision,
+            profile,
+            found,
+            describe_chains(found, profile, self.suspects, self.failure_domain),
+            len({chain.head.failure_domain for chain in found}),
+        )
+
+    def _replace_cache(self, service: str, cached: CachedChains) -> None:
+        """Forget what was learned of chains that have other engines now."""
+        old = self.cached_chains.get(service)
+        for known in old.known if old else ():
+            if cached.find(known.chain) is None:
+                self.times.forget(known.head_id)
+        self.cached_chains[service] = cached
+
     def _is_admitted(
         self,
-        chain: Chain,
-        cached: CachedChains,
+        known: KnownChain,
         admits: Callable[[Chain, int, float], bool] | None,
     ) -> bool:
         if admits is None:
             return True
-        head_id = chain.head.endpoint_id
-        streams = self.streams_at(head_id)
-        return admits(chain, streams, cached.capacities[head_id])
+        streams = self.streams_at(known.head_id)
+        return admits(known.chain, streams, self.times.capacity(known))
 
-    def _has_slow_engine(self, chain: Chain) -> bool:
-        return any(self.suspects.is_slow(hop.endpoint) for hop in chain.hops)
+    def _select_by_time(
+        self, usable: list[KnownChain], demand: RequestDemand, now: float
+    ) -> Chain | None:
+        """Select among the chains whose faults rank them alike."""
+        tiers: dict[int, list[KnownChain]] = {}
+        for known in usable:
+            tiers.setdefault(self._fault_rank(known, now), []).append(known)
+        domains = self.cached_chains[usable[0].chain.head.service].domains
+        for _, tier in sorted(tiers.items()):
+            chain = self.times.choose(tier, domains, demand, now)
+            if chain is not None:
+                return chain
+        return None
+
+    def _fault_rank(self, known: KnownChain, now: float) -> int:
+        is_deprioritized = self.suspects.is_deprioritized(known.head_id, now)
+        return is_deprioritized + known.has_slow_engine
 
     def _rank(
-        self, chain: Chain, capacity: float, now: float
+        self, known: KnownChain, now: float
     ) -> tuple[int, bool, bool, float]:
         """Return the sort key of a chain; the least is selected."""
-        head = chain.head
-        streams = self.streams_at(head.endpoint_id)
-        is_deprioritized = self.suspects.is_deprioritized(head.endpoint_id, now)
+        streams = self.streams_at(known.head_id)
         return (
-            is_deprioritized + self._has_slow_engine(chain),
-            streams >= capacity,
-            head.failure_domain != self.failure_domain,
-            streams / max(1.0, capacity),
+            self._fault_rank(known, now),
+            streams >= known.capacity,
+            not known.is_own_domain,
+            streams / max(1.0, known.capacity),
         )
 
     def _usable_engines(self, service: str) -> list[Endpoint]:
@@ -260,5 +301,9 @@
         return () if cross_domain_chain is None else (cross_domain_chain,)
 
 
+def _count_one() -> int:
+    return 1
+
+
 def _engines_in_domain(engines: list[Endpoint], domain: str) -> list[Endpoint]:
     return [engine for engine in engines if engine.failure_domain == domain]
