Explain reservation, expected times and memory of chains

Change: an explanation names the expected times, the capacity in tokens and what is reserved for more urgent ranks, from the code that decides.

--- a/wigeonspoke/core/chains/selector.py
+++ b/wigeonspoke/core/chains/selector.py
@@ -92,11 +92,11 @@
         """
         return self._cached(service, profile).chains
 
-    def capacities(
+    def known_chains(
         self, service: str, profile: EngineProfile
-    ) -> dict[str, float]:
-        """Return the capacity of each chain by the endpoint id of its head."""
-        return self._cached(service, profile).capacities
+    ) -> tuple[KnownChain, ...]:
+        """Return the chains with what is computed of them."""
+        return self._cached(service, profile).known
 
     def describe_domains(
         self,
--- a/wigeonspoke/core/explanation/__init__.py
+++ b/wigeonspoke/core/explanation/__init__.py
@@ -1,6 +1,6 @@
 """Where a request would go now, and why, without sending it."""
 
-from wigeonspoke.core.explanation.chains import ChainExplainer
+from wigeonspoke.core.explanation.chains import ChainExplainer, RankAdmission
 from wigeonspoke.core.explanation.records import (
     Candidate,
     Explanation,
@@ -17,6 +17,7 @@
     'Explanation',
     'Finding',
     'FindingReason',
+    'RankAdmission',
     'ReplicaExplainer',
     'RequestQuestion',
     'ServiceExplanation',
--- a/wigeonspoke/core/explanation/chains.py
+++ b/wigeonspoke/core/explanation/chains.py
@@ -1,9 +1,20 @@
 """Explanation of the choice of a chain."""
 
 from collections.abc import Iterator, Mapping
+from functools import partial
 
-from wigeonspoke.core.chains import Chain, ChainSelector, Suspicion
+import msgspec
+
+from wigeonspoke.core.admission import ChainLoad, RankReservation
+from wigeonspoke.core.chains import (
+    Chain,
+    ChainSelector,
+    RequestDemand,
+    Suspicion,
+)
 from wigeonspoke.core.chains.concurrency_limits import LIMIT_EXPIRY_SECONDS
+from wigeonspoke.core.chains.estimate import ChainEstimate
+from wigeonspoke.core.chains.known_chains import KnownChain
 from wigeonspoke.core.explanation.endpoints import (
     DIGITS,
     find_distance,
@@ -19,21 +30,40 @@
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 
 
+class RankAdmission(msgspec.Struct, frozen=True):
+    """What decides whether a request of a rank is admitted to chains.
+
+    ``reservation`` is None where ranks don't differ.  ``nodes`` is the number
+    of nodes that may be running.
+    """
+
+    reservation: RankReservation | None
+    rank: int
+    nodes: int
+
+
 class ChainExplainer:
-    """Explains what a selector would choose.
+    """Explains what a selector would choose for a request that arrives now.
 
-    It is given a copy of the selector: a choice refills token buckets, and
-    drops what has expired.  ``peer_ages`` are the seconds since the last
-    report of each peer.
+    It is given copies of the selector and of the reservation: a choice refills
+    token buckets, and drops what has expired.  ``peer_ages`` are the seconds
+    since the last report of each peer.
     """
 
-    __slots__ = ('peer_ages', 'selector')
+    __slots__ = ('admission', 'demand', 'peer_ages', 'reserved', 'selector')
 
     def __init__(
-        self, selector: ChainSelector, peer_ages: Mapping[str, float]
+        self,
+        selector: ChainSelector,
+        peer_ages: Mapping[str, float],
+        admission: RankAdmission,
+        demand: RequestDemand | None,
     ) -> None:
         self.selector = selector
         self.peer_ages = peer_ages
+        self.admission = admission
+        self.demand = demand
+        self.reserved: float = 0
 
     def explain(
         self,
@@ -43,23 +73,25 @@
         now: float,
     ) -> ServiceExplanation:
         """Return the chains of a service and the one that is chosen."""
-        chains = self.selector.chains(service, profile)
-        capacities = self.selector.capacities(service, profile)
+        chains = self.selector.known_chains(service, profile)
+        self.reserved = self._find_reserved(len(chains), now)
         used = {
             endpoint_id
-            for chain in chains
-            for endpoint_id in chain.endpoint_ids
+            for known in chains
+            for endpoint_id in known.endpoint_ids
         }
-        chosen = self.selector.select(service, profile, (), now)
+        admits = None
+        if self.admission.reservation is not None:
+            admits = partial(self._is_admitted, now)
+        chosen = self.selector.select(
+            service, profile, (), now, self.demand, admits
+        )
         return ServiceExplanation(
             service=service,
             share=share,
             chosen='' if chosen is None else chosen.head.endpoint_id,
-            reserved=0,
-            candidates=tuple(
-                self._describe(chain, capacities[chain.head.endpoint_id], now)
-                for chain in chains
-            ),
+            reserved=round(self.reserved, DIGITS),
+            candidates=tuple(self._describe(known, now) for known in chains),
             left_out=tuple(
                 self._describe_unused(engine, now)
                 for engine in self.selector.fleet.endpoints.values()
@@ -67,10 +99,41 @@
             ),
         )
 
-    def _describe(self, chain: Chain, capacity: float, now: float) -> Candidate:
+    def _find_reserved(self, chains: int, now: float) -> float:
+        admission = self.admission
+        if admission.reservation is None:
+            return 0
+        return admission.reservation.reserved(
+            admission.rank, admission.nodes, chains, now
+        )
+
+    def _is_admitted(
+        self, now: float, chain: Chain, streams: int, capacity: float
+    ) -> bool:
+        """Return whether a request that begins to wait now may start."""
+        head_id = chain.head.endpoint_id
+        limit = self.selector.concurrency_limits.limit(head_id, now)
+        load = ChainLoad(head_id, streams, min(capacity, limit))
+        return self.admission.reservation.is_admitted(
+            load, self.reserved, now, now
+        )
+
+    def _estimate(self, known: KnownChain, now: float) -> ChainEstimate | None:
+        if self.demand is None or known.speed is None:
+            return None
+        return self.selector.times.estimate(known, self.demand, now)
+
+    def _describe(self, known: KnownChain, now: float) -> Candidate:
+        chain = known.chain
         head = chain.head
         head_id = head.endpoint_id
         load = self.selector.peer_load
+        capacity = self.selector.times.capacity(known)
+        estimate = self._estimate(known, now)
+        first_event, gap = None, None
+        if estimate is not None:
+            first_event = round(estimate.first_event_seconds(), DIGITS)
+            gap = round(estimate.gap_seconds(), DIGITS)
         return Candidate(
             endpoint_id=head_id,
             address=head.address,
@@ -79,10 +142,13 @@
             capacity=round(capacity, DIGITS),
             own=self.selector.in_flight[head_id],
             peers=load.streams_by_head[head_id],
-            expected_first_event_seconds=None,
-            expected_gap_seconds=None,
+            expected_first_event_seconds=first_event,
+            expected_gap_seconds=gap,
             news_age=self._news_age(head_id),
-            findings=tuple(self._find(chain, capacity, now)),
+            findings=(
+                *self._find(chain, capacity, now),
+                *self._find_times(known, estimate, now),
+            ),
         )
 
     def _describe_unused(self, engine: Endpoint, now: float) -> Candidate:
@@ -132,11 +198,39 @@
         if streams >= capacity:
             yield Finding(
                 FindingReason.FULL,
-                rules_out=False,
+                # Where ranks differ, no chain admits more than its capacity.
+                rules_out=self.admission.reservation is not None,
                 detail=f'{streams} streams on capacity for {capacity:.1f}',
             )
+        elif streams >= capacity - self.reserved:
+            yield Finding(
+                FindingReason.RESERVED,
+                rules_out=True,
+                detail=f'{self.reserved:.1f} for more urgent ranks',
+            )
         yield from find_distance(head, selector.failure_domain)
 
+    def _find_times(
+        self, known: KnownChain, estimate: ChainEstimate | None, now: float
+    ) -> Iterator[Finding]:
+        """Yield what the expected times and the memory say."""
+        if estimate is None:
+            return
+        demand = estimate.demand
+        # The choice among this chain alone tells whether it rules it out.
+        chosen = self.selector.times.choose((known,), 1, demand, now)
+        if not estimate.has_memory():
+            yield Finding(
+                FindingReason.MEMORY,
+                rules_out=True,
+                detail=f'{estimate.load.tokens:.0f} tokens there, '
+                f'{estimate.needed_tokens:.0f} needed',
+            )
+        elif chosen is None:
+            yield Finding(FindingReason.GAP, rules_out=True)
+        if estimate.first_event_seconds() > demand.target_latency_seconds:
+            yield Finding(FindingReason.LATE, rules_out=False)
+
     def _find_concurrency_limit(
         self, head_id: str, now: float
     ) -> Iterator[Finding]:
--- a/wigeonspoke/core/explanation/records.py
+++ b/wigeonspoke/core/explanation/records.py
@@ -21,6 +21,9 @@
     CONCURRENCY_LIMIT = 'concurrency-limit'
     OTHER_DOMAIN = 'other-domain'
     RESERVED = 'reserved'
+    MEMORY = 'memory'
+    GAP = 'gap'
+    LATE = 'late'
     NO_CHAIN = 'no-chain'
 
 
--- a/wigeonspoke/ingress/explain.py
+++ b/wigeonspoke/ingress/explain.py
@@ -10,14 +10,18 @@
 from werkzeug.datastructures import MultiDict
 from werkzeug.wrappers import Request
 
+from wigeonspoke.core.admission import RankReservation
+from wigeonspoke.core.chains import RequestDemand, expected_answer_tokens
 from wigeonspoke.core.explanation import (
     ChainExplainer,
     Explanation,
+    RankAdmission,
     ReplicaExplainer,
     RequestQuestion,
     ServiceExplanation,
 )
-from wigeonspoke.core.routing import ClientAccount, Rule
+from wigeonspoke.core.fleet import EngineProfile
+from wigeonspoke.core.routing import ClientAccount, Rule, Target
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.tables.table_copy import TableCopy
 
@@ -79,7 +83,7 @@
             rule=rule.name,
             kind=rule.kind,
             rank=_rank(rule, account),
-            services=self._explain_services(rule, now),
+            services=self._explain_services(rule, question, now),
         )
 
     def _answer(self, fields: MultiDict[str, str]) -> Explanation | str:
@@ -110,31 +114,53 @@
         return None
 
     def _explain_services(
-        self, rule: Rule, now: float
+        self, rule: Rule, question: RequestQuestion, now: float
     ) -> tuple[ServiceExplanation, ...]:
-        services = self.state.routing_table.services
-        # Both selectors are copied together, since they share the endpoints.
-        chains, replicas = copy.deepcopy(
-            (self.state.chains, self.state.replicas)
-        )
-        chain_explainer = ChainExplainer(chains, self._peer_ages(now))
-        replica_explainer = ReplicaExplainer(replicas)
         total = sum(target.weight for target in rule.targets)
-        explained: list[ServiceExplanation] = []
-        for target in rule.targets:
-            share = target.weight / total if total else 0
-            service = services.get(target.service)
-            if service is None or service.engine is None:
-                explained.append(
-                    replica_explainer.explain(target.service, share, now)
-                )
-            else:
-                explained.append(
-                    chain_explainer.explain(
-                        target.service, service.engine, share, now
-                    )
-                )
-        return tuple(explained)
+        return tuple(
+            self._explain_service(
+                rule,
+                question,
+                Target(target.service, target.weight / total if total else 0),
+                now,
+            )
+            for target in rule.targets
+        )
+
+    def _explain_service(
+        self, rule: Rule, question: RequestQuestion, target: Target, now: float
+    ) -> ServiceExplanation:
+        """Explain the choice within a service, whose weight is its share."""
+        state = self.state
+        service = state.routing_table.services.get(target.service)
+        # What holds a method of the state keeps the state itself.
+        chains, replicas, reservation = copy.deepcopy(
+            (
+                state.chains,
+                state.replicas,
+                state.reservations.get(target.service),
+            ),
+            {id(state): state},
+        )
+        if service is None or service.engine is None:
+            return ReplicaExplainer(replicas).explain(
+                target.service, target.weight, now
+            )
+        ranks = state.routing_table.ranks
+        rank = ranks.rank(target.service, rule, question.account)
+        explainer = ChainExplainer(
+            chains,
+            self._peer_ages(now),
+            RankAdmission(
+                reservation if ranks.differs(target.service) else None,
+                rank,
+                state.node_count,
+            ),
+            _build_demand(rule, question, service.engine, rank, reservation),
+        )
+        return explainer.explain(
+            target.service, service.engine, target.weight, now
+        )
 
     def _registry_age(self, now: float) -> float | None:
         if self.registry_copy.version is None:
@@ -148,6 +174,32 @@
         }
 
 
+def _build_demand(
+    rule: Rule,
+    question: RequestQuestion,
+    profile: EngineProfile,
+    rank: int,
+    reservation: RankReservation | None,
+) -> RequestDemand | None:
+    """Return the demand of a request, None where times are not estimated.
+
+    Tokens that are not given count with the usual numbers.
+    """
+    speeds = profile.speeds
+    if speeds is None:
+        return None
+    in_use = () if reservation is None else reservation.arrivals
+    return RequestDemand(
+        prompt_tokens=question.prompt_tokens or int(speeds.prompt_tokens),
+        output_tokens=expected_answer_tokens(
+            question.output_tokens, 0, speeds.answer_tokens
+        ),
+        target_latency_seconds=rule.target_latency_seconds,
+        target_event_gap_seconds=rule.target_event_gap_seconds,
+        yields=any(other < rank for other in in_use),
+    )
+
+
 def _rank(rule: Rule, account: ClientAccount | None) -> int:
     if account is None or account.priority is None:
         return rule.priority
