Queue any number of ranks, and let none starve

FairQueue knew interactive and batch requests only. It now takes any number of ranks, orders the requests of an account by the time left, and returns a request that could not be started to its turn. ServedShares lets a rank or an account that is served less than a quarter as often as the mean come first, and a size class served less than half as often as its rule. This replaces the turn of batch requests in every four.

--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -37,6 +37,9 @@
 PAUSE_THRESHOLD_SECONDS = 0.5
 # Time after a pause during which no step times out.
 PAUSE_GRACE_SECONDS = 0.3
+# Ranks in the queue.
+INTERACTIVE_RANK = 0
+BATCH_RANK = 1
 
 
 class GenerationCoordinator:
@@ -91,7 +94,7 @@
         self.timers.schedule(event.request_id, now + MIN_TIMEOUT_SECONDS)
         self.retry_budget.deposit(session.work)
         entry = self._queue_entry(session, now)
-        queue.push(entry, view.limits.weight(event.account))
+        queue.push(entry, view.limits.weight(event.account), now)
         return self.dispatch(now)
 
     def dispatch(self, now: float) -> list[AnyAction]:
@@ -206,6 +209,7 @@
             if route is None:
                 break
             queue.pop()
+            queue.record_start(entry, now)
             for engine in route.stages:
                 self._endpoint(engine.name).streams += 1
             actions.append(
@@ -338,7 +342,9 @@
             account=session.request.account,
             work=session.work,
             deadline=min(queue_end, session.deadline),
-            interactive=session.request.interactive,
+            rank=INTERACTIVE_RANK
+            if session.request.interactive
+            else BATCH_RANK,
         )
 
     def _fail_expired(
