Choose chains of streams by expected time and tell peers the tokens

Streams pass their length, their targets and the time that is left to the choice of a chain, where the configuration names speeds of engines. Expected and observed times to the first event are counted, and the decision log names what was expected of the chosen chain.

--- a/wigeonspoke/core/chains/times.py
+++ b/wigeonspoke/core/chains/times.py
@@ -49,6 +49,15 @@
     expected_gap: float = 0
     has_event: bool = False
 
+    def describe(self) -> dict[str, float]:
+        """Return the expected times and the load for the log."""
+        return {
+            'first_event': round(self.expected_seconds * self.correction, 3),
+            'correction': round(self.correction, 2),
+            'gap': round(self.expected_gap, 3),
+            'tokens': self.load.tokens,
+        }
+
 
 class ChainTimes:
     """Estimates the times of requests, and learns from their events.
--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -17,6 +17,7 @@
 import msgspec
 from returns.result import Success
 
+from wigeonspoke.core.chains import TokenLoad
 from wigeonspoke.core.fleet import LeavingReport
 from wigeonspoke.core.leases import LeaseRow
 from wigeonspoke.core.limits import LimitReport
@@ -56,7 +57,8 @@
     went well for the first time.  ``limits`` are limits that endpoints named
     or ended in their answers, and ``leaving`` the runs that said they leave.
     ``heard_leases`` are the leases of other nodes, as their holders told them,
-    by failure domain.
+    by failure domain.  ``loads`` holds the tokens of its streams, by the
+    endpoint id of the chain head.
     """
 
     gossip: GossipMessage
@@ -68,6 +70,7 @@
     limits: tuple[LimitReport, ...] = ()
     leaving: tuple[LeavingReport, ...] = ()
     heard_leases: dict[str, LeaseRow] = {}
+    loads: dict[str, TokenLoad] = {}
 
 
 class PeerGossip:
@@ -174,6 +177,7 @@
             self.state.limits.reports(now),
             self.state.fleet.leaving.reports(now),
             self.state.heard_leases(),
+            dict(self.state.chains.times.loads),
         )
 
     def apply_update(self, update: PeerUpdate) -> None:
@@ -215,7 +219,9 @@
 
     def _apply_facts(self, update: PeerUpdate, now: float) -> None:
         instance_id = update.gossip.report.node
-        self.state.chains.peer_load.update(instance_id, update.streams)
+        self.state.chains.peer_load.update(
+            instance_id, update.streams, update.loads
+        )
         self.state.lease_holding_peers.discard(instance_id)
         if update.leases:
             self.state.lease_holding_peers.add(instance_id)
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -26,6 +26,7 @@
 
 # Number of nodes assumed until the registered nodes have been counted.
 ASSUMED_NODE_COUNT = 10
+MILLISECONDS_PER_SECOND = 1000
 
 
 class IngressState:
@@ -100,7 +101,12 @@
         )
         self.availability = EndpointAvailability(self.fleet, self.limits)
         self.chains = ChainSelector(
-            self.fleet, self.suspects, domain, self.availability
+            self.fleet,
+            self.suspects,
+            domain,
+            self.availability,
+            random.Random(settings.name),
+            lambda: self.node_count,
         )
         self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
@@ -200,6 +206,11 @@
         """Increment the counter of an event with an optional reason."""
         self.counters[name, reason] += 1
 
+    def count_amount(self, name: str, reason: str, seconds: float) -> None:
+        """Add a time in milliseconds to a counter."""
+        milliseconds = round(seconds * MILLISECONDS_PER_SECOND)
+        self.counters[name, reason] += milliseconds
+
     def is_node_gone(self, name: str, live_names: set[str]) -> bool:
         """Return whether a node is considered gone.
 
--- a/wigeonspoke/ingress/streams/chain_choice.py
+++ b/wigeonspoke/ingress/streams/chain_choice.py
@@ -4,10 +4,11 @@
 
 import eventlet
 
-from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.chains import Chain, ChainUse, RequestDemand
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 from wigeonspoke.ingress.requests.request_handler import RequestContext
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.streams.request_demand import build_demand
 
 # How long a request waits for a complete chain, as a fraction of the rule's
 # target latency.  Up to an eighth of it makes no difference to users.
@@ -81,6 +82,18 @@
             )
         )
 
+    def begin(self, chain: Chain) -> ChainUse:
+        """Record that the stream is sent to a chain."""
+        now = time.monotonic()
+        return self.state.chains.begin(chain, self._demand(now), now)
+
+    def _demand(self, now: float) -> RequestDemand | None:
+        """Return what is asked of a chain, if speeds of engines are known."""
+        profile = self.profile
+        if profile is None or profile.speeds is None:
+            return None
+        return build_demand(self.context, profile.speeds, now)
+
     def _stays_closed(self, now: float) -> bool:
         """Return whether no head may be sent to for longer than is waited."""
         heads = self.heads()
@@ -97,6 +110,7 @@
             self.profile,
             self.excluded,
             now,
+            self._demand(now),
         )
 
     def _max_wait(self) -> float:
--- a/wigeonspoke/ingress/streams/chain_monitor.py
+++ b/wigeonspoke/ingress/streams/chain_monitor.py
@@ -8,7 +8,7 @@
 
 import time
 
-from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.chains import Chain, ChainUse
 from wigeonspoke.core.routing import Rule
 from wigeonspoke.ingress.state import IngressState
 
@@ -19,6 +19,9 @@
 # turn for up to this multiple of the rule's event gap.
 QUEUED_PAUSE_FACTOR = 4
 
+# A first event is early or late if it is off by more than this factor.
+ODD_TIME_FACTOR = 2
+
 
 class ChainMonitor:
     """Monitors the progress of one stream, on one chain at a time.
@@ -34,6 +37,7 @@
         'rule',
         'silent_at',
         'state',
+        'use',
         'waiting_since',
     )
 
@@ -41,13 +45,15 @@
         self.state = state
         self.rule = rule
         self.head_id = ''
+        self.use: ChainUse | None = None
         self.has_event = False
         self.waiting_since = 0
         self.silent_at = 0
 
-    def begin(self, chain: Chain) -> None:
+    def begin(self, chain: Chain, use: ChainUse) -> None:
         """Start monitoring a chain to which the stream was sent."""
         self.head_id = chain.head.endpoint_id
+        self.use = use
         self.has_event = False
         self.waiting_since = time.monotonic()
         silence_limit = FIRST_EVENT_FRACTION * self.rule.target_latency_seconds
@@ -59,6 +65,7 @@
         gap = now - self.waiting_since if self.has_event else 0
         if gap:
             self.state.activity.record_event(self.head_id, gap, now)
+        self._compare_times(gap, now)
         self.has_event = True
         self.waiting_since = now
         self.silent_at = now + self.state.activity.silence_timeout_seconds(
@@ -82,6 +89,23 @@
             )
         return now < self.waiting_since + silence_limit
 
+    def _compare_times(self, gap: float, now: float) -> None:
+        """Compare the time of an event with the expected one."""
+        ratio = self.state.chains.times.record_event(self.use, gap, now)
+        if ratio is None:
+            return
+        seen = now - self.use.begun_at
+        self.state.count_event('first-event', describe_ratio(ratio))
+        self.state.count_amount('first-event-ms', 'seen', seen)
+        self.state.count_amount('first-event-ms', 'expected', seen / ratio)
+
     @property
     def _active_streams(self) -> int:
         return self.state.chains.in_flight[self.head_id]
+
+
+def describe_ratio(ratio: float) -> str:
+    """Return in a word how an observed time compares with the expected one."""
+    if ratio > ODD_TIME_FACTOR:
+        return 'late'
+    return 'early' if ratio * ODD_TIME_FACTOR < 1 else 'as-expected'
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.chains import Chain, ChainUse
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
 from wigeonspoke.ingress.calls.call_handler import decode_headers, read_body
@@ -80,6 +80,7 @@
     __slots__ = (
         'chain_choice',
         'chain_monitor',
+        'chain_uses',
         'chains_in_use',
         'cursor',
         'fallback',
@@ -100,6 +101,7 @@
         self.response_started = False
         self.chain_monitor = ChainMonitor(state, context.rule)
         self.chains_in_use: dict[EndpointAttempt, Chain] = {}
+        self.chain_uses: dict[EndpointAttempt, ChainUse] = {}
         # Error response of an engine, returned if no chain serves the stream.
         self.fallback: EndpointResponse | None = None
         self.start_response: Callable[..., Any] | None = None
@@ -157,7 +159,7 @@
         self.chain_choice.excluded.update(chain.endpoint_ids)
         attempt = self.begin_attempt(chain.head.address)
         self.chains_in_use[attempt] = chain
-        self.state.chains.begin(chain)
+        self.chain_uses[attempt] = self._begin_use(chain)
         try:
             return (yield from self._exchange(attempt, chain))
         except StreamTakenOver as taken_over:
@@ -177,12 +179,19 @@
         finally:
             self._end_chain(attempt)
 
+    def _begin_use(self, chain: Chain) -> ChainUse:
+        use = self.chain_choice.begin(chain)
+        if use.expected_seconds:
+            self.note('chain-chosen', peer=chain.head.address, **use.describe())
+        return use
+
     def _end_chain(self, attempt: EndpointAttempt) -> None:
         """End an attempt and its use of a chain, if that was not done yet."""
         chain = self.chains_in_use.pop(attempt, None)
         if chain is not None:
             self.end_attempt(attempt)
-            self.state.chains.end(chain)
+            use = self.chain_uses.pop(attempt)
+            self.state.chains.end(chain, use, time.monotonic())
 
     def _fail_over(self, silent: EndpointAttempt) -> Iterator[bytes]:
         """Send the stream to another chain, too, while one is silent.
@@ -226,7 +235,7 @@
         self.send(
             attempt, chain.head, deadline, chain, self.cursor.last_event_id
         )
-        self.chain_monitor.begin(chain)
+        self.chain_monitor.begin(chain, self.chain_uses[attempt])
         head = yield from self._read_until_silent(
             attempt, attempt.read_head, chain
         )
