Relay decisions and the header of relayed requests

The decisions of both nodes are in core/relay, and the counts of arrivals and possible runs in the context of a request. Nothing relays yet.

--- a/wigeonspoke/core/forwarding/budget.py
+++ b/wigeonspoke/core/forwarding/budget.py
@@ -68,6 +68,12 @@
         self.retries.append(now)
         return True
 
+    def put_back(self, now: float) -> None:
+        """Return a retry to the budget that did not arrive anywhere."""
+        self._drop_expired(now)
+        if self.retries:
+            self.retries.pop()
+
     def _drop_expired(self, now: float) -> None:
         oldest = now - self.window_seconds
         for timestamps in (self.requests, self.retries):
--- /dev/null
+++ b/wigeonspoke/ingress/relay/relay_choice.py
@@ -0,0 +1,135 @@
+"""Whether one request goes to endpoints or to a peer, and to which peer."""
+
+import time
+from collections.abc import Callable
+
+from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.core.reachability import RelayPeer
+from wigeonspoke.core.relay import Way, choose_way
+from wigeonspoke.ingress.state import IngressState
+
+# Retry-After of a request that neither this node nor a peer can serve.  The
+# random part keeps clients from returning all at once, and the limit leaves a
+# client time for its second request.
+MIN_ISOLATED_RETRY_SECONDS = 1.0
+MAX_ISOLATED_RETRY_SECONDS = 2.0
+RETRY_TIME_FRACTION = 1 / 3
+ISOLATED = 'isolated'
+NO_CAPACITY = 'no-capacity'
+
+
+class RelayChoice:
+    """Tells where a request goes next while groups are isolated.
+
+    ``draw`` is drawn once for each request, so that all its attempts are on
+    the same side while a group recovers.  ``excluded`` are the names of the
+    peers that the request was handed to.  ``is_refused`` is whether neither
+    endpoints nor peers are reached.
+    """
+
+    __slots__ = (
+        'draw',
+        'excluded',
+        'handovers',
+        'is_refused',
+        'is_relayed',
+        'peer_retry_after',
+        'service',
+        'state',
+    )
+
+    def __init__(
+        self, state: IngressState, service: str, *, is_relayed: bool
+    ) -> None:
+        self.state = state
+        self.service = service
+        self.is_relayed = is_relayed
+        # A node that recovers is not asked by peers, so that one which is
+        # asked all the same does what it can.
+        self.draw = 0 if is_relayed else state.rng.random()
+        self.excluded: set[str] = set()
+        self.handovers = 0
+        self.is_refused = False
+        # The time that a peer named which refused the request, in seconds.
+        self.peer_retry_after: float | None = None
+
+    def blocked_endpoints(self, now: float) -> tuple[Endpoint, ...]:
+        """Return the endpoints of groups that the request is kept from."""
+        may_try: dict[str, bool] = {}
+        blocked: list[Endpoint] = []
+        for endpoint in self.state.fleet.of_service(self.service):
+            domain = endpoint.failure_domain
+            if domain not in may_try:
+                may_try[domain] = self.state.reachability.may_try(
+                    endpoint, now, self.draw
+                )
+            if not may_try[domain]:
+                blocked.append(endpoint)
+        return tuple(blocked)
+
+    def choose_way(
+        self,
+        now: float,
+        *,
+        has_own: Callable[[], bool],
+        may_relay: bool,
+    ) -> Way:
+        """Return where the request goes next.
+
+        ``has_own`` tells whether an endpoint of a group that is not isolated
+        has capacity; it is called only if a group is.
+        """
+        if not self.blocked_endpoints(now):
+            return Way.OWN
+        reachability = self.state.reachability
+        way = choose_way(
+            is_relayed=self.is_relayed,
+            is_isolated=reachability.is_service_isolated(self.service, now),
+            has_isolated_group=True,
+            has_own=has_own(),
+            has_peer=may_relay and self.find_peer(now) is not None,
+        )
+        self.is_refused = way is Way.REFUSE
+        return way
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a silent attempt may be left for a peer."""
+        return (
+            not self.is_relayed
+            and bool(self.blocked_endpoints(now))
+            and self.find_peer(now) is not None
+        )
+
+    def find_peer(self, now: float) -> RelayPeer | None:
+        """Return a peer that may serve the request, None if there is none.
+
+        Peers that failed a short time ago are asked if there are no others.
+        """
+        failed = self.state.relay_traffic.failed_peers(now)
+        for excluded in (self.excluded | failed, self.excluded):
+            peer = self.state.reachability.choose_peer(
+                self.service, now, excluded, self.state.rng.random()
+            )
+            if peer is not None:
+                return peer
+        return None
+
+    def reason(self, now: float) -> str:
+        """Return why a request is relayed."""
+        reachability = self.state.reachability
+        if reachability.is_service_isolated(self.service, now):
+            return ISOLATED
+        return NO_CAPACITY
+
+    def retry_after(self, remaining_seconds: float) -> float:
+        """Return when a refused request may come again, in seconds."""
+        span = MAX_ISOLATED_RETRY_SECONDS - MIN_ISOLATED_RETRY_SECONDS
+        wait_seconds = MIN_ISOLATED_RETRY_SECONDS
+        wait_seconds += span * self.state.rng.random()
+        if self.peer_retry_after is not None:
+            wait_seconds = max(wait_seconds, self.peer_retry_after)
+        return min(wait_seconds, RETRY_TIME_FRACTION * remaining_seconds)
+
+    def record_failed(self, peer: RelayPeer) -> None:
+        """Record that a peer gave no valid answer."""
+        self.state.relay_traffic.record_failed(peer.name, time.monotonic())
--- /dev/null
+++ b/wigeonspoke/ingress/relay/relay_head.py
@@ -0,0 +1,129 @@
+"""The headers of relayed requests and of their responses.
+
+The head of a relayed request is one header with a JSON object, since the names
+of the client's own headers could collide with those between nodes.
+"""
+
+import base64
+import binascii
+from collections.abc import Iterable
+
+import msgspec
+
+from wigeonspoke.core.outcomes import Outcome
+from wigeonspoke.core.relay import PeerAnswer, RunCounts
+from wigeonspoke.ingress.protocols import ClientRequest, HeaderList
+
+RELAY_PATH = '/peers/v1/relay'
+RELAY_HEADER = 'Wigeonspoke-Relay'
+OUTCOME_HEADER = 'Wigeonspoke-Outcome'
+REASON_HEADER = 'Wigeonspoke-Reason'
+# How often the request has reached an endpoint and may have run, by all nodes.
+COUNTS_HEADER = 'Wigeonspoke-Counts'
+# Begins the names of all headers between nodes.
+NODE_PREFIX = 'wigeonspoke-'
+# The reason of an answer after which the request must not be sent on: it may
+# have ended its endpoint, or was the trial of a quarantined key.
+LAST_TRY = 'last-try'
+
+
+class RelayHead(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a peer needs to serve a request of another node's client.
+
+    ``account`` is the name of the client account; its key is not passed on.
+    ``arrivals`` and ``executions`` count how often the request has reached an
+    endpoint and may have run, and ``execution_limit`` is how often it may have
+    run in all when the peer has ended.  ``node`` is the sending node.
+    """
+
+    node: str
+    request_id: str
+    method: str
+    target: str
+    host: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    account: str
+    kind: str
+    service: str
+    remaining_seconds: float
+    execution_limit: int
+    arrivals: int = 0
+    executions: int = 0
+    last_event_id: str = ''
+    tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
+
+    def to_request(self) -> ClientRequest:
+        """Return the client's request without its body and its key."""
+        return ClientRequest(
+            request_id=self.request_id,
+            method=self.method,
+            target=self.target,
+            host=self.host,
+            path=self.path,
+            headers=self.headers,
+            key='',
+            remaining_seconds=self.remaining_seconds,
+            last_event_id=self.last_event_id,
+            tokens=self.tokens,
+            shared_parts=self.shared_parts,
+        )
+
+
+def encode_head(head: RelayHead) -> str:
+    """Return the value of the header, in base64 if it is not plain ASCII."""
+    encoded = msgspec.json.encode(head)
+    if encoded.isascii() and b'\x7f' not in encoded:
+        return encoded.decode()
+    return base64.b64encode(encoded).decode()
+
+
+def decode_head(header_value: str) -> RelayHead | None:
+    """Decode the value of the header, None if it is not valid."""
+    encoded = header_value.encode('latin-1', 'replace')
+    try:
+        if not encoded.startswith(b'{'):
+            encoded = base64.b64decode(encoded, validate=True)
+        return msgspec.json.decode(encoded, type=RelayHead)
+    except (binascii.Error, msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+
+
+def outcome_headers(answer: PeerAnswer, reason: str) -> HeaderList:
+    """Return the headers that a peer adds to a response."""
+    after = answer.after
+    return (
+        (OUTCOME_HEADER, str(answer.outcome)),
+        (REASON_HEADER, reason),
+        (COUNTS_HEADER, f'{after.arrivals},{after.executions}'),
+    )
+
+
+def read_outcome(headers: HeaderList) -> tuple[PeerAnswer | None, str]:
+    """Return a peer's account of a request and the reason that it names.
+
+    The account is None if the response has no valid one, as that of a program
+    which is no node.
+    """
+    header_values = {name.lower(): text for name, text in headers}
+    reason = header_values.get(REASON_HEADER.lower(), '')
+    counts = header_values.get(COUNTS_HEADER.lower(), '').split(',')
+    outcome_text = header_values.get(OUTCOME_HEADER.lower(), '')
+    if not all(map(str.isdecimal, counts)) or len(counts) != 2:
+        return None, reason
+    if outcome_text not in set(Outcome):
+        return None, reason
+    after = RunCounts(*map(int, counts))
+    return PeerAnswer(Outcome(outcome_text), after), reason
+
+
+def without_node_headers(
+    headers: Iterable[tuple[str, str]],
+) -> HeaderList:
+    """Return headers without those between nodes."""
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if not name.lower().startswith(NODE_PREFIX)
+    )
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -12,10 +12,14 @@
 from wigeonspoke.core.forwarding import RetryWindowBudget
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.quarantine import Answer, Refusal, is_request_key
+from wigeonspoke.core.relay import RunCounts, may_hand_over
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.requests.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
-from wigeonspoke.ingress.requests.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.requests.endpoint_attempt import (
+    AttemptError,
+    EndpointAttempt,
+)
 from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
@@ -23,6 +27,7 @@
     HeaderList,
     ResponseMarkers,
 )
+from wigeonspoke.ingress.relay.relay_choice import RelayChoice
 from wigeonspoke.ingress.state import IngressState
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -39,7 +44,10 @@
 class RequestContext(msgspec.Struct):
     """An admitted request, its deadline and its attempts so far.
 
-    ``possible_executions`` counts the attempts that ran or may have run.
+    ``arrivals`` counts the attempts that have reached an endpoint, and
+    ``possible_executions`` those that ran or may have run, at this node and at
+    peers.  ``service`` is set if another node has chosen the service, and
+    ``relayed_from`` is the name of that node.
     """
 
     request: ClientRequest
@@ -49,7 +57,15 @@
     deadline: float
     disconnect_monitor: DisconnectMonitor | None = None
     attempts: int = 0
+    arrivals: int = 0
     possible_executions: int = 0
+    service: str = ''
+    relayed_from: str = ''
+
+    @property
+    def counts(self) -> RunCounts:
+        """How often the request has arrived and may have run."""
+        return RunCounts(self.arrivals, self.possible_executions)
 
 
 class SilentAttempt(msgspec.Struct, frozen=True):
@@ -57,6 +73,7 @@
 
     answer: Answer | None
     endpoints: tuple[Endpoint, ...]
+    executions: int
 
 
 class RequestHandler:
@@ -71,6 +88,7 @@
         'open_attempts',
         'prober',
         'refusal',
+        'relay',
         'service',
         'state',
     )
@@ -93,10 +111,13 @@
         self.has_ended_endpoint = False
         # Whether the trial of the whole request has reached an endpoint.
         self.has_tried = False
-        self.service = choose_target(
+        self.service = context.service or choose_target(
             context.rule.targets,
             state.rng.random(),
         )
+        self.relay = RelayChoice(
+            state, self.service, is_relayed=bool(context.relayed_from)
+        )
         self.answer_watch = AnswerWatch(
             state.part_watch,
             claim_trial,
@@ -104,7 +125,9 @@
             context.account,
             context.request,
         )
-        self.budget.record_request(context.arrived_at)
+        # The budget counts each request once, at the node of its client.
+        if not context.relayed_from:
+            self.budget.record_request(context.arrived_at)
 
     @property
     def budget(self) -> RetryWindowBudget:
@@ -112,11 +135,23 @@
         return self.state.budget(self.service)
 
     def reserve_attempt(self, now: float) -> bool:
-        """Take an attempt from the retry budget; the first one is free."""
-        if not self.context.attempts:
+        """Take an attempt from the retry budget.
+
+        The first one that arrives at an endpoint is free, at whichever node.
+        """
+        if not self.context.arrivals:
             return True
         return self.budget.withdraw(now)
 
+    def may_relay(self) -> bool:
+        """Return whether the request may be handed to a peer."""
+        return may_hand_over(
+            self.context.counts,
+            self.relay.handovers,
+            self.context.rule.max_attempts,
+            may_repeat=self.may_repeat(),
+        )
+
     def may_attempt(self, max_attempts: int) -> bool:
         """Return whether another attempt is useful and allowed."""
         context = self.context
@@ -126,9 +161,10 @@
             or time.monotonic() >= context.deadline
         ):
             return False
-        if not context.attempts:
+        attempts = max(context.attempts, context.arrivals)
+        if not attempts and not self.relay.handovers:
             return True
-        if context.attempts >= max_attempts or not self.is_allowed():
+        if attempts >= max_attempts or not self.is_allowed():
             return False
         return not context.possible_executions or self.may_repeat()
 
@@ -183,7 +219,12 @@
         ):
             self.state.count_event('turned-elsewhere', reason)
         self.state.availability.record_sent(endpoint, now)
-        attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
+        try:
+            attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
+        except AttemptError:
+            self._return_reserved(now)
+            raise
+        context.arrivals += 1
         forward_context = ForwardContext(
             endpoint=endpoint,
             remaining_seconds=context.deadline - time.monotonic(),
@@ -203,7 +244,10 @@
         self.context.attempts += 1
         may_repeat = self.context.rule.may_repeat
         pool = self.state.connection_pool if may_repeat else None
-        attempt = EndpointAttempt(address, pool)
+        return self.open_attempt(EndpointAttempt(address, pool))
+
+    def open_attempt(self, attempt: EndpointAttempt) -> EndpointAttempt:
+        """Abort an attempt if the client disconnects."""
         self.open_attempts.append(attempt)
         self.context.disconnect_monitor.on_disconnect = self._abort_attempts
         return attempt
@@ -213,21 +257,22 @@
         self.open_attempts.remove(attempt)
         attempt.close()
 
-    def leave_silent(self) -> SilentAttempt:
+    def leave_silent(self, executions: int = 1) -> SilentAttempt:
         """Begin to try others beside a silent attempt.
 
-        It counts as a run from then on.
+        It counts as a run from then on, one at a peer as all the runs that
+        the peer was allowed.
         """
-        self.context.possible_executions += 1
+        self.context.possible_executions += executions
         watch = self.answer_watch
-        return SilentAttempt(watch.answer, watch.endpoints)
+        return SilentAttempt(watch.answer, watch.endpoints, executions)
 
     def return_to(self, silent: SilentAttempt) -> None:
         """Go on with a silent attempt: no other one has taken over.
 
         If it fails later, it has reasons of its own.
         """
-        self.context.possible_executions -= 1
+        self.context.possible_executions -= silent.executions
         self.answer_watch.answer = silent.answer
         self.answer_watch.endpoints = silent.endpoints
         self.refusal = None
@@ -319,12 +364,22 @@
     def is_allowed(self) -> bool:
         """Return whether the current configuration still allows the request."""
         context = self.context
-        return self.state.routing_table.allows(
-            context.rule, context.request.key
+        table = self.state.routing_table
+        if not context.relayed_from:
+            return table.allows(context.rule, context.request.key)
+        # The key stays at the node of the client, which has checked it.
+        rule = context.rule
+        if table.find_rule(rule.host, rule.prefix) is None:
+            return False
+        return not context.account or any(
+            account.name == context.account
+            for account in table.accounts.values()
         )
 
     def note(self, kind: str, **facts: object) -> None:
         """Write a decision about the request to the log."""
+        if self.context.relayed_from:
+            facts['relayed_from'] = self.context.relayed_from
         self.state.log.write(
             kind,
             request=self.context.request.request_id,
@@ -393,6 +448,14 @@
                 sent_ago=round(now - attempt.sent_at, 3),
             )
 
+    def _return_reserved(self, now: float) -> None:
+        """Return to the budget what was taken for an attempt.
+
+        A connection that was never established is no arrival.
+        """
+        if self.context.arrivals:
+            self.budget.put_back(now)
+
     def _abort_attempts(self) -> None:
         for attempt in self.open_attempts:
             attempt.abort()
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -17,6 +17,7 @@
 from wigeonspoke.core.leases import LeaseRow
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
 from wigeonspoke.core.membership import PeerRegistry
+from wigeonspoke.core.relay import RelayTraffic
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
@@ -52,6 +53,7 @@
         'peer_leases',
         'peers',
         'registered_node_count',
+        'relay_traffic',
         'replicas',
         'rng',
         'routing_table',
@@ -104,6 +106,7 @@
         )
         self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
+        self.relay_traffic = RelayTraffic()
         self.budgets: dict[str, RetryWindowBudget] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
         self.rng = random.Random(settings.name)
--- a/wigeonspoke/ingress/streams/chain_monitor.py
+++ b/wigeonspoke/ingress/streams/chain_monitor.py
@@ -31,6 +31,7 @@
     __slots__ = (
         'has_event',
         'head_id',
+        'patience',
         'rule',
         'silent_at',
         'state',
@@ -42,15 +43,19 @@
         self.rule = rule
         self.head_id = ''
         self.has_event = False
+        # Multiple of the usual silence limits.
+        self.patience = 1.0
         self.waiting_since = 0
         self.silent_at = 0
 
-    def begin(self, chain: Chain) -> None:
+    def begin(self, chain: Chain, patience: float = 1.0) -> None:
         """Start monitoring a chain to which the stream was sent."""
         self.head_id = chain.head.endpoint_id
+        self.patience = patience
         self.has_event = False
         self.waiting_since = time.monotonic()
         silence_limit = FIRST_EVENT_FRACTION * self.rule.target_latency_seconds
+        silence_limit *= patience
         self.silent_at = self.waiting_since + silence_limit
 
     def record_event(self) -> None:
@@ -61,10 +66,11 @@
             self.state.activity.record_event(self.head_id, gap, now)
         self.has_event = True
         self.waiting_since = now
-        self.silent_at = now + self.state.activity.silence_timeout_seconds(
+        usual_limit = self.state.activity.silence_timeout_seconds(
             self.head_id,
             self._active_streams,
         )
+        self.silent_at = now + self.patience * usual_limit
         self.state.suspects.restore(self.head_id)
 
     def is_alive(self, now: float, *, response_started: bool) -> bool:
