Add the evidence that a node cannot reach a group of endpoints

A host that loses its endpoints while its peers reach them serves nothing. The core gets the class Reachability, which tells isolation from endpoints that are down, and IngressState holds one. Nothing records to it yet.

Checked: flake8 and the tests of the ingress package.

--- /dev/null
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -0,0 +1,339 @@
+"""Which groups of endpoints this node cannot reach while its peers can.
+
+A group is the endpoints of a service in a failure domain.  A host may lose its
+connectivity to a group, while clients, the store and its peers still reach
+it.  Its failed connections then tell nothing of the endpoints: the node says
+so to its peers, forms no belief about the endpoints, and has requests relayed
+until trial connections succeed.
+"""
+
+import math
+from collections import deque
+from collections.abc import Collection, Iterable
+
+from wigeonspoke.core.fleet import Endpoint, Fleet
+from wigeonspoke.core.reachability.group import (
+    MIN_FAILED_ENDPOINTS,
+    GroupState,
+)
+from wigeonspoke.core.reachability.peer_reach import (
+    REACHED_SECONDS,
+    Group,
+    PeerReach,
+)
+from wigeonspoke.core.reachability.records import (
+    IsolationChange,
+    ReachedReport,
+    RelayPeer,
+)
+
+# Groups in a message, which is bounded in bytes.
+MAX_REPORTS = 32
+# Groups of which something is remembered: more than any deployment has.
+MAX_GROUPS = 256
+# While a peer is isolated from a group, a node that has no requests for it
+# makes a trial connection this often, so that it can say that it reaches it.
+WITNESS_SECONDS = 1.0
+# Changes kept until they are taken; a reader takes them every few rounds.
+MAX_CHANGES = 256
+
+
+class Reachability:
+    """Evidence of isolation, by group, with trial connections and recovery."""
+
+    __slots__ = ('changes', 'connections', 'fleet', 'groups', 'peer_reach')
+
+    def __init__(self, fleet: Fleet, failure_domain: str) -> None:
+        self.fleet = fleet
+        self.groups: dict[Group, GroupState] = {}
+        self.peer_reach = PeerReach(failure_domain)
+        # The last new connections by service: endpoint id and time, of at
+        # most two endpoints.
+        self.connections: dict[str, dict[str, float]] = {}
+        # Isolations that began or ended since :meth:`take_changes`.
+        self.changes: deque[IsolationChange] = deque(maxlen=MAX_CHANGES)
+
+    def record_connected(self, endpoint: Endpoint, now: float) -> None:
+        """Record that a new connection to an endpoint was established."""
+        latest = self.connections.setdefault(endpoint.service, {})
+        latest.pop(endpoint.endpoint_id, None)
+        latest[endpoint.endpoint_id] = now
+        if len(latest) > 2:
+            latest.pop(next(iter(latest)))
+        group = _group_of(endpoint)
+        count = len(self._endpoints(group))
+        if self._state(group).record_connected(
+            endpoint.endpoint_id, now, count
+        ):
+            self._note_change(group, is_isolated=False)
+
+    def record_failed(self, endpoint: Endpoint, now: float) -> None:
+        """Record that a connection to an endpoint was not established."""
+        group = _group_of(endpoint)
+        if self._state(group).record_failed(endpoint.endpoint_id, now):
+            self._note_change(group, is_isolated=True)
+        self._update(group, now)
+
+    def record_answered(self, endpoint: Endpoint, now: float) -> None:
+        """Record that an endpoint answered, on whichever connection."""
+        state = self._state(_group_of(endpoint))
+        state.answered_at = max(state.answered_at, now)
+
+    def is_isolated(
+        self, service: str, failure_domain: str, now: float
+    ) -> bool:
+        """Return whether this node is isolated from a group."""
+        group = (service, failure_domain)
+        self._update(group, now)
+        state = self.groups.get(group)
+        return state is not None and state.isolated_at is not None
+
+    def is_service_isolated(self, service: str, now: float) -> bool:
+        """Return whether this node is isolated from all endpoints."""
+        endpoints = self.fleet.of_service(service)
+        domains = {endpoint.failure_domain for endpoint in endpoints}
+        return bool(domains) and all(
+            self.is_isolated(service, domain, now) for domain in domains
+        )
+
+    def may_try(self, endpoint: Endpoint, now: float, draw: float) -> bool:
+        """Return whether a request may be sent to an endpoint.
+
+        ``draw`` is a random number from 0 to 1: while the group recovers,
+        only a share of the requests may.
+        """
+        group = _group_of(endpoint)
+        self._update(group, now)
+        state = self.groups.get(group)
+        return state is None or draw < state.own_share(now)
+
+    def due_trials(self, now: float) -> tuple[Endpoint, ...]:
+        """Return the endpoints to connect to now, as trials."""
+        for group in self.peer_reach.isolated_groups(now):
+            if self._endpoints(group):
+                self._state(group)
+        trials: list[Endpoint] = []
+        for due_group, state in tuple(self.groups.items()):
+            excluded = self._due_exclusions(due_group, state, now)
+            if excluded is None:
+                continue
+            trial = self._next_in_turn(due_group, state, excluded)
+            if trial is not None:
+                trials.append(trial)
+        return tuple(trials)
+
+    def choose_peer(
+        self, service: str, now: float, excluded: Collection[str], draw: float
+    ) -> RelayPeer | None:
+        """Choose a peer that reaches a service, None if there is none.
+
+        ``draw`` is a random number from 0 to 1.
+        """
+        return self.peer_reach.choose(service, now, excluded, draw)
+
+    def reports(self, now: float) -> tuple[ReachedReport, ...]:
+        """Return what to tell peers: the groups with the most recent news."""
+        news: list[tuple[float, ReachedReport]] = []
+        for group, state in self.groups.items():
+            age = max(0, now - state.answered_at)
+            is_isolated = state.own_share(now) < 1
+            if age > REACHED_SECONDS and not is_isolated:
+                continue
+            answer_age = None if age == math.inf else round(age, 2)
+            report = ReachedReport(*group, answer_age, is_isolated)
+            news.append((0 if is_isolated else age, report))
+        news.sort(key=lambda aged: aged[0])
+        return tuple(report for _, report in news[:MAX_REPORTS])
+
+    def merge(
+        self,
+        peer: str,
+        address: str,
+        failure_domain: str,
+        reports: Iterable[ReachedReport],
+        now: float,
+        *,
+        open_requests: int = 0,
+        is_stopping: bool = False,
+    ) -> None:
+        """Apply what a peer tells of the groups that it reaches."""
+        self.peer_reach.merge(
+            RelayPeer(peer, address, failure_domain),
+            reports,
+            now,
+            open_requests=open_requests,
+            is_stopping=is_stopping,
+        )
+
+    def take_changes(self) -> tuple[IsolationChange, ...]:
+        """Return the isolations that began or ended since the last call."""
+        changes = tuple(self.changes)
+        self.changes.clear()
+        return changes
+
+    def isolated_groups(self, now: float) -> tuple[Group, ...]:
+        """Return the groups from which this node is isolated."""
+        return tuple(
+            group
+            for group in tuple(self.groups)
+            if self.is_isolated(*group, now)
+        )
+
+    def is_determining(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether a failure may turn out to be an isolation.
+
+        Without peers it cannot.
+        """
+        state = self.groups.get(_group_of(endpoint))
+        if state is None or not state.is_determining(now):
+            return False
+        return self.peer_reach.has_peers(now)
+
+    def suspends_beliefs(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether failures tell nothing of an endpoint now."""
+        return self.is_isolated(
+            endpoint.service, endpoint.failure_domain, now
+        ) or self.is_determining(endpoint, now)
+
+    def others_of_service(self, endpoint: Endpoint) -> tuple[Endpoint, ...]:
+        """Return the other endpoints of a service, those of its group first."""
+        others = [
+            other
+            for other in self.fleet.of_service(endpoint.service)
+            if other.endpoint_id != endpoint.endpoint_id
+        ]
+        others.sort(
+            key=lambda other: other.failure_domain != endpoint.failure_domain
+        )
+        return tuple(others)
+
+    def has_connected_beside(self, endpoint: Endpoint, since: float) -> bool:
+        """Return whether another endpoint of the service was connected to.
+
+        It is also true if the service has no other endpoint.
+        """
+        latest = self.connections.get(endpoint.service, {})
+        if any(
+            connected_at > since and other_id != endpoint.endpoint_id
+            for other_id, connected_at in latest.items()
+        ):
+            return True
+        return not self.others_of_service(endpoint)
+
+    def _due_exclusions(
+        self, group: Group, state: GroupState, now: float
+    ) -> set[str] | None:
+        """Return the endpoints not to try, or None if no trial is due."""
+        self._update(group, now)
+        if state.is_determining(now):
+            if self.peer_reach.has_peers(now) and state.take_first_trial():
+                return state.failed_ids(now)
+            return None
+        interval = WITNESS_SECONDS
+        if state.isolated_at is not None:
+            interval = state.trial_seconds
+        elif not self._must_witness(group, state, now):
+            return None
+        return set() if state.take_trial_if_due(interval, now) else None
+
+    def _must_witness(
+        self, group: Group, state: GroupState, now: float
+    ) -> bool:
+        """Return whether peers need to know if this node reaches a group."""
+        if now - state.answered_at <= WITNESS_SECONDS:
+            return False
+        return group in self.peer_reach.isolated_groups(now)
+
+    def _next_in_turn(
+        self, group: Group, state: GroupState, excluded: Collection[str]
+    ) -> Endpoint | None:
+        """Return the endpoint after the one tried last, by endpoint id."""
+        candidates = sorted(
+            (
+                endpoint
+                for endpoint in self._endpoints(group)
+                if endpoint.endpoint_id not in excluded
+            ),
+            key=lambda endpoint: endpoint.endpoint_id,
+        )
+        if not candidates:
+            return None
+        later = [
+            endpoint
+            for endpoint in candidates
+            if endpoint.endpoint_id > state.last_tried
+        ]
+        chosen = (later or candidates)[0]
+        state.last_tried = chosen.endpoint_id
+        return chosen
+
+    def _note_change(
+        self, group: Group, *, is_isolated: bool, is_withdrawn: bool = False
+    ) -> None:
+        since = self.groups[group].run_started_at
+        self.changes.append(
+            IsolationChange(*group, is_isolated, since, is_withdrawn)
+        )
+
+    def _update(self, group: Group, now: float) -> None:
+        """Begin an isolation for which there is evidence, or withdraw one."""
+        state = self.groups.get(group)
+        if state is None:
+            return
+        if state.isolated_at is not None:
+            self._withdraw_if_down(group, state, now)
+            return
+        failed = state.failed_ids(now)
+        if not failed:
+            return
+        if len(failed) < min(MIN_FAILED_ENDPOINTS, len(self._endpoints(group))):
+            return
+        if now - self.peer_reach.last_answer_at(group) <= REACHED_SECONDS:
+            state.begin_isolation(now)
+            self._note_change(group, is_isolated=True)
+
+    def _withdraw_if_down(
+        self, group: Group, state: GroupState, now: float
+    ) -> None:
+        """End an isolation if the endpoints are down instead.
+
+        At its beginning, the answers of peers may be older than the failure
+        of the endpoints.  If no peer has a later one, while this node reaches
+        other endpoints of the service, the isolation was a wrong conclusion.
+        A node that reaches none of them stays isolated, since nothing tells
+        the two cases apart.
+        """
+        if now - state.isolated_at <= REACHED_SECONDS:
+            return
+        if self.peer_reach.is_reached(group, now):
+            return
+        reaches_others = any(
+            other[0] == group[0]
+            and other_state.isolated_at is None
+            and now - other_state.answered_at <= REACHED_SECONDS
+            for other, other_state in self.groups.items()
+        )
+        if reaches_others:
+            state.end_isolation(now)
+            self._note_change(group, is_isolated=False, is_withdrawn=True)
+
+    def _endpoints(self, group: Group) -> list[Endpoint]:
+        service, failure_domain = group
+        return [
+            endpoint
+            for endpoint in self.fleet.of_service(service)
+            if endpoint.failure_domain == failure_domain
+        ]
+
+    def _state(self, group: Group) -> GroupState:
+        state = self.groups.get(group)
+        if state is None:
+            state = GroupState()
+            self.groups[group] = state
+            while len(self.groups) > MAX_GROUPS:
+                self.groups.pop(next(iter(self.groups)))
+        return state
+
+
+def _group_of(endpoint: Endpoint) -> Group:
+    return (endpoint.service, endpoint.failure_domain)
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -17,6 +17,7 @@
 from wigeonspoke.core.leases import LeaseRow
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
 from wigeonspoke.core.membership import PeerRegistry
+from wigeonspoke.core.reachability import Reachability
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
@@ -51,6 +52,7 @@
         'peer_addresses',
         'peer_leases',
         'peers',
+        'reachability',
         'registered_node_count',
         'replicas',
         'rng',
@@ -89,6 +91,7 @@
         self.lease_holding_peers: set[str] = set()
         self.routing_table = RoutingTable()
         self.fleet = Fleet()
+        self.reachability = Reachability(self.fleet, settings.failure_domain)
         self.suspects = SuspectRegistry()
         # Called when peers should hear of news at once.
         self.tell_news: Callable[[], None] = _ignore
