--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -18,6 +18,7 @@
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
 from wigeonspoke.core.membership import PeerRegistry
 from wigeonspoke.core.relay import RelayTraffic
+from wigeonspoke.core.reachability import Reachability
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
@@ -52,6 +53,7 @@
         'peer_addresses',
         'peer_leases',
         'peers',
+        'reachability',
         'registered_node_count',
         'relay_traffic',
         'replicas',
@@ -91,6 +93,7 @@
         self.lease_holding_peers: set[str] = set()
         self.routing_table = RoutingTable()
         self.fleet = Fleet()
+        self.reachability = Reachability(self.fleet, settings.failure_domain)
         self.suspects = SuspectRegistry()
         # Called when peers should hear of news at once.
         self.tell_news: Callable[[], None] = _ignore
