Relay requests of isolated nodes through a peer

Calls and streams go to a peer's listener if the node is isolated from all groups of the service, or the other groups have no capacity. Attempts at a peer have the interface of those at a chain, so that reading, resuming, deadlines and cancellation are shared. What concerns chains moved to chain_attempts, and the reading of responses to response_reading.

--- a/wigeonspoke/core/relay/traffic.py
+++ b/wigeonspoke/core/relay/traffic.py
@@ -1,8 +1,7 @@
 """The relayed requests of a node, and the peers that failed to serve some."""
 
-# Relayed requests in progress at a node.  Beyond them its own clients would
-# wait: a host with half a core serves about this many streams at once.
-MAX_IN_PROGRESS = 64
+from wigeonspoke.core.reachability import MAX_RELAYED_REQUESTS
+
 # A peer that failed gets no request for this long.  Gossip removes a silent
 # peer after about 2 s.
 PEER_BACKOFF_SECONDS = 2.0
@@ -22,7 +21,7 @@
 
     def begin(self) -> bool:
         """Begin a request of a peer; return False if there are too many."""
-        if self.in_progress >= MAX_IN_PROGRESS:
+        if self.in_progress >= MAX_RELAYED_REQUESTS:
             return False
         self.in_progress += 1
         return True
--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -6,10 +6,9 @@
 from functools import partial
 from typing import Any
 
-import h11
-
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.core.relay import Way
 from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
@@ -17,6 +16,9 @@
 )
 from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import ResponseMarkers
+from wigeonspoke.ingress.relay.peer_attempts import PeerAttempts, PeerChain
+from wigeonspoke.ingress.relay.relay_choice import ISOLATED
+from wigeonspoke.ingress.relay.relay_head import without_node_headers
 from wigeonspoke.ingress.requests.request_handler import (
     REFUSED_RETRY_AFTER_SECONDS,
     RequestContext,
@@ -26,18 +28,22 @@
     refusal_retry_after,
     timeout_error,
 )
+from wigeonspoke.ingress.requests.response_reading import (
+    collect_body,
+    decode_headers,
+    is_corrupted,
+)
 from wigeonspoke.ingress.requests.responses import (
     EndpointResponse,
     NodeResponse,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.transport import BodyEnd, ReadTimeout
+from wigeonspoke.transport import ReadTimeout
 
 # The first attempt at a repeatable call may take this multiple of the rule's
 # target latency; the last one may take all the remaining time.
 FIRST_ATTEMPT_FACTOR = 2.0
 MAX_ATTEMPTS = 4
-MAX_BODY_BYTES = 16777216
 
 
 class CallTakenOver(Exception):
@@ -55,7 +61,7 @@
     replica is tried, and goes on if that one does not answer.
     """
 
-    __slots__ = ('excluded', 'fallback', 'silent_at')
+    __slots__ = ('excluded', 'fallback', 'peer_attempts', 'silent_at')
 
     def __init__(
         self,
@@ -71,21 +77,30 @@
         self.fallback: EndpointResponse | None = None
         # When another replica is tried if the current one does not answer.
         self.silent_at = context.deadline
+        self.peer_attempts = PeerAttempts(self)
 
     def serve(self) -> EndpointResponse | NodeResponse:
         """Run the call and return the final response."""
         response = self._try_replicas()
         self.end_trial()
-        return response or self.fallback or self._node_response()
+        self.response = response or self.fallback or self._node_response()
+        return self.response
 
     def _try_replicas(self) -> EndpointResponse | None:
         """Try replicas; return the response if one of them is final."""
         while self._may_try():
             now = time.monotonic()
-            replica = self._choose_replica(now)
-            if replica is None or not self.reserve_attempt(now):
+            way = self.relay.choose_way(
+                now, has_own=self._has_own, may_relay=self.may_relay()
+            )
+            destination: Endpoint | PeerChain | None = None
+            if way is Way.OWN:
+                destination = self._reserve_replica(now)
+            elif way is Way.PEER:
+                destination = self.peer_attempts.reserve(now)
+            if destination is None:
                 break
-            response = self._attempt(replica)
+            response = self._attempt(destination)
             if response is not None:
                 return response
         return None
@@ -94,13 +109,36 @@
         """Return whether to try a replica: no open attempt goes on."""
         return self.may_attempt(MAX_ATTEMPTS) and not self.has_earlier_input()
 
-    def _choose_replica(self, now: float) -> Endpoint | None:
-        """Return a replica to try, None if the request must not be sent."""
-        replica = self.state.replicas.select(
+    def _has_own(self) -> bool:
+        """Return whether a replica that is reached has a free slot."""
+        now = time.monotonic()
+        replica = self._select_replica(now)
+        if replica is None:
+            return False
+        in_flight = self.state.replicas.in_flight[replica.endpoint_id]
+        return in_flight < replica.slots
+
+    def _reserve_replica(self, now: float) -> Endpoint | None:
+        """Return a replica for an attempt that the retry budget allows."""
+        replica = self._choose_replica(now)
+        if replica is None or not self.reserve_attempt(now):
+            return None
+        return replica
+
+    def _select_replica(self, now: float) -> Endpoint | None:
+        blocked_ids = {
+            endpoint.endpoint_id
+            for endpoint in self.relay.blocked_endpoints(now)
+        }
+        return self.state.replicas.select(
             self.service,
-            self.excluded | self._ended_replicas(),
+            self.excluded | self._ended_replicas() | blocked_ids,
             now,
         )
+
+    def _choose_replica(self, now: float) -> Endpoint | None:
+        """Return a replica to try, None if the request must not be sent."""
+        replica = self._select_replica(now)
         if self.is_refused(can_be_sent=replica is not None):
             return None
         return replica
@@ -119,7 +157,83 @@
             if self.answer_watch.has_ended(replica)
         }
 
-    def _attempt(self, replica: Endpoint) -> EndpointResponse | None:
+    def _attempt(
+        self, destination: Endpoint | PeerChain
+    ) -> EndpointResponse | None:
+        """Try a replica or a peer; return its response if that is final."""
+        if isinstance(destination, PeerChain):
+            return self._attempt_peer(destination)
+        return self._attempt_replica(destination)
+
+    def _attempt_peer(self, chain: PeerChain) -> EndpointResponse | None:
+        """Hand the call to a peer; return the response if that is final."""
+        attempts = self.peer_attempts
+        attempt = attempts.begin(chain)
+        try:
+            return self._exchange_with_peer(attempt, chain)
+        except AttemptError as failure:
+            attempts.record_failure(attempt, chain, failure)
+        except CallTakenOver as taken_over:
+            attempt.abort()
+            error = timeout_error(attempt, 'relay')
+            attempts.record_timeout(attempt, chain, error)
+            return taken_over.response
+        except ReadTimeout:
+            attempt.abort()
+            error = timeout_error(attempt, 'relay')
+            attempts.record_timeout(attempt, chain, error)
+        finally:
+            attempts.end(attempt, chain)
+        return None
+
+    def _exchange_with_peer(
+        self, attempt: EndpointAttempt, chain: PeerChain
+    ) -> EndpointResponse | None:
+        attempts = self.peer_attempts
+        attempts.send(attempt, chain)
+        self.silent_at = self._find_peer_silent_at(time.monotonic())
+        read = partial(self._read_until_silent, attempt)
+        head = read(attempt.read_head)
+        headers = decode_headers(head)
+        markers = attempts.read_head(attempt, chain, head.status_code, headers)
+        if markers is None:
+            return None
+        body = collect_body(partial(read, attempt.read_body_part), attempt.peer)
+        response = EndpointResponse(
+            head.status_code, without_node_headers(headers), body
+        )
+        is_other = markers.request_id != self.context.request.request_id
+        if is_other or is_corrupted(response, markers):
+            raise AttemptError(invalid_response_error(attempt.peer))
+        attempts.record_error_answer(attempt, is_valid=True)
+        return self._finish_relayed(chain, response)
+
+    def _finish_relayed(
+        self, chain: PeerChain, response: EndpointResponse
+    ) -> EndpointResponse | None:
+        """Return a peer's response if no further attempt may be better."""
+        self.note('relay-answered', to=chain.peer.name, status=response.status)
+        if response.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            return response
+        self.fallback = response
+        may_go_on = len(self.open_attempts) > 1 or self.may_attempt(
+            MAX_ATTEMPTS
+        )
+        return None if may_go_on else response
+
+    def _find_peer_silent_at(self, now: float) -> float:
+        """Return when another peer is tried if this one does not answer.
+
+        A peer tries another replica itself after the usual time.  Half of the
+        time that is left is kept for the other peer.
+        """
+        usual = self._find_silent_at(now) - now
+        remaining = self.context.deadline - now
+        if not self.context.rule.may_repeat:
+            return self.context.deadline
+        return now + min(self.peer_attempts.patience * usual, remaining / 2)
+
+    def _attempt_replica(self, replica: Endpoint) -> EndpointResponse | None:
         """Try a replica; return its response if that is final."""
         self.excluded.add(replica.endpoint_id)
         started_at = time.monotonic()
@@ -185,12 +299,19 @@
 
         Return without an effect if none of them answers.
         """
-        silent = self.leave_silent()
+        silent = self.leave_silent(self._silent_runs())
         response = self._try_replicas()
         self.return_to(silent)
         if response is not None:
             raise CallTakenOver(response)
 
+    def _silent_runs(self) -> int:
+        """Return how often the call may run in the newest attempt."""
+        newest = self.open_attempts[-1]
+        if newest in self.peer_attempts.plans:
+            return self.peer_attempts.runs_of(newest)
+        return 1
+
     def _find_silent_at(self, now: float) -> float:
         """Return when another replica is tried if this one does not answer."""
         rule = self.context.rule
@@ -312,6 +433,13 @@
                 refusal_reason(self.refusal),
                 refusal_retry_after(self.refusal),
             )
+        if self.relay.is_refused:
+            remaining = self.context.deadline - time.monotonic()
+            return NodeResponse(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                ISOLATED,
+                self.relay.retry_after(remaining),
+            )
         reason = self.last_error.reason if self.last_error else 'no-endpoint'
         return NodeResponse(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -321,41 +449,3 @@
                 REFUSED_RETRY_AFTER_SECONDS,
             ),
         )
-
-
-def decode_headers(head: h11.Response) -> tuple[tuple[str, str], ...]:
-    """Return the headers of a response as text, in their original case."""
-    return tuple(
-        (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in head.headers.raw_items()
-    )
-
-
-def read_body(attempt: EndpointAttempt, deadline: float) -> bytes:
-    """Read the complete body of a response, up to the size limit."""
-    return collect_body(partial(attempt.read_body_part, deadline), attempt.peer)
-
-
-def collect_body(read_part: Callable[[], bytes | BodyEnd], peer: str) -> bytes:
-    """Join the parts of a body, up to the size limit."""
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        part = read_part()
-        if isinstance(part, BodyEnd):
-            return b''.join(parts)
-        size += len(part)
-        if size > MAX_BODY_BYTES:
-            raise AttemptError(invalid_response_error(peer))
-        parts.append(part)
-
-
-def is_corrupted(response: EndpointResponse, markers: ResponseMarkers) -> bool:
-    """Return whether a response cannot come unmodified from the endpoint.
-
-    Endpoints do not use content encoding, and sign successful responses.
-    """
-    is_success = response.status < http.HTTPStatus.MULTIPLE_CHOICES
-    return markers.has_content_encoding or (
-        is_success and not markers.is_signed
-    )
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -33,6 +33,7 @@
 )
 from wigeonspoke.ingress.tables.table_followers import TableFollower
 from wigeonspoke.ingress.tables.table_relay import PeerApp
+from wigeonspoke.ingress.relay.relay_app import RelayApp
 from wigeonspoke.ingress.tables.table_subscription import TableSubscription
 from wigeonspoke.store import FeedStore
 from wigeonspoke.transport import HttpClient, HttpListener, ListenerLimits
@@ -82,6 +83,7 @@
         'placement_loop',
         'prober',
         'ready',
+        'relay_app',
         'state',
         'tables',
     )
@@ -134,6 +136,12 @@
         self.part_publisher = PartPublisher(
             self.state, store, part_follower.copy, store_clock
         )
+        self.relay_app = RelayApp(
+            self.state,
+            self.prober,
+            self.part_publisher.claim_trial,
+            self._peer_addresses,
+        )
         self.tables = {
             follower.consumer.table: follower for follower in followers
         }
@@ -182,7 +190,7 @@
         )
         self.peers = self._listen(
             'peers',
-            PeerApp(self.tables, self.gossip.handle_request),
+            PeerApp(self.tables, self.gossip.handle_request, self.relay_app),
             settings.peers,
             PEER_CONNECTIONS,
         )
@@ -214,6 +222,7 @@
         self.is_stopping = True
         self.state.log.write('stop', active=self.front.active)
         self.front.is_stopping = True
+        self.relay_app.is_stopping = True
         eventlet.sleep(READINESS_DRAIN_SECONDS)
         self.front.close()
         end_at = (
@@ -223,7 +232,8 @@
         )
         while time.monotonic() < end_at:
             self.front.close_idle()
-            if not self.front.open_connections:
+            relayed = self.state.relay_traffic.in_progress
+            if not self.front.open_connections and not relayed:
                 break
             eventlet.sleep(DRAIN_POLL_SECONDS)
         self.state.log.write('stopped', active=self.front.active)
@@ -256,6 +266,15 @@
             and bool(state.fleet.endpoints)
         )
 
+    def _peer_addresses(self) -> set[str]:
+        """Return the addresses of the nodes of the system.
+
+        They are registered in the store, or gossip has come from them.
+        """
+        return (
+            self.state.peer_addresses | self.gossip.exchange.node_names.keys()
+        )
+
     def _listen(
         self,
         name: str,
--- a/wigeonspoke/ingress/relay/relay_choice.py
+++ b/wigeonspoke/ingress/relay/relay_choice.py
@@ -79,17 +79,23 @@
         ``has_own`` tells whether an endpoint of a group that is not isolated
         has capacity; it is called only if a group is.
         """
+        self.is_refused = False
         if not self.blocked_endpoints(now):
             return Way.OWN
         reachability = self.state.reachability
+        is_own_possible = has_own()
         way = choose_way(
             is_relayed=self.is_relayed,
             is_isolated=reachability.is_service_isolated(self.service, now),
             has_isolated_group=True,
-            has_own=has_own(),
+            has_own=is_own_possible,
             has_peer=may_relay and self.find_peer(now) is not None,
         )
         self.is_refused = way is Way.REFUSE
+        if way is Way.OWN and not is_own_possible:
+            # There is no peer that could serve what a recovering group is
+            # spared.
+            self.draw = 0
         return way
 
     def is_due(self, now: float) -> bool:
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -12,7 +12,7 @@
 from wigeonspoke.core.forwarding import RetryWindowBudget
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.quarantine import Answer, Refusal, is_request_key
-from wigeonspoke.core.relay import RunCounts, may_hand_over
+from wigeonspoke.core.relay import RunCounts, may_hand_over, outcome_of
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.requests.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
@@ -28,6 +28,10 @@
     ResponseMarkers,
 )
 from wigeonspoke.ingress.relay.relay_choice import RelayChoice
+from wigeonspoke.ingress.requests.responses import (
+    EndpointResponse,
+    NodeResponse,
+)
 from wigeonspoke.ingress.state import IngressState
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -82,6 +86,7 @@
     __slots__ = (
         'answer_watch',
         'context',
+        'executions_before',
         'has_ended_endpoint',
         'has_tried',
         'last_error',
@@ -89,6 +94,7 @@
         'prober',
         'refusal',
         'relay',
+        'response',
         'service',
         'state',
     )
@@ -111,6 +117,9 @@
         self.has_ended_endpoint = False
         # Whether the trial of the whole request has reached an endpoint.
         self.has_tried = False
+        # The complete response to the client, None for a stream of events.
+        self.response: EndpointResponse | NodeResponse | None = None
+        self.executions_before = context.possible_executions
         self.service = context.service or choose_target(
             context.rule.targets,
             state.rng.random(),
@@ -143,10 +152,50 @@
             return True
         return self.budget.withdraw(now)
 
-    def may_relay(self) -> bool:
-        """Return whether the request may be handed to a peer."""
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event that the client has, empty if there is none."""
+        return self.context.request.last_event_id
+
+    @property
+    def outcome(self) -> Outcome:
+        """The outcome of a relayed request, which its sender is told."""
+        return outcome_of(
+            self._endpoint_status(),
+            self.executions_before,
+            self.context.possible_executions,
+        )
+
+    @property
+    def outcome_reason(self) -> str:
+        """Why a relayed request has this outcome."""
+        if isinstance(self.response, NodeResponse):
+            return self.response.reason
+        return str(Reason.DONE)
+
+    @property
+    def is_last_try(self) -> bool:
+        """Whether the request must not be sent to another endpoint.
+
+        It may have ended its endpoint, or was the trial of a quarantined key,
+        or is quarantined.
+        """
+        return (
+            self.has_ended_endpoint
+            or self.has_tried
+            or self.answer_watch.is_trial
+            or self.refusal is not None
+        )
+
+    def may_relay(self, silent_runs: int = 0) -> bool:
+        """Return whether the request may be handed to a peer.
+
+        ``silent_runs`` is how often it may run in an attempt that is silent.
+        """
+        context = self.context
+        executions = context.possible_executions + silent_runs
         return may_hand_over(
-            self.context.counts,
+            RunCounts(context.arrivals, executions),
             self.relay.handovers,
             self.context.rule.max_attempts,
             may_repeat=self.may_repeat(),
@@ -448,6 +497,14 @@
                 sent_ago=round(now - attempt.sent_at, 3),
             )
 
+    def _endpoint_status(self) -> int | None:
+        """Return the status of an endpoint's answer, None if there is none."""
+        if self.response is None:
+            return http.HTTPStatus.OK
+        if isinstance(self.response, EndpointResponse):
+            return self.response.status
+        return None
+
     def _return_reserved(self, now: float) -> None:
         """Return to the budget what was taken for an attempt.
 
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -9,12 +9,11 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-import msgspec
-
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.core.relay import Way
 from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
-from wigeonspoke.ingress.calls.call_handler import decode_headers, read_body
+from wigeonspoke.ingress.streams.chain_attempts import ChainAttempts
 from wigeonspoke.ingress.streams.chain_choice import ChainChoice
 from wigeonspoke.ingress.streams.chain_monitor import ChainMonitor
 from wigeonspoke.ingress.requests.endpoint_attempt import (
@@ -28,7 +27,9 @@
     StreamEvent,
 )
 from wigeonspoke.ingress.fleet.prober import Prober
-from wigeonspoke.ingress.protocols import ResponseMarkers
+from wigeonspoke.ingress.relay.peer_attempts import PeerAttempts, PeerChain
+from wigeonspoke.ingress.relay.relay_choice import ISOLATED
+from wigeonspoke.ingress.relay.relay_head import without_node_headers
 from wigeonspoke.ingress.requests.request_handler import (
     SILENCE_RECHECK_SECONDS,
     RequestContext,
@@ -38,6 +39,10 @@
     refusal_retry_after,
     timeout_error,
 )
+from wigeonspoke.ingress.requests.response_reading import (
+    decode_headers,
+    read_body,
+)
 from wigeonspoke.ingress.requests.responses import (
     EndpointResponse,
     NodeResponse,
@@ -78,11 +83,14 @@
     """
 
     __slots__ = (
+        'blocked_ids',
+        'chain_attempts',
         'chain_choice',
         'chain_monitor',
         'chains_in_use',
         'cursor',
         'fallback',
+        'peer_attempts',
         'response_started',
         'start_response',
     )
@@ -103,6 +111,15 @@
         # Error response of an engine, returned if no chain serves the stream.
         self.fallback: EndpointResponse | None = None
         self.start_response: Callable[..., Any] | None = None
+        self.chain_attempts = ChainAttempts(self)
+        self.peer_attempts = PeerAttempts(self)
+        # Heads of chains that the request is kept from, by isolation.
+        self.blocked_ids: frozenset[str] = frozenset()
+
+    @property
+    def last_event_id(self) -> str:
+        """Id of the event after which the stream is to go on."""
+        return self.cursor.last_event_id or super().last_event_id
 
     def serve(self, start_response: Callable[..., Any]) -> Iterator[bytes]:
         """Run the stream; yield the parts of the response body."""
@@ -132,11 +149,48 @@
         return False
 
     def _reserve_chain(self) -> Chain | None:
-        """Return a chain for an attempt that the retry budget allows."""
-        chain = self._choose_chain()
-        if chain is None or not self.reserve_attempt(time.monotonic()):
-            return None
-        return chain
+        """Return a chain, or a peer in its place, for the next attempt.
+
+        Isolation may be found out while a chain is awaited.
+        """
+        way = self._choose_way()
+        if way is Way.OWN:
+            chain = self._choose_chain()
+            if chain is not None:
+                is_reserved = self.reserve_attempt(time.monotonic())
+                return chain if is_reserved else None
+            way = Way.REFUSE if self.refusal else self._choose_way()
+        if way is Way.PEER:
+            return self.peer_attempts.reserve(time.monotonic())
+        return None
+
+    def _choose_way(self) -> Way:
+        """Choose between chains and peers."""
+        now = time.monotonic()
+        self._update_blocked(now)
+        way = self.relay.choose_way(
+            now,
+            has_own=self.chain_choice.is_possible,
+            may_relay=self.may_relay(),
+        )
+        self._update_blocked(now)
+        return way
+
+    def _update_blocked(self, now: float) -> None:
+        """Leave out the chains whose heads are not reached."""
+        excluded = self.chain_choice.excluded
+        excluded.difference_update(self.blocked_ids)
+        self.blocked_ids = frozenset(
+            endpoint.endpoint_id
+            for endpoint in self.relay.blocked_endpoints(now)
+            if endpoint.layers is not None and not endpoint.layers.first
+        )
+        excluded.update(self.blocked_ids)
+
+    def _attempts_at(self, chain: Chain) -> ChainAttempts | PeerAttempts:
+        """Return what sends to a chain, or to a peer in its place."""
+        is_peer = isinstance(chain, PeerChain)
+        return self.peer_attempts if is_peer else self.chain_attempts
 
     def _choose_chain(self) -> Chain | None:
         """Return a chain to send the request to, None if it must not be sent.
@@ -154,25 +208,20 @@
 
     def _attempt(self, chain: Chain) -> Iterator[bytes]:
         """Try a chain; the generator returns whether it served the stream."""
-        self.chain_choice.excluded.update(chain.endpoint_ids)
-        attempt = self.begin_attempt(chain.head.address)
+        attempts = self._attempts_at(chain)
+        attempt = attempts.begin(chain)
         self.chains_in_use[attempt] = chain
-        self.state.chains.begin(chain)
         try:
             return (yield from self._exchange(attempt, chain))
         except StreamTakenOver as taken_over:
             return taken_over.is_complete
-        except AttemptError as error:
-            if error.is_refused:
-                self.prober.record_refused_connection(chain.head)
-            self._record_error(chain, error.error)
+        except AttemptError as failure:
+            attempts.record_failure(attempt, chain, failure)
             return False
         except ReadTimeout:
             attempt.abort()
-            self._record_error(chain, timeout_error(attempt, 'stream'))
-            # It was left for an earlier chain that went on, or the time is
-            # over.
-            self.chain_choice.excluded.difference_update(chain.endpoint_ids)
+            error = timeout_error(attempt, 'stream')
+            attempts.record_timeout(attempt, chain, error)
             return False
         finally:
             self._end_chain(attempt)
@@ -181,8 +230,7 @@
         """End an attempt and its use of a chain, if that was not done yet."""
         chain = self.chains_in_use.pop(attempt, None)
         if chain is not None:
-            self.end_attempt(attempt)
-            self.state.chains.end(chain)
+            self._attempts_at(chain).end(attempt, chain)
 
     def _fail_over(self, silent: EndpointAttempt) -> Iterator[bytes]:
         """Send the stream to another chain, too, while one is silent.
@@ -190,7 +238,8 @@
         Return without an effect if no other chain has taken over.
         """
         monitor = self.chain_monitor
-        silent_attempt = self.leave_silent()
+        attempts = self._attempts_at(self.chains_in_use[silent])
+        silent_attempt = self.leave_silent(attempts.runs_of(silent))
         self.chain_monitor = ChainMonitor(self.state, self.context.rule)
         is_complete = False
         chain = self._reserve_chain()
@@ -221,21 +270,15 @@
         attempt: EndpointAttempt,
         chain: Chain,
     ) -> Iterator[bytes]:
-        deadline = self.context.deadline
-        self.answer_watch.begin(hop.endpoint for hop in chain.hops)
-        self.send(
-            attempt, chain.head, deadline, chain, self.cursor.last_event_id
-        )
-        self.chain_monitor.begin(chain)
+        attempts = self._attempts_at(chain)
+        attempts.send(attempt, chain)
+        self.chain_monitor.begin(chain, attempts.patience)
         head = yield from self._read_until_silent(
             attempt, attempt.read_head, chain
         )
         headers = decode_headers(head)
-        markers = self.read_markers(
-            attempt, chain.head, head.status_code, headers
-        )
-        if markers.not_executed:
-            self._record_refusal(chain, head.status_code, markers)
+        markers = attempts.read_head(attempt, chain, head.status_code, headers)
+        if markers is None:
             return False
         if markers.request_id != self.context.request.request_id:
             raise AttemptError(invalid_response_error(chain.head.address))
@@ -244,8 +287,11 @@
             body = read_body(attempt, self.context.deadline)
             return (
                 yield from self._handle_error_response(
+                    attempt,
                     chain,
-                    EndpointResponse(head.status_code, headers, body),
+                    EndpointResponse(
+                        head.status_code, without_node_headers(headers), body
+                    ),
                     markers.is_signed and not markers.has_content_encoding,
                 )
             )
@@ -261,6 +307,7 @@
         headers: tuple[tuple[str, str], ...],
     ) -> Iterator[bytes]:
         splitter = EventSplitter()
+        attempts = self._attempts_at(chain)
         while True:
             part = yield from self._read_until_silent(
                 attempt, attempt.read_body_part, chain
@@ -273,12 +320,12 @@
             if events:
                 self._end_silent_attempts(attempt)
                 self.chain_monitor.record_event()
-                self.answer_watch.record_event()
+                attempts.record_event()
                 self._send_head(headers)
                 yield b''.join(events)
         self._check_complete(attempt, part, splitter)
         self._end_silent_attempts(attempt)
-        self.answer_watch.record_complete()
+        attempts.record_complete()
         self._send_head(headers)
 
     def _split_events(
@@ -363,55 +410,53 @@
         The generator returns when to check again.
         """
         now = time.monotonic()
-        if not self._may_leave(chain, now):
+        if not self._may_leave(attempt, chain, now):
             return now + SILENCE_RECHECK_SECONDS
         yield from self._fail_over(attempt)
         return time.monotonic() + FAILOVER_RETRY_SECONDS
 
-    def _may_leave(self, chain: Chain, now: float) -> bool:
+    def _may_leave(
+        self, attempt: EndpointAttempt, chain: Chain, now: float
+    ) -> bool:
         """Return whether a chain is silent and another one may be tried."""
         if self.chain_monitor.is_alive(
             now, response_started=self.response_started
         ):
             return False
-        self._record_silence(chain, now)
-        return self._can_fail_over(now)
+        attempts = self._attempts_at(chain)
+        attempts.record_silence(chain, now)
+        return self._can_fail_over(attempts.runs_of(attempt), now)
 
-    def _can_fail_over(self, now: float) -> bool:
-        """Return whether the stream may also be sent to another chain."""
+    def _can_fail_over(self, runs: int, now: float) -> bool:
+        """Return whether the stream may also be sent to another chain.
+
+        ``runs`` is how often it may run in the silent attempt.
+        """
         if not self.may_repeat() or not self.is_allowed():
             return False
         context = self.context
+        self._update_blocked(now)
+        if self.may_relay(runs) and self.relay.is_due(now):
+            return True
         # The last attempt is left for the case that the silent chain breaks.
         return (
             context.attempts + 1 < MAX_ATTEMPTS
-            and context.possible_executions + 1 < context.rule.max_attempts
+            and context.possible_executions + runs < context.rule.max_attempts
             and self.budget.has_remaining(now)
             and self.chain_choice.has_alternative(now)
         )
 
-    def _record_silence(self, chain: Chain, now: float) -> None:
-        head = chain.head
-        if not self.state.suspects.deprioritize(head.endpoint_id, now):
-            return
-        self.note(
-            'silent',
-            peer=head.address,
-            last=self.cursor.last_number,
-            waited=round(now - self.chain_monitor.waiting_since, 3),
-            **self._head_load(chain),
-        )
-        self.prober.check_chain(chain, 'silent')
-
     def _send_head(self, headers: tuple[tuple[str, str], ...]) -> None:
         if not self.response_started:
             self.response_started = True
             self.start_response(
-                status_line(http.HTTPStatus.OK), end_to_end_headers(headers)
+                status_line(http.HTTPStatus.OK),
+                end_to_end_headers(without_node_headers(headers)),
             )
 
     def _handle_error_response(
         self,
+        attempt: EndpointAttempt,
         chain: Chain,
         response: EndpointResponse,
         is_valid: bool,
@@ -420,12 +465,11 @@
 
         The generator returns whether the response to the client is complete.
         """
-        self.context.possible_executions += 1
+        attempts = self._attempts_at(chain)
+        attempts.record_error_answer(attempt, is_valid=is_valid)
         self.note(
             'error-answer', peer=chain.head.address, status=response.status
         )
-        if is_valid:
-            self.answer_watch.record_whole()
         # A silent chain may still serve the stream.
         is_last_chain = len(self.chains_in_use) == 1
         if not is_valid or not is_last_chain or self.may_repeat():
@@ -433,12 +477,7 @@
             return False
         if self.response_started:
             return False
-        node_response_headers = self.state.wire.node_response_headers(
-            self.context.request
-        )
-        yield begin_response(
-            response, node_response_headers, self.start_response
-        )
+        yield self._respond(response)
         return True
 
     def _finish_unserved(self) -> Iterator[bytes]:
@@ -458,10 +497,15 @@
             raise ResponseAborted(self._reason)
         response = self.fallback or self._node_response()
         self.state.count_event('own-answer', self._reason)
+        yield self._respond(response)
+
+    def _respond(self, response: EndpointResponse | NodeResponse) -> bytes:
+        """Begin a complete response; return its body."""
+        self.response = response
         node_response_headers = self.state.wire.node_response_headers(
             self.context.request
         )
-        yield begin_response(
+        return begin_response(
             response, node_response_headers, self.start_response
         )
 
@@ -469,6 +513,8 @@
     def _reason(self) -> str:
         if self.refusal is not None:
             return refusal_reason(self.refusal)
+        if self.relay.is_refused:
+            return ISOLATED
         return str(self.last_error.reason) if self.last_error else 'no-chain'
 
     def _node_response(self) -> NodeResponse:
@@ -485,88 +531,11 @@
     def _retry_after(self) -> float:
         if self.refusal is not None:
             return refusal_retry_after(self.refusal)
+        if self.relay.is_refused:
+            remaining = self.context.deadline - time.monotonic()
+            return self.relay.retry_after(remaining)
         return self.retry_after(
             self.chain_choice.heads(),
             NO_CHAIN_RETRY_AFTER_SECONDS,
             RETRY_AFTER_JITTER_SECONDS,
         )
-
-    def _record_refusal(
-        self, chain: Chain, status: int, markers: ResponseMarkers
-    ) -> None:
-        fault_address = markers.fault_address
-        self.last_error = StepError(
-            Outcome.NOT_RUN,
-            Reason.REFUSED,
-            'stream',
-            chain.head.address,
-        )
-        self.has_tried = self.answer_watch.tries_request
-        self.state.count_event('chain-refused', str(status))
-        self.note(
-            'chain-refused',
-            peer=chain.head.address,
-            status=status,
-            fault=fault_address,
-            **self._head_load(chain),
-        )
-        now = time.monotonic()
-        self.state.suspects.deprioritize(chain.head.endpoint_id, now)
-        is_full = status == http.HTTPStatus.SERVICE_UNAVAILABLE
-        names_time = markers.retry_after_seconds is not None
-        if fault_address or not is_full:
-            self.prober.check_chain(
-                chain, 'refused', fault_address or chain.head.address
-            )
-        if is_full:
-            # No slot is free at the head, or no memory at the engine named.
-            # The request has not run there, and may be admitted when other
-            # requests have ended.
-            if not names_time:
-                self.state.chains.record_refusal(chain, now)
-            self.chain_choice.excluded.difference_update(chain.endpoint_ids)
-
-    def _head_load(self, chain: Chain) -> dict[str, int]:
-        """Return the load of a chain's head, as far as this node knows it."""
-        head = chain.head
-        chains = self.state.chains
-        return {
-            'own_streams': chains.in_flight[head.endpoint_id],
-            'streams': chains.streams_at(head.endpoint_id),
-            'slots': head.slots,
-        }
-
-    def _record_error(self, chain: Chain, error: StepError) -> None:
-        is_disconnected = self.context.disconnect_monitor.is_disconnected
-        if is_disconnected:
-            # The attempt was aborted here, so its connection error is not
-            # the engine's fault.
-            error = msgspec.structs.replace(error, reason=Reason.CALLER_GONE)
-        self.record_failure(
-            chain.head,
-            error,
-            last=self.cursor.last_number,
-            born=chain.head.born,
-            parts=self.context.request.shared_parts,
-            **self.answer_watch.describe_progress(),
-        )
-        if not is_disconnected and error.reason is not Reason.TIMEOUT:
-            now = time.monotonic()
-            self.state.suspects.deprioritize(chain.head.endpoint_id, now)
-            self.prober.check_chain(chain, str(error.reason))
-            self._check_beginning(chain, error)
-
-    def _check_beginning(self, chain: Chain, error: StepError) -> None:
-        """Find out whether the request may have ended its engine.
-
-        A connection also breaks for other reasons, so that the probe of the
-        engine is awaited before the request is sent to another one.
-        """
-        if error.outcome is Outcome.NOT_RUN:
-            return
-        is_suspect = self.answer_watch.record_broken()
-        is_urgent = self.answer_watch.stands_in_earlier_crash()
-        self.prober.check_after_break(chain.head, is_urgent=is_urgent)
-        if is_suspect:
-            self.prober.wait_for_probe(chain.head)
-            self.has_ended_endpoint = self.answer_watch.has_ended(chain.head)
--- a/wigeonspoke/ingress/tables/table_relay.py
+++ b/wigeonspoke/ingress/tables/table_relay.py
@@ -8,7 +8,7 @@
 import http
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol, TypeVar
 from urllib.parse import parse_qsl
 
@@ -16,6 +16,7 @@
 from returns.result import Success
 
 from wigeonspoke.decisions import DecisionLog
+from wigeonspoke.ingress.relay.relay_head import RELAY_PATH
 from wigeonspoke.ingress.tables.table_copy import RelayedTable, TableCopy
 from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.transport import HttpClient
@@ -57,28 +58,33 @@
 
 
 class PeerApp:
-    """WSGI application for peers: serves table copies and gossip.
+    """WSGI application for peers: tables, gossip and relayed requests.
 
     ``handle_gossip`` takes the body of a gossip request and returns the body
-    of the response, or None for status 404.
+    of the response, or None for status 404.  ``serve_relayed`` is the
+    application for the requests of clients that a peer sends on.
     """
 
-    __slots__ = ('handle_gossip', 'tables')
+    __slots__ = ('handle_gossip', 'serve_relayed', 'tables')
 
     def __init__(
         self,
         tables: Mapping[str, FollowedTable],
         handle_gossip: Callable[[bytes], bytes | None],
+        serve_relayed: Callable[..., Iterable[bytes]],
     ) -> None:
         self.tables = tables
+        self.serve_relayed = serve_relayed
         self.handle_gossip = handle_gossip
 
     def __call__(
         self,
         environ: dict[str, Any],
         start_response: Callable[..., Any],
-    ) -> list[bytes]:
+    ) -> Iterable[bytes]:
         """Serve one request of a peer."""
+        if environ['PATH_INFO'] == RELAY_PATH:
+            return self.serve_relayed(environ, start_response)
         status = http.HTTPStatus.OK
         body = self._respond(environ)
         if body is None:
--- a/wigeonspoke/ingress/tests/test_endpoint_attempt.py
+++ b/wigeonspoke/ingress/tests/test_endpoint_attempt.py
@@ -5,7 +5,7 @@
 import eventlet
 import pytest
 
-from wigeonspoke.ingress.calls.call_handler import read_body
+from wigeonspoke.ingress.requests.response_reading import read_body
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
