--- /dev/null
+++ b/wigeonspoke/platform/tests/isolation.py
@@ -0,0 +1,240 @@
+"""Nodes that cannot reach endpoints, and traffic that measures who is served."""
+
+import enum
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from functools import partial, wraps
+
+import eventlet
+import msgspec
+import pytest
+from returns.result import Failure
+
+from wigeonspoke.core.outcomes import Reason
+from wigeonspoke.ingress import IngressNode
+from wigeonspoke.ingress.fleet.prober import Prober
+from wigeonspoke.ingress.protocols import EngineFailure
+from wigeonspoke.ingress.requests.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.requests.request_handler import RequestHandler
+from wigeonspoke.platform.engine_control import PlatformEngineControl
+from wigeonspoke.platform.tests.harness import Harness, send_request
+from wigeonspoke.platform.tests.stream_requests import (
+    ALL_EVENTS,
+    event_ids,
+    request_stream,
+)
+from wigeonspoke.transport import ReadTimeout
+
+REQUEST_INTERVAL_SECONDS = 0.12
+
+
+@enum.unique
+class Cut(enum.StrEnum):
+    """What happens to connections to endpoints that are not reached."""
+
+    HANG = 'hang'
+    RESET = 'reset'
+
+
+class Isolation:
+    """Cuts nodes from endpoints, by the names of the nodes.
+
+    All nodes run in one process, so that the node of a connection is found by
+    the calls that lead to it.  ``breaks_open`` also cuts open connections.
+    """
+
+    def __init__(
+        self, monkeypatch: pytest.MonkeyPatch, harness: Harness
+    ) -> None:
+        self.names: set[str] = set()
+        self.cut = Cut.HANG
+        self.breaks_open = True
+        self.only: set[str] | None = None
+        self.addresses = {
+            endpoint.address
+            for endpoint in (*harness.replicas, *harness.engines)
+        }
+        self.local = threading.local()
+        self.owners: dict[EndpointAttempt, str] = {}
+        monkeypatch.setattr(RequestHandler, 'send', self._owned('send'))
+        for name in ('_probe', '_accepts_connection', 'try_connection'):
+            if hasattr(Prober, name):
+                patched = self._owned(name, Prober)
+                monkeypatch.setattr(Prober, name, patched)
+        monkeypatch.setattr(
+            EndpointAttempt, 'connect', self._connect(EndpointAttempt.connect)
+        )
+        monkeypatch.setattr(
+            EndpointAttempt, '_receive', self._receive(EndpointAttempt._receive)
+        )
+        monkeypatch.setattr(
+            PlatformEngineControl,
+            'fetch_state',
+            self._fetch(PlatformEngineControl.fetch_state),
+        )
+
+    def is_cut(self, name: str, address: str) -> bool:
+        """Return whether a node does not reach an address."""
+        cut = self.addresses if self.only is None else self.only
+        return name in self.names and address in cut
+
+    def _owned(self, name: str, owner: type = RequestHandler) -> Callable:
+        original = getattr(owner, name)
+
+        @wraps(original)
+        def call(instance, *arguments, **options):
+            before = getattr(self.local, 'node', '')
+            self.local.node = instance.state.settings.name
+            try:
+                return original(instance, *arguments, **options)
+            finally:
+                self.local.node = before
+
+        return call
+
+    def _connect(self, original: Callable) -> Callable:
+        def connect(attempt, seconds):
+            name = getattr(self.local, 'node', '')
+            self.owners[attempt] = name
+            if not self.is_cut(name, attempt.peer):
+                original(attempt, seconds)
+                return
+            cause: OSError = ConnectionResetError()
+            if self.cut is Cut.HANG:
+                eventlet.sleep(max(0, seconds))
+                cause = TimeoutError()
+            raise attempt._error(Reason.CONNECT, 'connect') from cause
+
+        return connect
+
+    def _receive(self, original: Callable) -> Callable:
+        def receive(attempt, deadline):
+            while True:
+                name = self.owners.get(attempt, '')
+                is_cut = self.breaks_open and self.is_cut(name, attempt.peer)
+                if attempt.is_aborted or not is_cut:
+                    break
+                if self.cut is Cut.RESET:
+                    raise attempt._error(Reason.RESET, 'answer')
+                if time.monotonic() >= deadline:
+                    raise ReadTimeout
+                eventlet.sleep(0.01)
+            # Short reads, so that a cut is noticed while one waits.
+            try:
+                return original(attempt, min(deadline, time.monotonic() + 0.02))
+            except ReadTimeout:
+                if time.monotonic() >= deadline:
+                    raise
+            return receive(attempt, deadline)
+
+        return receive
+
+    def _fetch(self, original: Callable) -> Callable:
+        def fetch_state(control, address, timeout):
+            name = getattr(self.local, 'node', '')
+            if not self.is_cut(name, address):
+                return original(control, address, timeout)
+            if self.cut is Cut.HANG:
+                eventlet.sleep(timeout)
+            return Failure(EngineFailure('cut'))
+
+        return fetch_state
+
+
+class Result(msgspec.Struct, frozen=True):
+    """How one request went."""
+
+    node: str
+    kind: str
+    sent_at: float
+    is_served: bool
+    status: int
+
+
+class Traffic:
+    """Sends calls, calls that must not be repeated, and streams to nodes."""
+
+    def __init__(self, harness: Harness, nodes: list[IngressNode]) -> None:
+        self.harness = harness
+        self.results: list[Result] = []
+        self.number = 0
+        self.senders = [
+            eventlet.spawn(self._send_all, node, kind)
+            for node in nodes
+            for kind in ('call', 'once', 'stream')
+        ]
+
+    def stop(self) -> None:
+        """Stop sending."""
+        for sender in self.senders:
+            sender.kill()
+
+    def share(self, kind: str, names: set[str], since: float) -> float:
+        """Return the share of requests served at nodes since a time."""
+        served = [
+            result.is_served
+            for result in self.results
+            if result.kind == kind
+            and result.node in names
+            and result.sent_at >= since
+        ]
+        assert served, 'no requests'
+        return sum(served) / len(served)
+
+    def _send_all(self, node: IngressNode, kind: str) -> None:
+        while True:
+            eventlet.spawn(self._send, node, kind)
+            eventlet.sleep(REQUEST_INTERVAL_SECONDS)
+
+    def _send(self, node: IngressNode, kind: str) -> None:
+        self.number += 1
+        request_id = f'{kind}-{self.number}'
+        sent_at = time.monotonic()
+        status, is_served = 0, False
+        try:
+            status, is_served = self._exchange(node, kind, request_id)
+        except (OSError, AssertionError, KeyError):
+            is_served = False
+        name = node.state.settings.name
+        self.results.append(Result(name, kind, sent_at, is_served, status))
+
+    def _exchange(
+        self, node: IngressNode, kind: str, request_id: str
+    ) -> tuple[int, bool]:
+        if kind == 'stream':
+            status, _, body = request_stream(
+                self.harness, request_id, node=node
+            )
+            return status, event_ids(body) == ALL_EVENTS
+        method, path = 'GET', '/read/x'
+        if kind == 'once':
+            method, path = 'POST', '/write/x'
+        status, _, body = send_request(
+            self.harness, method, path, request_id, node=node
+        )
+        return status, body == f'answer to {request_id}'.encode()
+
+
+def expect_no_second_run(harness: Harness) -> None:
+    """Check that no request that must not be repeated ran twice."""
+    runs: dict[str, int] = defaultdict(int)
+    for replica in harness.replicas:
+        for run in replica.runs:
+            if run.method == 'POST':
+                runs[run.request_id] += 1
+    assert not runs or max(runs.values()) == 1
+
+
+def wait_until_isolated(
+    harness: Harness, node: IngressNode, service: str
+) -> None:
+    """Wait until a node knows that it does not reach a service."""
+    harness.wait_until(partial(is_isolated, node, service))
+
+
+def is_isolated(node: IngressNode, service: str) -> bool:
+    """Return whether a node knows that it does not reach a service."""
+    now = time.monotonic()
+    return node.state.reachability.is_service_isolated(service, now)
