Record connection attempts and tell peers which endpoints are reached

A node without connectivity suspected, ejected and recorded the end of sound endpoints, and kept the lease of engines that it could not order. Failed connections now wait for the evidence of isolation; trial connections end it; the lease is released. The gossip message tells the groups that are reached, the requests in progress and whether the node stops.

The full tests were not run on this state.

--- a/wigeonspoke/core/forwarding/replicas.py
+++ b/wigeonspoke/core/forwarding/replicas.py
@@ -113,6 +113,13 @@
             return False
         return health.record_failure(reason, now)
 
+    def restore(self, replica: Endpoint, since: float) -> None:
+        """Undo an ejection that began at ``since`` or later."""
+        health = self.health.get(replica.endpoint_id)
+        if health is not None and health.ejected_at >= since:
+            self.health.pop(replica.endpoint_id)
+            self.failure_rates.pop(replica.endpoint_id, None)
+
     def _may_send(self, replica: Endpoint, now: float) -> bool:
         return self.availability is None or self.availability.may_send(
             replica, now
--- a/wigeonspoke/core/health/endpoint.py
+++ b/wigeonspoke/core/health/endpoint.py
@@ -1,6 +1,7 @@
 """Health of one endpoint, from the results of its steps and probes."""
 
 import enum
+import math
 
 # Delay between an ejection and the next probe, and its growth.
 MIN_EJECTION_SECONDS = 0.5
@@ -41,6 +42,7 @@
 
     __slots__ = (
         'baseline_seconds',
+        'ejected_at',
         'ejection_seconds',
         'latency_seconds',
         'next_probe_at',
@@ -55,6 +57,7 @@
         self.latency_seconds = baseline_seconds
         self.state = HealthState.HEALTHY
         self.ejection_seconds = MIN_EJECTION_SECONDS
+        self.ejected_at = -math.inf
         self.next_probe_at = 0
         self.probing = False
         self.recovered_at = -SLOW_START_SECONDS
@@ -106,6 +109,7 @@
         if self.state is HealthState.EJECTED:
             return False
         self.state = HealthState.EJECTED
+        self.ejected_at = now
         self.reason = reason
         self._schedule_probe(now)
         return True
--- a/wigeonspoke/core/leases/lease.py
+++ b/wigeonspoke/core/leases/lease.py
@@ -23,6 +23,9 @@
 # Nodes of other domains may take over a lease only this long after a node of
 # its own domain could have done so.
 FOREIGN_DOMAIN_DELAY_SECONDS = 6.0
+# The same for a lease that was released, so that the domain's own nodes have
+# two gossip rounds to take it over first.
+RELEASED_FOREIGN_DOMAIN_DELAY_SECONDS = 1.5
 # While the store is unavailable, no other node can take over the lease, and
 # engines refuse stale orders.  The holder may therefore go on for this long.
 STORE_OUTAGE_WINDOW_SECONDS = 20.0
@@ -32,12 +35,23 @@
     """A lease as stored; the same row also registers a node.
 
     ``until`` is its expiry, in seconds of the store's monotonic clock.
-    ``address`` is where the holder listens for its peers.
+    ``address`` is where the holder listens for its peers.  ``is_released``
+    is set if the holder has given the lease up before its expiry.
     """
 
     holder: str
     until: float
     address: str = ''
+    is_released: bool = False
+
+    def predates_release(self, released: 'LeaseRow') -> bool:
+        """Return whether the holder wrote this row before a release.
+
+        Rows may arrive by gossip after it.  A lease that the same node
+        acquires later expires later than any that it held at the release.
+        """
+        is_same = released.is_released and self.holder == released.holder
+        return is_same and self.until <= released.until + LEASE_SECONDS
 
 
 class VersionedLease(msgspec.Struct, frozen=True):
@@ -118,9 +132,12 @@
         if row is None:
             return self._take_if_own_domain()
         until = row.until
-        if is_gone:
+        foreign_delay = FOREIGN_DOMAIN_DELAY_SECONDS
+        if row.is_released:
+            foreign_delay = RELEASED_FOREIGN_DOMAIN_DELAY_SECONDS
+        elif is_gone:
             until += ABSENT_HOLDER_SECONDS - LEASE_SECONDS
-        delay = 0 if self.is_own_domain else FOREIGN_DOMAIN_DELAY_SECONDS
+        delay = 0 if self.is_own_domain else foreign_delay
         if store_now > until + delay:
             return LeaseAction.TAKE
         return LeaseAction.WAIT
--- a/wigeonspoke/core/reachability/group.py
+++ b/wigeonspoke/core/reachability/group.py
@@ -11,6 +11,9 @@
 # Failures that go on for longer without evidence of isolation mean that the
 # endpoints are down: twice the time in which isolation has to be detected.
 MAX_DETERMINATION_SECONDS = 2.0
+# Time after a first failure in which the trial that it causes has a result.
+# Until then no conclusion is drawn: several endpoints may have ended at once.
+TRIAL_RESULT_SECONDS = 0.3
 # Time between trial connections: at first, and at most after isolations that
 # follow each other.
 MIN_TRIAL_SECONDS = 0.5
@@ -46,6 +49,7 @@
     __slots__ = (
         'answered_at',
         'connected_at',
+        'connected_ids',
         'failed_at',
         'isolated_at',
         'last_tried',
@@ -63,6 +67,8 @@
         # Start of the run of failures for which a trial was made.
         self.run_tried_at = -math.inf
         self.connected_at = -math.inf
+        # Endpoints connected to since the last isolation began.
+        self.connected_ids: set[str] = set()
         self.answered_at = -math.inf
         self.isolated_at: float | None = None
         self.recovered_at = -math.inf
@@ -82,23 +88,18 @@
             for failed_id, failed_at in self.failed_at.items()
             if failed_at > now
         }
-        if self.isolated_at is None or now < self.isolated_at:
-            return False
-        oldest = now - SUCCESS_INTERVALS * self.trial_seconds
-        self.successes = [
-            (succeeded_id, at)
-            for succeeded_id, at in self.successes
-            if at >= oldest
-        ]
-        self.successes.append((endpoint_id, now))
-        if not self._has_enough_successes(endpoint_count):
-            return False
-        self.end_isolation(now)
-        self.recovered_at = now
-        return True
+        if self.isolated_at is not None and now >= self.isolated_at:
+            return self._record_success(endpoint_id, now, endpoint_count)
+        if self.is_recovering(now):
+            self.connected_ids.add(endpoint_id)
+        return False
 
     def record_failed(self, endpoint_id: str, now: float) -> bool:
-        """Record a failed attempt; return whether isolation begins again."""
+        """Record a failed attempt; return whether isolation begins again.
+
+        During the recovery, a failure of an endpoint that was reached since
+        the isolation began does so.  One that was not may have ended.
+        """
         is_new_run = not any(
             now - failed_at <= FAILURE_SECONDS
             for failed_at in self.failed_at.values()
@@ -106,7 +107,7 @@
         if is_new_run and self.isolated_at is None:
             self.run_started_at = now
         self.failed_at[endpoint_id] = now
-        if not self.is_recovering(now):
+        if not self.is_recovering(now) or endpoint_id not in self.connected_ids:
             return False
         self.trial_seconds = min(MAX_TRIAL_SECONDS, 2 * self.trial_seconds)
         self.begin_isolation(now)
@@ -119,6 +120,7 @@
         self.isolated_at = now
         self.next_trial_at = now + self.trial_seconds
         self.successes = []
+        self.connected_ids = set()
 
     def end_isolation(self, now: float) -> None:
         """End an isolation, without a recovery."""
@@ -134,6 +136,15 @@
             if now - failed_at <= FAILURE_SECONDS
         }
 
+    def awaits_trial(self, untested_count: int, now: float) -> bool:
+        """Return whether the trial of this run of failures has no result."""
+        if not untested_count:
+            return False
+        was_tried = self.run_tried_at == self.run_started_at
+        if was_tried and self.last_tried in self.failed_at:
+            return False
+        return now < self.run_started_at + TRIAL_RESULT_SECONDS
+
     def is_determining(self, now: float) -> bool:
         """Return whether the node may turn out to be isolated."""
         last_failed_at = max(self.failed_at.values(), default=-math.inf)
@@ -169,6 +180,23 @@
         self.run_tried_at = self.run_started_at
         return True
 
+    def _record_success(
+        self, endpoint_id: str, now: float, endpoint_count: int
+    ) -> bool:
+        self.connected_ids.add(endpoint_id)
+        oldest = now - SUCCESS_INTERVALS * self.trial_seconds
+        self.successes = [
+            (succeeded_id, at)
+            for succeeded_id, at in self.successes
+            if at >= oldest
+        ]
+        self.successes.append((endpoint_id, now))
+        if not self._has_enough_successes(endpoint_count):
+            return False
+        self.end_isolation(now)
+        self.recovered_at = now
+        return True
+
     def _has_enough_successes(self, endpoint_count: int) -> bool:
         if len({succeeded_id for succeeded_id, _ in self.successes}) > 1:
             return True
--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -34,6 +34,11 @@
 # While a peer is isolated from a group, a node that has no requests for it
 # makes a trial connection this often, so that it can say that it reaches it.
 WITNESS_SECONDS = 1.0
+# A trial succeeds at the earliest two intervals of 0.5 s after the endpoints
+# can be reached again, so that clients need not return sooner.
+MIN_RETRY_AFTER_SECONDS = 1.0
+# Clients return only if this much of their remaining time suffices.
+MAX_RETRY_AFTER_FRACTION = 1 / 3
 # Changes kept until they are taken; a reader takes them every few rounds.
 MAX_CHANGES = 256
 
@@ -131,6 +136,35 @@
         """
         return self.peer_reach.choose(service, now, excluded, draw)
 
+    def refusal_retry_after(
+        self, service: str, now: float, remaining_seconds: float, draw: float
+    ) -> float | None:
+        """Return when a request that no node can serve may come again.
+
+        It is None unless this node is isolated from the service and no peer
+        reaches it, so that the request is to be refused at once.  ``draw`` is
+        a random number from 0 to 1, which keeps clients from returning all at
+        once.
+        """
+        if not self.is_service_isolated(service, now):
+            return None
+        if self.choose_peer(service, now, (), draw) is not None:
+            return None
+        return min(
+            MIN_RETRY_AFTER_SECONDS * (1 + draw),
+            remaining_seconds * MAX_RETRY_AFTER_FRACTION,
+        )
+
+    def begin_relay(self, peer: str) -> None:
+        """Count a request of this node as in progress at a peer."""
+        self.peer_reach.relayed[peer] += 1
+
+    def end_relay(self, peer: str) -> None:
+        """Stop counting a request as in progress at a peer."""
+        self.peer_reach.relayed[peer] -= 1
+        if not self.peer_reach.relayed[peer]:
+            self.peer_reach.relayed.pop(peer)
+
     def reports(self, now: float) -> tuple[ReachedReport, ...]:
         """Return what to tell peers: the groups with the most recent news."""
         news: list[tuple[float, ReachedReport]] = []
@@ -165,6 +199,10 @@
             is_stopping=is_stopping,
         )
 
+    def remove_peer(self, peer: str) -> None:
+        """Forget a peer that has left or does not answer."""
+        self.peer_reach.remove(peer)
+
     def take_changes(self) -> tuple[IsolationChange, ...]:
         """Return the isolations that began or ended since the last call."""
         changes = tuple(self.changes)
@@ -286,7 +324,10 @@
         failed = state.failed_ids(now)
         if not failed:
             return
-        if len(failed) < min(MIN_FAILED_ENDPOINTS, len(self._endpoints(group))):
+        count = len(self._endpoints(group))
+        if len(failed) < min(MIN_FAILED_ENDPOINTS, count):
+            return
+        if state.awaits_trial(max(0, count - len(failed)), now):
             return
         if now - self.peer_reach.last_answer_at(group) <= REACHED_SECONDS:
             state.begin_isolation(now)
--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -266,8 +266,7 @@
             if error.reason is Reason.TIMEOUT:
                 self.state.replicas.record_timeout(replica)
             else:
-                now = time.monotonic()
-                self.state.replicas.record_failure(replica, error.reason, now)
+                self.prober.eject_when_determined(replica, error.reason)
         self.record_failure(
             replica,
             error,
--- a/wigeonspoke/ingress/fleet/lease_loop.py
+++ b/wigeonspoke/ingress/fleet/lease_loop.py
@@ -97,6 +97,7 @@
             now = lease_clock()
             if self._needs_read(now):
                 self._read(now)
+            self._release_isolated()
             for keeper in self.keepers.values():
                 if keeper.renewal_due(lease_clock()):
                     self._write(keeper, keeper.row_version)
@@ -117,6 +118,8 @@
 
     def ensure_may_order(self, keeper: LeaseKeeper) -> bool:
         """Renew a lease if needed; return whether orders may be sent."""
+        if self._is_isolated(keeper.domain):
+            return False
         if keeper.is_held and not self.may_order(keeper):
             self._write(keeper, keeper.row_version)
         return self.may_order(keeper)
@@ -162,6 +165,7 @@
             keeper
             for keeper in self.keepers.values()
             if not keeper.is_held
+            and not self._is_isolated(keeper.domain)
             and self._next_step(keeper, live_names) is not LeaseAction.WAIT
         ]
 
@@ -170,11 +174,15 @@
     ) -> LeaseAction:
         now = lease_clock()
         seen = self.lease_rows.get(keeper.domain, VersionedLease(0))
+        released = self.state.released_peer_leases.get(keeper.domain)
+        if released is not None and released.version > seen.version:
+            seen = released
         peer_lease = self.state.peer_leases.get(keeper.domain)
         if (
             seen.row is not None
             and peer_lease
             and peer_lease.until > seen.row.until
+            and not peer_lease.predates_release(seen.row)
         ):
             seen = VersionedLease(seen.version, peer_lease)
         has_discovered = now >= self.started_at + DISCOVERY_SECONDS
@@ -186,6 +194,46 @@
             and self.state.is_node_gone(seen.row.holder, live_names),
         )
 
+    def _is_isolated(self, domain: str) -> bool:
+        """Return whether this node cannot reach the engines of a domain."""
+        now = time.monotonic()
+        return any(
+            service.engine is not None
+            and self.state.reachability.is_isolated(service.name, domain, now)
+            for service in self.state.routing_table.services.values()
+        )
+
+    def _release_isolated(self) -> None:
+        """Release the leases of domains whose engines are out of reach.
+
+        A node that reaches them orders the engines then.  If the store does
+        not take the release, the lease expires.
+        """
+        for domain, keeper in self.keepers.items():
+            if keeper.is_held and self._is_isolated(domain):
+                self._release(keeper)
+
+    def _release(self, keeper: LeaseKeeper) -> None:
+        row = LeaseRow(
+            self.state.settings.name,
+            lease_clock() + self.store_clock_offset,
+            is_released=True,
+        )
+        expected = keeper.row_version
+        self._log('lease-released', keeper)
+        # No order is sent from here on, also while the store is waited for.
+        keeper.record_lost()
+        self.state.leases = self._held_leases()
+        write = RowWrite(keeper.domain, msgspec.json.encode(row), expected)
+        written = self.store.write_rows(LEASE_TABLE, (write,))
+        if isinstance(written, Success):
+            released = VersionedLease(written.unwrap(), row)
+            self.lease_rows[keeper.domain] = released
+            self.state.released_leases[keeper.domain] = released
+            self.state.tell_news()
+            return
+        self._handle_write_error(keeper, written.failure(), lease_clock())
+
     def _read(self, now: float) -> None:
         self.last_read_at = now
         jitter = 1 + READ_JITTER * self.state.rng.random()
@@ -243,6 +291,7 @@
                 written.unwrap(), row
             )
             if is_new:
+                self.state.released_leases.pop(keeper.domain, None)
                 self._log('lease-held', keeper)
                 self.won.wake()
             return
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -1,12 +1,15 @@
 """Probing of engines that may have failed, and of replicas that broke off."""
 
 import time
+from collections.abc import Callable
+from functools import partial
 
 import eventlet
 from returns.result import Success
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
@@ -29,6 +32,10 @@
 # An engine with a smaller fraction of free memory than this refuses work for
 # lack of memory, not because it is shutting down.
 FULL_MEMORY_FRACTION = 0.15
+# Endpoints that are connected to, to find out whether one that refused a
+# connection has ended; each may take PROBE_TIMEOUT_SECONDS.
+MAX_CONFIRMING_ENDPOINTS = 4
+DETERMINATION_POLL_SECONDS = 0.01
 REFUSED = 'refused'
 REFUSES_CONNECTIONS = 'refuses connections'
 
@@ -36,7 +43,7 @@
 class Prober:
     """Probes the engines of failing chains, and suspected engines again."""
 
-    __slots__ = ('control', 'probed_at', 'probes', 'state')
+    __slots__ = ('control', 'probed_at', 'probes', 'state', 'undetermined')
 
     def __init__(self, state: IngressState, control: EngineControl) -> None:
         self.state = state
@@ -44,6 +51,9 @@
         self.probed_at: dict[str, float] = {}
         # The last probe of each engine, by endpoint id.
         self.probes: dict[str, eventlet.greenthread.GreenThread] = {}
+        # What is done once it is known that an endpoint is not merely out of
+        # reach: kind of action and start id.
+        self.undetermined: set[tuple[str, str]] = set()
 
     def check_chain(
         self,
@@ -96,8 +106,46 @@
 
     def record_refused_connection(self, endpoint: Endpoint) -> None:
         """Record that nothing listens at the address of an endpoint."""
-        if not self.state.part_watch.has_ended(endpoint):
-            self._record_end(endpoint, REFUSES_CONNECTIONS)
+        if not self._is_known(endpoint):
+            self.probes[endpoint.endpoint_id] = eventlet.spawn(
+                self._confirm_end, endpoint, time.monotonic()
+            )
+
+    def eject_when_determined(self, endpoint: Endpoint, reason: str) -> None:
+        """Record a failed call of a replica that is not out of reach."""
+        self._when_determined(
+            'eject',
+            endpoint,
+            lambda: self.state.replicas.record_failure(
+                endpoint, reason, time.monotonic()
+            ),
+        )
+
+    def try_connection(self, endpoint: Endpoint) -> AttemptError | None:
+        """Open a connection to an endpoint; return why it failed.
+
+        Whatever ends connections on their way may still accept one and then
+        close it, as may an endpoint that is just ending.
+        """
+        attempt = EndpointAttempt(endpoint.address)
+        try:
+            attempt.connect(PROBE_TIMEOUT_SECONDS)
+        except AttemptError as error:
+            attempt.close()
+            self.state.record_unreached(endpoint)
+            return error
+        eventlet.sleep(SECOND_LOOK_SECONDS)
+        is_open = peek(attempt.sock.fd) is None
+        attempt.close()
+        if not is_open:
+            self.state.record_unreached(endpoint)
+            return AttemptError(
+                StepError(
+                    Outcome.NOT_RUN, Reason.RESET, 'connect', endpoint.address
+                )
+            )
+        self.state.reachability.record_connected(endpoint, time.monotonic())
+        return None
 
     def record_replaced(self, endpoint: Endpoint) -> None:
         """Record that another endpoint answers at the address of this one."""
@@ -129,9 +177,14 @@
 
     def _probe(self, endpoint: Endpoint, reason: str) -> None:
         """Probe an engine; suspect it only after two failures."""
+        if self._is_isolated_from(endpoint):
+            return
         self.state.count_event('probe', reason)
         failure = EngineFailure('')
         asked_at = time.monotonic()
+        # The report may come over a connection that is open already, and new
+        # connections tell whether the engine can be reached.
+        eventlet.spawn(self.try_connection, endpoint)
         for _ in range(PROBE_ATTEMPTS):
             result = self.control.fetch_state(
                 endpoint.address, PROBE_TIMEOUT_SECONDS
@@ -141,8 +194,12 @@
                 return
             failure = result.failure()
         if failure.refuses_connections:
-            self._record_end(endpoint, REFUSES_CONNECTIONS)
-        self._suspect(endpoint, f'{reason}: {failure.problem}')
+            self._confirm_end(endpoint, asked_at)
+        self._when_determined(
+            'suspect',
+            endpoint,
+            partial(self._suspect, endpoint, f'{reason}: {failure.problem}'),
+        )
 
     def _is_known(self, endpoint: Endpoint) -> bool:
         """Return whether an end is known already, or about to be found out."""
@@ -162,20 +219,79 @@
 
     def _accepts_connection(self, endpoint: Endpoint) -> bool:
         asked_at = time.monotonic()
-        attempt = EndpointAttempt(endpoint.address)
-        try:
-            attempt.connect(PROBE_TIMEOUT_SECONDS)
-        except AttemptError as error:
-            attempt.close()
-            if error.is_refused:
-                self.record_refused_connection(endpoint)
-            return False
-        eventlet.sleep(SECOND_LOOK_SECONDS)
-        is_open = peek(attempt.sock.fd) is None
-        attempt.close()
-        if is_open:
+        error = self.try_connection(endpoint)
+        if error is None:
             self.state.part_watch.record_engine_alive(endpoint, asked_at)
-        return is_open
+        elif error.is_refused:
+            self._confirm_end(endpoint, asked_at)
+        return error is None
+
+    def _confirm_end(self, endpoint: Endpoint, refused_at: float) -> None:
+        """Record the end of an endpoint that has refused a connection.
+
+        This node may be what lost its connectivity, so that the refusal only
+        counts if it can connect to another endpoint of the service after it.
+        """
+        reachability = self.state.reachability
+        others = reachability.others_of_service(endpoint)
+        for other in others[:MAX_CONFIRMING_ENDPOINTS]:
+            now = time.monotonic()
+            if reachability.has_connected_beside(endpoint, refused_at):
+                break
+            if not self.state.availability.is_backing_off(other, now):
+                self.try_connection(other)
+        self._wait_until_determined(endpoint)
+        if (
+            reachability.has_connected_beside(endpoint, refused_at)
+            and not self._is_isolated_from(endpoint)
+            and not self.state.part_watch.has_ended(endpoint)
+        ):
+            self._record_end(endpoint, REFUSES_CONNECTIONS)
+
+    def _when_determined(
+        self, kind: str, endpoint: Endpoint, action: Callable[[], object]
+    ) -> None:
+        """Act on a failure unless this node cannot reach the endpoint.
+
+        While that is not known, the action waits; a second one of the same
+        kind is left out then.
+        """
+        key = (kind, endpoint.start_id)
+        reachability = self.state.reachability
+        if not reachability.is_determining(endpoint, time.monotonic()):
+            self._act_if_reached(endpoint, action)
+        elif key not in self.undetermined:
+            self.undetermined.add(key)
+            eventlet.spawn(self._act_later, key, endpoint, action)
+
+    def _act_later(
+        self,
+        key: tuple[str, str],
+        endpoint: Endpoint,
+        action: Callable[[], object],
+    ) -> None:
+        self._wait_until_determined(endpoint)
+        self.undetermined.discard(key)
+        self._act_if_reached(endpoint, action)
+
+    def _act_if_reached(
+        self, endpoint: Endpoint, action: Callable[[], object]
+    ) -> None:
+        if self._is_isolated_from(endpoint):
+            self.state.count_event('failure-ignored', 'isolated')
+        else:
+            action()
+
+    def _is_isolated_from(self, endpoint: Endpoint) -> bool:
+        return self.state.reachability.is_isolated(
+            endpoint.service, endpoint.failure_domain, time.monotonic()
+        )
+
+    def _wait_until_determined(self, endpoint: Endpoint) -> None:
+        """Wait, for 2 s at most, until isolation is certain or ruled out."""
+        reachability = self.state.reachability
+        while reachability.is_determining(endpoint, time.monotonic()):
+            eventlet.sleep(DETERMINATION_POLL_SECONDS)
 
     def _record_end(self, endpoint: Endpoint, evidence: str) -> None:
         """Record that this start of an engine has ended.
@@ -240,7 +356,10 @@
         # Reports need not name the limit, so that one without ends none.
         if limit is not None:
             self.state.limits.record_answer(endpoint.start_id, limit, now)
-        if self.state.suspects.record_slowdown(
+        self.state.reachability.record_answered(endpoint, now)
+        if not self.state.reachability.suspends_beliefs(
+            endpoint, now
+        ) and self.state.suspects.record_slowdown(
             endpoint, engine_state.slowdown, now
         ):
             self.state.log.write(
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -23,6 +23,7 @@
 from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.fleet.placement_loop import PlacementLoop
 from wigeonspoke.ingress.fleet.prober import Prober
+from wigeonspoke.ingress.fleet.reachability_loop import ReachabilityLoop
 from wigeonspoke.ingress.protocols import EngineControl, WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.state import IngressState
@@ -156,6 +157,7 @@
             *(follower.run_peer_sync for follower in followers),
             *(subscription.run for subscription in subscriptions),
             self.prober.run,
+            ReachabilityLoop(self.state, self.prober).run,
             self.lease_loop.run,
             *(
                 partial(self.placement_loop.run, keeper)
@@ -212,6 +214,8 @@
         """
         stopping_since = time.monotonic()
         self.is_stopping = True
+        self.state.is_stopping = True
+        self.state.tell_news()
         self.state.log.write('stop', active=self.front.active)
         self.front.is_stopping = True
         eventlet.sleep(READINESS_DRAIN_SECONDS)
--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -5,7 +5,8 @@
 is noticed within two seconds instead of when its lease expires.  The requests
 that one node has in flight at a chain are counted by all nodes.  The evidence
 of parts of prompts under which engines ended, and the limits that endpoints
-name, reach all nodes, also without the store.
+name, reach all nodes, also without the store.  A node tells which endpoints it
+reaches, so that one that cannot reach them knows that they are not down.
 """
 
 import random
@@ -18,7 +19,7 @@
 from returns.result import Success
 
 from wigeonspoke.core.fleet import LeavingReport
-from wigeonspoke.core.leases import LeaseRow
+from wigeonspoke.core.leases import LeaseRow, VersionedLease
 from wigeonspoke.core.limits import LimitReport
 from wigeonspoke.core.membership import (
     GossipMessage,
@@ -28,6 +29,7 @@
 )
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.quarantine import PartReport
+from wigeonspoke.core.reachability import ReachedReport
 from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.state import IngressState, node_name
 from wigeonspoke.ingress.tables.table_copy import TableCopy
@@ -56,7 +58,11 @@
     went well for the first time.  ``limits`` are limits that endpoints named
     or ended in their answers, and ``leaving`` the runs that said they leave.
     ``heard_leases`` are the leases of other nodes, as their holders told them,
-    by failure domain.
+    by failure domain.  ``reached`` are the groups of endpoints that the node
+    reaches or is isolated from.  ``released_leases`` are the leases that it
+    gave up because it is.  ``open_requests`` is the number of requests that it
+    has at endpoints, for its clients and for peers, and ``is_stopping`` whether
+    it stops.
     """
 
     gossip: GossipMessage
@@ -68,6 +74,10 @@
     limits: tuple[LimitReport, ...] = ()
     leaving: tuple[LeavingReport, ...] = ()
     heard_leases: dict[str, LeaseRow] = {}
+    reached: tuple[ReachedReport, ...] = ()
+    released_leases: dict[str, VersionedLease] = {}
+    open_requests: int = 0
+    is_stopping: bool = False
 
 
 class PeerGossip:
@@ -174,6 +184,10 @@
             self.state.limits.reports(now),
             self.state.fleet.leaving.reports(now),
             self.state.heard_leases(),
+            self.state.reachability.reports(now),
+            self.state.released_leases,
+            self.state.open_requests,
+            self.state.is_stopping,
         )
 
     def apply_update(self, update: PeerUpdate) -> None:
@@ -223,6 +237,7 @@
             self.state.record_peer_lease(domain, node_name(instance_id), until)
         for domain, lease in update.heard_leases.items():
             self.state.record_peer_lease(domain, lease.holder, lease.until)
+        self._apply_reached(update, now)
         limits = self.state.limits
         limits.senders.record(
             node_name(instance_id), update.gossip.report.failure_domain, now
@@ -235,6 +250,20 @@
         for name, changed in update.tables.items():
             self.peer_versions.record(name, changed, update.gossip.address, now)
 
+    def _apply_reached(self, update: PeerUpdate, now: float) -> None:
+        for domain, released in update.released_leases.items():
+            self.state.record_released_lease(domain, released)
+        gossip = update.gossip
+        self.state.reachability.merge(
+            node_name(gossip.report.node),
+            gossip.address,
+            gossip.report.failure_domain,
+            update.reached,
+            now,
+            open_requests=update.open_requests,
+            is_stopping=update.is_stopping,
+        )
+
     def _apply_part_news(self, update: PeerUpdate, now: float) -> bool:
         part_watch = self.state.part_watch
         part_watch.registry.sound.record_parts(update.served_parts, now)
@@ -282,4 +311,5 @@
             self.state.chains.peer_load.retain(self.state.peers.peers.keys())
         self.state.lease_holding_peers.difference_update(instance_ids)
         for instance_id in instance_ids:
+            self.state.reachability.remove_peer(node_name(instance_id))
             self.state.log.write('peer-lost', peer=instance_id, reason=reason)
--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -57,6 +57,11 @@
         """Whether no process listens at the address of the endpoint."""
         return isinstance(self.__cause__, ConnectionRefusedError)
 
+    @property
+    def is_timed_out(self) -> bool:
+        """Whether no connection was established in time."""
+        return isinstance(self.__cause__, TimeoutError)
+
 
 class EndpointAttempt:
     """Sends a request to an endpoint and reads its response.
@@ -69,6 +74,7 @@
     __slots__ = (
         'body_end',
         'chunks',
+        'connected_at',
         'is_aborted',
         'is_ended_by_peer',
         'keep_alive_seconds',
@@ -90,6 +96,8 @@
         self.pool = pool
         # How long the connection may be reused after the response.
         self.keep_alive_seconds = 0
+        # When a new connection was opened, None for one from the pool.
+        self.connected_at: float | None = None
         self.parser = h11.Connection(h11.CLIENT)
         # What marks the end of the response body, as the head tells.
         self.body_end: BodyEnd | None = None
@@ -207,6 +215,7 @@
             self.sock.connect((host, int(port)))
         except OSError as error:
             raise self._error(Reason.CONNECT, 'connect') from error
+        self.connected_at = time.monotonic()
         self.sock.setblocking(True)
 
     def _process_head(self, head: h11.Response) -> None:
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -15,7 +15,10 @@
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.requests.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
-from wigeonspoke.ingress.requests.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.requests.endpoint_attempt import (
+    AttemptError,
+    EndpointAttempt,
+)
 from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
@@ -183,7 +186,15 @@
         ):
             self.state.count_event('turned-elsewhere', reason)
         self.state.availability.record_sent(endpoint, now)
-        attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
+        timeout = min(CONNECT_TIMEOUT_SECONDS, deadline - now)
+        try:
+            attempt.connect(timeout)
+        except AttemptError as error:
+            # A time-out for lack of time tells nothing of the endpoint.
+            is_short = error.is_timed_out and timeout < CONNECT_TIMEOUT_SECONDS
+            if not is_short and not attempt.is_aborted:
+                self.state.record_unreached(endpoint)
+            raise
         forward_context = ForwardContext(
             endpoint=endpoint,
             remaining_seconds=context.deadline - time.monotonic(),
@@ -284,6 +295,12 @@
         headers: HeaderList,
     ) -> ResponseMarkers:
         """Read the markers of an endpoint's response, and act on them."""
+        # Only now, since an unreachable endpoint's connection may be accepted
+        # on its way and then reset.
+        reachability = self.state.reachability
+        if attempt.connected_at is not None:
+            reachability.record_connected(endpoint, attempt.connected_at)
+        reachability.record_answered(endpoint, time.monotonic())
         markers = self.state.wire.read_response_markers(status, headers)
         self._record_limit(endpoint, markers)
         # One that is not the expected run does not speak for it.
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -14,7 +14,7 @@
 )
 from wigeonspoke.core.fleet import Endpoint, Fleet
 from wigeonspoke.core.forwarding import ReplicaSelector, RetryWindowBudget
-from wigeonspoke.core.leases import LeaseRow
+from wigeonspoke.core.leases import LeaseRow, VersionedLease
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
 from wigeonspoke.core.membership import PeerRegistry
 from wigeonspoke.core.reachability import Reachability
@@ -24,6 +24,7 @@
 from wigeonspoke.ingress.fleet.part_watch import PartWatch
 from wigeonspoke.ingress.protocols import WireFormat
 from wigeonspoke.ingress.settings import IngressSettings
+from wigeonspoke.ingress.wake_up import WakeUp
 
 # Number of nodes assumed until the registered nodes have been counted.
 ASSUMED_NODE_COUNT = 10
@@ -44,6 +45,7 @@
         'fleet',
         'availability',
         'hears_all_peers',
+        'is_stopping',
         'lease_holding_peers',
         'leases',
         'limits',
@@ -53,7 +55,10 @@
         'peer_leases',
         'peers',
         'reachability',
+        'reachability_news',
         'registered_node_count',
+        'released_leases',
+        'released_peer_leases',
         'replicas',
         'rng',
         'routing_table',
@@ -87,11 +92,19 @@
         self.leases: dict[str, float] = {}
         # Leases reported by the peers that hold them, by failure domain.
         self.peer_leases: dict[str, LeaseRow] = {}
+        # Leases that this node released because it cannot reach the engines,
+        # and those of which peers say so, by failure domain.
+        self.released_leases: dict[str, VersionedLease] = {}
+        self.released_peer_leases: dict[str, VersionedLease] = {}
+        # Whether this node stops, so that peers relay no requests to it.
+        self.is_stopping = False
         # Instance ids of peers that hold a lease.
         self.lease_holding_peers: set[str] = set()
         self.routing_table = RoutingTable()
         self.fleet = Fleet()
         self.reachability = Reachability(self.fleet, settings.failure_domain)
+        # Woken when trial connections may be due.
+        self.reachability_news = WakeUp()
         self.suspects = SuspectRegistry()
         # Called when peers should hear of news at once.
         self.tell_news: Callable[[], None] = _ignore
@@ -143,6 +156,11 @@
             revision=self.fleet.revision,
         )
 
+    def record_unreached(self, endpoint: Endpoint) -> None:
+        """Record that a connection to an endpoint was not established."""
+        self.reachability.record_failed(endpoint, time.monotonic())
+        self.reachability_news.wake()
+
     def record_store_failure(self, now: float) -> None:
         """Record that a call to the store was refused or not answered."""
         self.store_failed_at = max(self.store_failed_at, now)
@@ -162,6 +180,19 @@
         if existing is None or until > existing.until:
             self.peer_leases[domain] = LeaseRow(holder, until)
 
+    def record_released_lease(
+        self, domain: str, released: VersionedLease
+    ) -> None:
+        """Record that the holder of a lease has released it."""
+        known = self.released_peer_leases.get(domain)
+        if known is None or released.version > known.version:
+            self.released_peer_leases[domain] = released
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that this node has at endpoints."""
+        return self.chains.in_flight.total() + self.replicas.in_flight.total()
+
     def heard_leases(self) -> dict[str, LeaseRow]:
         """Return leases of other nodes to tell peers, in a large fleet.
 
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -272,8 +272,7 @@
             )
             if events:
                 self._end_silent_attempts(attempt)
-                self.chain_monitor.record_event()
-                self.answer_watch.record_event()
+                self._record_event(chain)
                 self._send_head(headers)
                 yield b''.join(events)
         self._check_complete(attempt, part, splitter)
@@ -281,6 +280,11 @@
         self.answer_watch.record_complete()
         self._send_head(headers)
 
+    def _record_event(self, chain: Chain) -> None:
+        self.chain_monitor.record_event()
+        self.answer_watch.record_event()
+        self.state.reachability.record_answered(chain.head, time.monotonic())
+
     def _split_events(
         self, splitter: EventSplitter, part: bytes, chain: Chain
     ) -> list[StreamEvent]:
