--- a/wigeonspoke/ingress/relay/peer_attempts.py
+++ b/wigeonspoke/ingress/relay/peer_attempts.py
@@ -102,18 +102,14 @@
             context.rule.max_attempts,
             may_repeat=self.request_handler.may_repeat(),
         )
-        relayed = self.state.reachability.peer_reach.relayed
-        relayed[chain.peer.name] += 1
+        self.state.reachability.begin_relay(chain.peer.name)
         return self.request_handler.open_attempt(attempt)
 
     def end(self, attempt: EndpointAttempt, chain: PeerChain) -> None:
         """End an attempt."""
         self.plans.pop(attempt, None)
         self.answers.pop(attempt, None)
-        relayed = self.state.reachability.peer_reach.relayed
-        relayed[chain.peer.name] -= 1
-        if not relayed[chain.peer.name]:
-            relayed.pop(chain.peer.name)
+        self.state.reachability.end_relay(chain.peer.name)
         self.request_handler.end_attempt(attempt)
 
     def send(self, attempt: EndpointAttempt, chain: PeerChain) -> None:
@@ -174,7 +170,7 @@
         plan = self.plans[attempt]
         return plan.execution_limit - plan.before.executions
 
-    def record_event(self) -> None:
+    def record_event(self, _chain: PeerChain) -> None:
         """Do nothing: events are evidence at the peer, which knows the run."""
 
     def record_complete(self) -> None:
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -268,9 +268,14 @@
         ):
             self.state.count_event('turned-elsewhere', reason)
         self.state.availability.record_sent(endpoint, now)
+        timeout = min(CONNECT_TIMEOUT_SECONDS, deadline - now)
         try:
-            attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
-        except AttemptError:
+            attempt.connect(timeout)
+        except AttemptError as error:
+            # A time-out for lack of time tells nothing of the endpoint.
+            is_short = error.is_timed_out and timeout < CONNECT_TIMEOUT_SECONDS
+            if not is_short and not attempt.is_aborted:
+                self.state.record_unreached(endpoint)
             self._return_reserved(now)
             raise
         context.arrivals += 1
@@ -378,6 +383,12 @@
         headers: HeaderList,
     ) -> ResponseMarkers:
         """Read the markers of an endpoint's response, and act on them."""
+        # Only now, since an unreachable endpoint's connection may be accepted
+        # on its way and then reset.
+        reachability = self.state.reachability
+        if attempt.connected_at is not None:
+            reachability.record_connected(endpoint, attempt.connected_at)
+        reachability.record_answered(endpoint, time.monotonic())
         markers = self.state.wire.read_response_markers(status, headers)
         self._record_limit(endpoint, markers)
         # One that is not the expected run does not speak for it.
--- a/wigeonspoke/ingress/streams/chain_attempts.py
+++ b/wigeonspoke/ingress/streams/chain_attempts.py
@@ -74,9 +74,10 @@
         """Return how often the stream may run in an attempt."""
         return 1
 
-    def record_event(self) -> None:
+    def record_event(self, chain: Chain) -> None:
         """Record an event that the client did not have."""
         self.request_handler.answer_watch.record_event()
+        self.state.reachability.record_answered(chain.head, time.monotonic())
 
     def record_complete(self) -> None:
         """Record that the stream is complete."""
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -320,7 +320,7 @@
             if events:
                 self._end_silent_attempts(attempt)
                 self.chain_monitor.record_event()
-                attempts.record_event()
+                attempts.record_event(chain)
                 self._send_head(headers)
                 yield b''.join(events)
         self._check_complete(attempt, part, splitter)
