--- a/wigeonspoke/core/tests/test_relay.py
+++ b/wigeonspoke/core/tests/test_relay.py
@@ -121,7 +121,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
-        self.may_repeat = rng.random() < 0.5
+        self.may_repeat = rng.choice((False, True))
         self.max_executions = rng.choice((1, 1, 2, 3, 4))
         self.counts = RunCounts()
         self.handovers = 0
@@ -138,7 +138,7 @@
             )
             assert plan.execution_limit <= self._limit()
             answer, was_sent = self._serve_at_peer(plan)
-            if answer is None and was_sent and self.rng.random() < 0.3:
+            if answer is None and was_sent and self._is_rare():
                 # The peer is silent: the runs it may still make are counted,
                 # and others are tried beside it.
                 self.truth.runs += self.rng.randint(
@@ -190,25 +190,29 @@
     def _try_endpoints(self, plan, dies) -> tuple[RunCounts, int | None]:
         """Run the request at a peer as its own, within the sender's limit."""
         counts = plan.before
-        while True:
-            if dies and self.rng.random() < 0.3:
-                return counts, None
+        status: int | None = None
+        may_go_on = True
+        while may_go_on and not (dies and self._is_rare()):
             fate = self.rng.choice(('answers', 'error', 'refuses', 'breaks'))
+            is_run = fate != 'refuses'
             self.truth.arrivals += 1
-            if fate == 'refuses':
-                counts = RunCounts(counts.arrivals + 1, counts.executions)
-                if self.rng.random() < 0.5:
-                    return counts, None
-                continue
-            self.truth.runs += 1
-            counts = RunCounts(counts.arrivals + 1, counts.executions + 1)
-            if fate == 'answers':
-                return counts, 200
-            may_go_on = self.may_repeat and (
-                counts.executions < plan.execution_limit
+            self.truth.runs += is_run
+            counts = RunCounts(
+                counts.arrivals + 1, counts.executions + int(is_run)
             )
-            if not may_go_on:
-                return counts, 500 if fate == 'error' else None
+            status = {'answers': 200, 'error': 500}.get(fate)
+            may_go_on = self._may_try_again(plan, counts, fate)
+        return counts, status
+
+    def _may_try_again(self, plan, counts, fate) -> bool:
+        if fate == 'refuses':
+            return self.rng.choice((False, True))
+        if fate == 'answers' or not self.may_repeat:
+            return False
+        return counts.executions < plan.execution_limit
+
+    def _is_rare(self) -> bool:
+        return self.rng.choice((True, False, False))
 
 
 def test_relayed_requests_stay_within_their_limits_whatever_fails():
--- a/wigeonspoke/platform/tests/isolation.py
+++ b/wigeonspoke/platform/tests/isolation.py
@@ -1,4 +1,4 @@
-"""Nodes that cannot reach endpoints, and traffic that measures who is served."""
+"""Nodes that cannot reach endpoints, and traffic to measure the effect."""
 
 import enum
 import threading
@@ -28,6 +28,7 @@
 from wigeonspoke.transport import ReadTimeout
 
 REQUEST_INTERVAL_SECONDS = 0.12
+POLL_SECONDS = 0.02
 
 
 @enum.unique
@@ -111,26 +112,33 @@
 
     def _receive(self, original: Callable) -> Callable:
         def receive(attempt, deadline):
-            while True:
-                name = self.owners.get(attempt, '')
-                is_cut = self.breaks_open and self.is_cut(name, attempt.peer)
-                if attempt.is_aborted or not is_cut:
-                    break
-                if self.cut is Cut.RESET:
-                    raise attempt._error(Reason.RESET, 'answer')
-                if time.monotonic() >= deadline:
-                    raise ReadTimeout
-                eventlet.sleep(0.01)
-            # Short reads, so that a cut is noticed while one waits.
-            try:
-                return original(attempt, min(deadline, time.monotonic() + 0.02))
-            except ReadTimeout:
-                if time.monotonic() >= deadline:
-                    raise
-            return receive(attempt, deadline)
+            received = None
+            while received is None:
+                received = self._receive_soon(original, attempt, deadline)
+            return received
 
         return receive
 
+    def _receive_soon(self, original, attempt, deadline) -> bytes | None:
+        """Receive with a short timeout, so that a cut is noticed meanwhile."""
+        name = self.owners.get(attempt, '')
+        is_cut = self.breaks_open and self.is_cut(name, attempt.peer)
+        until = min(deadline, time.monotonic() + POLL_SECONDS)
+        try:
+            if attempt.is_aborted or not is_cut:
+                return original(attempt, until)
+            return self._receive_cut(attempt, until)
+        except ReadTimeout:
+            if time.monotonic() >= deadline:
+                raise
+        return None
+
+    def _receive_cut(self, attempt, until):
+        if self.cut is Cut.RESET:
+            raise attempt._error(Reason.RESET, 'answer')
+        eventlet.sleep(max(0, until - time.monotonic()))
+        raise ReadTimeout
+
     def _fetch(self, original: Callable) -> Callable:
         def fetch_state(control, address, timeout):
             name = getattr(self.local, 'node', '')
--- a/wigeonspoke/platform/tests/test_relay.py
+++ b/wigeonspoke/platform/tests/test_relay.py
@@ -30,6 +30,8 @@
 SETTLED_SECONDS = 4.0
 MEASURED_SECONDS = 2.0
 TARGET_RATIO = 2 / 3
+# The comparison means nothing if the others are not served either.
+MIN_OTHER_SHARE = 0.9
 
 
 @pytest.fixture
@@ -69,7 +71,7 @@
         for kind in KINDS
     }
     for own, other in shares.values():
-        assert other > 0.9, shares
+        assert other > MIN_OTHER_SHARE, shares
         assert own >= TARGET_RATIO * other, shares
 
 
@@ -80,7 +82,8 @@
 ):
     """Guards against refusals at one node, and at a whole failure domain."""
     deployment, traffic = six_nodes
-    isolated = {_name(node) for node in deployment.nodes[::2][:count]}
+    domain_nodes = deployment.nodes[::2]
+    isolated = {_name(node) for node in domain_nodes[:count]}
     others = {_name(node) for node in deployment.nodes} - isolated
     isolation.cut = cut
     isolation.names = isolated
@@ -176,15 +179,16 @@
     def __init__(self, harness, isolation) -> None:
         self.harness = harness
         self.deployment = Deployment(harness, 3)
-        self.node, *self.peers = self.deployment.nodes
+        self.node = harness.node
+        self.peers = self.deployment.nodes[1:]
         self.deployment.wait_until_served()
         self.lines: list[dict] = []
         for node in self.deployment.nodes:
             node.state.log.sink = self._read_line
         isolation.cut = Cut.RESET
         self.keepers = [
-            eventlet.spawn(self._keep_reached, node)
-            for node in self.deployment.nodes
+            eventlet.spawn(self._keep_reached, each)
+            for each in self.deployment.nodes
         ]
 
     def cut(self, isolation) -> None:
@@ -200,7 +204,7 @@
             line['kind']
             for line in self.lines
             if line.get('request') == request_id
-            and (line['node'] != 'node-1') is at_peers
+            and at_peers == (line['node'] != 'node-1')
         }
 
     def count(self, event: str) -> int:
@@ -268,7 +272,9 @@
     assert (status, body) == (200, b'answer to id1')
     assert headers['response-signature'].startswith('stamp.r-')
     assert not [name for name in headers if name.startswith('wigeonspoke-')]
-    (run,) = _runs(placed_harness, 'id1')
+    runs = _runs(placed_harness, 'id1')
+    assert len(runs) == 1
+    run = runs[0]
     assert (run.target, run.body) == ('/write/a%20b?q=1', b'payload')
     assert run.headers['tenant'] == 'acme'
     assert 'credential' not in run.headers
@@ -327,7 +333,9 @@
     client.send('POST', path, 'id1', body=b'p')
     placed_harness.wait_until(lambda: _runs(placed_harness, 'id1'))
     client.close()
-    (run,) = _runs(placed_harness, 'id1')
+    runs = _runs(placed_harness, 'id1')
+    assert len(runs) == 1
+    run = runs[0]
     placed_harness.wait_until(lambda: run.was_cancelled, seconds=0.5)
 
 
