--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -12,10 +12,14 @@
 from wigeonspoke.core.forwarding import RetryWindowBudget
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.quarantine import Answer, Refusal, is_request_key
+from wigeonspoke.core.relay import RunCounts, may_hand_over, outcome_of
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.requests.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
-from wigeonspoke.ingress.requests.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.requests.endpoint_attempt import (
+    AttemptError,
+    EndpointAttempt,
+)
 from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
@@ -23,6 +27,11 @@
     HeaderList,
     ResponseMarkers,
 )
+from wigeonspoke.ingress.relay.relay_choice import RelayChoice
+from wigeonspoke.ingress.requests.responses import (
+    EndpointResponse,
+    NodeResponse,
+)
 from wigeonspoke.ingress.state import IngressState
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -39,7 +48,10 @@
 class RequestContext(msgspec.Struct):
     """An admitted request, its deadline and its attempts so far.
 
-    ``possible_executions`` counts the attempts that ran or may have run.
+    ``arrivals`` counts the attempts that have reached an endpoint, and
+    ``possible_executions`` those that ran or may have run, at this node and at
+    peers.  ``service`` is set if another node has chosen the service, and
+    ``relayed_from`` is the name of that node.
     """
 
     request: ClientRequest
@@ -49,7 +61,15 @@
     deadline: float
     disconnect_monitor: DisconnectMonitor | None = None
     attempts: int = 0
+    arrivals: int = 0
     possible_executions: int = 0
+    service: str = ''
+    relayed_from: str = ''
+
+    @property
+    def counts(self) -> RunCounts:
+        """How often the request has arrived and may have run."""
+        return RunCounts(self.arrivals, self.possible_executions)
 
 
 class SilentAttempt(msgspec.Struct, frozen=True):
@@ -57,6 +77,7 @@
 
     answer: Answer | None
     endpoints: tuple[Endpoint, ...]
+    executions: int
 
 
 class RequestHandler:
@@ -65,12 +86,15 @@
     __slots__ = (
         'answer_watch',
         'context',
+        'executions_before',
         'has_ended_endpoint',
         'has_tried',
         'last_error',
         'open_attempts',
         'prober',
         'refusal',
+        'relay',
+        'response',
         'service',
         'state',
     )
@@ -93,10 +117,16 @@
         self.has_ended_endpoint = False
         # Whether the trial of the whole request has reached an endpoint.
         self.has_tried = False
-        self.service = choose_target(
+        # The complete response to the client, None for a stream of events.
+        self.response: EndpointResponse | NodeResponse | None = None
+        self.executions_before = context.possible_executions
+        self.service = context.service or choose_target(
             context.rule.targets,
             state.rng.random(),
         )
+        self.relay = RelayChoice(
+            state, self.service, is_relayed=bool(context.relayed_from)
+        )
         self.answer_watch = AnswerWatch(
             state.part_watch,
             claim_trial,
@@ -104,7 +134,9 @@
             context.account,
             context.request,
         )
-        self.budget.record_request(context.arrived_at)
+        # The budget counts each request once, at the node of its client.
+        if not context.relayed_from:
+            self.budget.record_request(context.arrived_at)
 
     @property
     def budget(self) -> RetryWindowBudget:
@@ -112,11 +144,63 @@
         return self.state.budget(self.service)
 
     def reserve_attempt(self, now: float) -> bool:
-        """Take an attempt from the retry budget; the first one is free."""
-        if not self.context.attempts:
+        """Take an attempt from the retry budget.
+
+        The first one that arrives at an endpoint is free, at whichever node.
+        """
+        if not self.context.arrivals:
             return True
         return self.budget.withdraw(now)
 
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event that the client has, empty if there is none."""
+        return self.context.request.last_event_id
+
+    @property
+    def outcome(self) -> Outcome:
+        """The outcome of a relayed request, which its sender is told."""
+        return outcome_of(
+            self._endpoint_status(),
+            self.executions_before,
+            self.context.possible_executions,
+        )
+
+    @property
+    def outcome_reason(self) -> str:
+        """Why a relayed request has this outcome."""
+        if isinstance(self.response, NodeResponse):
+            return self.response.reason
+        return str(Reason.DONE)
+
+    @property
+    def is_last_try(self) -> bool:
+        """Whether the request must not be sent to another endpoint.
+
+        It may have ended its endpoint, or was the trial of a quarantined key,
+        or is quarantined.
+        """
+        return (
+            self.has_ended_endpoint
+            or self.has_tried
+            or self.answer_watch.is_trial
+            or self.refusal is not None
+        )
+
+    def may_relay(self, silent_runs: int = 0) -> bool:
+        """Return whether the request may be handed to a peer.
+
+        ``silent_runs`` is how often it may run in an attempt that is silent.
+        """
+        context = self.context
+        executions = context.possible_executions + silent_runs
+        return may_hand_over(
+            RunCounts(context.arrivals, executions),
+            self.relay.handovers,
+            self.context.rule.max_attempts,
+            may_repeat=self.may_repeat(),
+        )
+
     def may_attempt(self, max_attempts: int) -> bool:
         """Return whether another attempt is useful and allowed."""
         context = self.context
@@ -126,9 +210,10 @@
             or time.monotonic() >= context.deadline
         ):
             return False
-        if not context.attempts:
+        attempts = max(context.attempts, context.arrivals)
+        if not attempts and not self.relay.handovers:
             return True
-        if context.attempts >= max_attempts or not self.is_allowed():
+        if attempts >= max_attempts or not self.is_allowed():
             return False
         return not context.possible_executions or self.may_repeat()
 
@@ -183,7 +268,17 @@
         ):
             self.state.count_event('turned-elsewhere', reason)
         self.state.availability.record_sent(endpoint, now)
-        attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
+        timeout = min(CONNECT_TIMEOUT_SECONDS, deadline - now)
+        try:
+            attempt.connect(timeout)
+        except AttemptError as error:
+            # A time-out for lack of time tells nothing of the endpoint.
+            is_short = error.is_timed_out and timeout < CONNECT_TIMEOUT_SECONDS
+            if not is_short and not attempt.is_aborted:
+                self.state.record_unreached(endpoint)
+            self._return_reserved(now)
+            raise
+        context.arrivals += 1
         forward_context = ForwardContext(
             endpoint=endpoint,
             remaining_seconds=context.deadline - time.monotonic(),
@@ -204,7 +299,10 @@
         self.context.attempts += 1
         may_repeat = self.context.rule.may_repeat
         pool = self.state.connection_pool if may_repeat else None
-        attempt = EndpointAttempt(address, pool)
+        return self.open_attempt(EndpointAttempt(address, pool))
+
+    def open_attempt(self, attempt: EndpointAttempt) -> EndpointAttempt:
+        """Abort an attempt if the client disconnects."""
         self.open_attempts.append(attempt)
         self.context.disconnect_monitor.on_disconnect = self._abort_attempts
         return attempt
@@ -214,21 +312,22 @@
         self.open_attempts.remove(attempt)
         attempt.close()
 
-    def leave_silent(self) -> SilentAttempt:
+    def leave_silent(self, executions: int = 1) -> SilentAttempt:
         """Begin to try others beside a silent attempt.
 
-        It counts as a run from then on.
+        It counts as a run from then on, one at a peer as all the runs that
+        the peer was allowed.
         """
-        self.context.possible_executions += 1
+        self.context.possible_executions += executions
         watch = self.answer_watch
-        return SilentAttempt(watch.answer, watch.endpoints)
+        return SilentAttempt(watch.answer, watch.endpoints, executions)
 
     def return_to(self, silent: SilentAttempt) -> None:
         """Go on with a silent attempt: no other one has taken over.
 
         If it fails later, it has reasons of its own.
         """
-        self.context.possible_executions -= 1
+        self.context.possible_executions -= silent.executions
         self.answer_watch.answer = silent.answer
         self.answer_watch.endpoints = silent.endpoints
         self.refusal = None
@@ -285,6 +384,12 @@
         headers: HeaderList,
     ) -> ResponseMarkers:
         """Read the markers of an endpoint's response, and act on them."""
+        # Only now, since an unreachable endpoint's connection may be accepted
+        # on its way and then reset.
+        reachability = self.state.reachability
+        if attempt.connected_at is not None:
+            reachability.record_connected(endpoint, attempt.connected_at)
+        reachability.record_answered(endpoint, time.monotonic())
         markers = self.state.wire.read_response_markers(status, headers)
         self._record_limit(endpoint, markers)
         # One that is not the expected run does not speak for it.
@@ -320,12 +425,22 @@
     def is_allowed(self) -> bool:
         """Return whether the current configuration still allows the request."""
         context = self.context
-        return self.state.routing_table.allows(
-            context.rule, context.request.key
+        table = self.state.routing_table
+        if not context.relayed_from:
+            return table.allows(context.rule, context.request.key)
+        # The key stays at the node of the client, which has checked it.
+        rule = context.rule
+        if table.find_rule(rule.host, rule.prefix) is None:
+            return False
+        return not context.account or any(
+            account.name == context.account
+            for account in table.accounts.values()
         )
 
     def note(self, kind: str, **facts: object) -> None:
         """Write a decision about the request to the log."""
+        if self.context.relayed_from:
+            facts['relayed_from'] = self.context.relayed_from
         self.state.log.write(
             kind,
             request=self.context.request.request_id,
@@ -401,6 +516,22 @@
                 sent_ago=round(now - attempt.sent_at, 3),
             )
 
+    def _endpoint_status(self) -> int | None:
+        """Return the status of an endpoint's answer, None if there is none."""
+        if self.response is None:
+            return http.HTTPStatus.OK
+        if isinstance(self.response, EndpointResponse):
+            return self.response.status
+        return None
+
+    def _return_reserved(self, now: float) -> None:
+        """Return to the budget what was taken for an attempt.
+
+        A connection that was never established is no arrival.
+        """
+        if self.context.arrivals:
+            self.budget.put_back(now)
+
     def _abort_attempts(self) -> None:
         for attempt in self.open_attempts:
             attempt.abort()
--- a/wigeonspoke/ingress/streams/chain_monitor.py
+++ b/wigeonspoke/ingress/streams/chain_monitor.py
@@ -34,6 +34,7 @@
     __slots__ = (
         'has_event',
         'head_id',
+        'patience',
         'rule',
         'silent_at',
         'state',
@@ -47,16 +48,25 @@
         self.head_id = ''
         self.use: ChainUse | None = None
         self.has_event = False
+        # Multiple of the usual silence limits.
+        self.patience = 1.0
         self.waiting_since = 0
         self.silent_at = 0
 
-    def begin(self, chain: Chain, use: ChainUse) -> None:
-        """Start monitoring a chain to which the stream was sent."""
+    def begin(
+        self, chain: Chain, use: ChainUse | None, patience: float = 1.0
+    ) -> None:
+        """Start monitoring a chain to which the stream was sent.
+
+        ``use`` is None for a peer, whose times are not estimated.
+        """
         self.head_id = chain.head.endpoint_id
         self.use = use
+        self.patience = patience
         self.has_event = False
         self.waiting_since = time.monotonic()
         silence_limit = FIRST_EVENT_FRACTION * self.rule.target_latency_seconds
+        silence_limit *= patience
         self.silent_at = self.waiting_since + silence_limit
 
     def record_event(self) -> None:
@@ -68,10 +78,11 @@
         self._compare_times(gap, now)
         self.has_event = True
         self.waiting_since = now
-        self.silent_at = now + self.state.activity.silence_timeout_seconds(
+        usual_limit = self.state.activity.silence_timeout_seconds(
             self.head_id,
             self._active_streams,
         )
+        self.silent_at = now + self.patience * usual_limit
         self.state.suspects.restore(self.head_id)
 
     def is_alive(self, now: float, *, response_started: bool) -> bool:
@@ -91,6 +102,8 @@
 
     def _compare_times(self, gap: float, now: float) -> None:
         """Compare the time of an event with the expected one."""
+        if self.use is None:
+            return
         ratio = self.state.chains.times.record_event(self.use, gap, now)
         if ratio is None:
             return
