--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -225,6 +225,10 @@
         state = self.groups.get(_group_of(endpoint))
         if state is None or not state.is_determining(now):
             return False
+        return self.has_peers(now)
+
+    def has_peers(self, now: float) -> bool:
+        """Return whether there are peers, which isolation takes."""
         return self.peer_reach.has_peers(now)
 
     def suspends_beliefs(self, endpoint: Endpoint, now: float) -> bool:
@@ -264,7 +268,7 @@
         """Return the endpoints not to try, or None if no trial is due."""
         self._update(group, now)
         if state.is_determining(now):
-            if self.peer_reach.has_peers(now) and state.take_first_trial():
+            if self.has_peers(now) and state.take_first_trial():
                 return state.failed_ids(now)
             return None
         interval = WITNESS_SECONDS
--- a/wigeonspoke/core/tests/test_reachability.py
+++ b/wigeonspoke/core/tests/test_reachability.py
@@ -10,6 +10,7 @@
 
 SERVICE = 'draft'
 STEPS = 10_000
+REACHED_SECONDS = 2.5
 
 
 def _endpoint(name: str, domain: str = 'one') -> Endpoint:
@@ -262,13 +263,13 @@
         return self.began_at is not None
 
     def update(self, now: float) -> None:
-        last_success = self.successes[-1][0] if self.successes else 0
+        last_success = max([0, *(at for at, _ in self.successes[-1:])])
         failed = {
             name
             for at, name in self.failures[-100:]
             if last_success < at and now - 2 <= at
         }
-        is_reached = any(now - at <= 2.5 for at in self.told[-1:])
+        is_reached = any(now - at <= REACHED_SECONDS for at in self.told[-1:])
         has_failed = len(failed) >= min(2, self.count)
         if self.began_at is None and has_failed and is_reached:
             self.began_at = now
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -113,13 +113,17 @@
 
     def eject_when_determined(self, endpoint: Endpoint, reason: str) -> None:
         """Record a failed call of a replica that is not out of reach."""
-        self._when_determined(
-            'eject',
-            endpoint,
-            lambda: self.state.replicas.record_failure(
-                endpoint, reason, time.monotonic()
-            ),
-        )
+        key = ('eject', endpoint.start_id)
+        eject = partial(self._eject, endpoint, reason)
+        reachability = self.state.reachability
+        if reason == Reason.CONNECT or not reachability.has_peers(
+            time.monotonic()
+        ):
+            self._when_determined('eject', endpoint, eject)
+        elif key not in self.undetermined:
+            # Whatever cut this node off may have accepted the connection.
+            self.undetermined.add(key)
+            eventlet.spawn(self._check_and_act, key, endpoint, eject)
 
     def try_connection(self, endpoint: Endpoint) -> AttemptError | None:
         """Open a connection to an endpoint; return why it failed.
@@ -184,7 +188,7 @@
         asked_at = time.monotonic()
         # The report may come over a connection that is open already, and new
         # connections tell whether the engine can be reached.
-        eventlet.spawn(self.try_connection, endpoint)
+        trial = eventlet.spawn(self.try_connection, endpoint)
         for _ in range(PROBE_ATTEMPTS):
             result = self.control.fetch_state(
                 endpoint.address, PROBE_TIMEOUT_SECONDS
@@ -193,6 +197,7 @@
                 self._process_state(endpoint, result.unwrap(), reason, asked_at)
                 return
             failure = result.failure()
+        trial.wait()
         if failure.refuses_connections:
             self._confirm_end(endpoint, asked_at)
         self._when_determined(
@@ -264,6 +269,19 @@
             self.undetermined.add(key)
             eventlet.spawn(self._act_later, key, endpoint, action)
 
+    def _check_and_act(
+        self,
+        key: tuple[str, str],
+        endpoint: Endpoint,
+        action: Callable[[], object],
+    ) -> None:
+        """Find out whether an endpoint can be connected to, then act."""
+        self.try_connection(endpoint)
+        self._act_later(key, endpoint, action)
+
+    def _eject(self, endpoint: Endpoint, reason: str) -> None:
+        self.state.replicas.record_failure(endpoint, reason, time.monotonic())
+
     def _act_later(
         self,
         key: tuple[str, str],
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -23,16 +23,11 @@
     RECEIVE_BYTES,
     ResponseTooLarge,
 )
+from wigeonspoke.transport.socket_options import KEEP_ALIVE_OPTIONS
 
-# A peer behind a network partition sends no error.  These options make the
-# kernel close a connection after about three seconds of silence.
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+    *KEEP_ALIVE_OPTIONS,
 )
 MAX_POOLED_HOSTS = 4096
 CONNECTIONS_PER_HOST = 64
