--- a/wigeonspoke/ingress/metrics_page.py
+++ b/wigeonspoke/ingress/metrics_page.py
@@ -32,6 +32,7 @@
     gauges = {
         'configuration_version': state.routing_table.version,
         'endpoints': len(state.fleet.endpoints),
+        'isolated_groups': len(state.reachability.isolated_groups(now)),
         'suspects': len(state.suspects.suspicions),
         'suspected_parts': len(parts.suspicions),
         'quarantined_parts': len(parts.quarantined(now)),
