End an isolation from a group that has no endpoints left

No trial connection could end it, and an endpoint that leaves or is no longer listed counted as a failed one.

--- a/wigeonspoke/core/reachability/group.py
+++ b/wigeonspoke/core/reachability/group.py
@@ -122,7 +122,7 @@
         self.successes = []
         self.connected_ids = set()
 
-    def end_isolation(self, now: float) -> None:
+    def end_isolation(self) -> None:
         """End an isolation, without a recovery."""
         self.isolated_at = None
         self.failed_at = {}
@@ -193,7 +193,7 @@
         self.successes.append((endpoint_id, now))
         if not self._has_enough_successes(endpoint_count):
             return False
-        self.end_isolation(now)
+        self.end_isolation()
         self.recovered_at = now
         return True
 
--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -325,13 +325,14 @@
         if state.isolated_at is not None:
             self._withdraw_if_down(group, state, now)
             return
-        failed = state.failed_ids(now)
-        if not failed:
+        if not state.failed_at:
             return
-        count = len(self._endpoints(group))
-        if len(failed) < min(MIN_FAILED_ENDPOINTS, count):
+        # Endpoints that leave or are no longer listed are no evidence.
+        listed = {one.endpoint_id for one in self._endpoints(group)}
+        failed = state.failed_ids(now) & listed
+        if not failed or len(failed) < min(MIN_FAILED_ENDPOINTS, len(listed)):
             return
-        if state.awaits_trial(max(0, count - len(failed)), now):
+        if state.awaits_trial(len(listed) - len(failed), now):
             return
         if now - self.peer_reach.last_answer_at(group) <= REACHED_SECONDS:
             state.begin_isolation(now)
@@ -346,8 +347,13 @@
         of the endpoints.  If no peer has a later one, while this node reaches
         other endpoints of the service, the isolation was a wrong conclusion.
         A node that reaches none of them stays isolated, since nothing tells
-        the two cases apart.
+        the two cases apart.  An isolation from a group without endpoints ends,
+        too, since no trial can end it.
         """
+        if not self._endpoints(group):
+            state.end_isolation()
+            self._note_change(group, is_isolated=False, is_withdrawn=True)
+            return
         if now - state.isolated_at <= REACHED_SECONDS:
             return
         if self.peer_reach.is_reached(group, now):
@@ -359,7 +365,7 @@
             for other, other_state in self.groups.items()
         )
         if reaches_others:
-            state.end_isolation(now)
+            state.end_isolation()
             self._note_change(group, is_isolated=False, is_withdrawn=True)
 
     def _endpoints(self, group: Group) -> list[Endpoint]:
--- a/wigeonspoke/core/tests/test_ingress_core.py
+++ b/wigeonspoke/core/tests/test_ingress_core.py
@@ -142,6 +142,10 @@
         (False, LeaseRow('other', 9.9), LeaseAction.WAIT),
         (False, LeaseRow('other', 3.0), LeaseAction.TAKE),
         (True, LeaseRow('me', 11.0), LeaseAction.RENEW),
+        # The holder cannot reach the engines and has released the lease.
+        (True, LeaseRow('other', 9.9, is_released=True), LeaseAction.TAKE),
+        (False, LeaseRow('other', 8.6, is_released=True), LeaseAction.WAIT),
+        (False, LeaseRow('other', 8.4, is_released=True), LeaseAction.TAKE),
     ],
 )
 def test_lease_step(is_own, row, step):
@@ -149,6 +153,16 @@
     assert keeper.next_action(VersionedLease(3, row), 10.0) is step
 
 
+@pytest.mark.parametrize(
+    ('holder', 'until', 'predates'),
+    [('h', 19.9, True), ('h', 20.1, False), ('other', 19.9, False)],
+)
+def test_late_news_of_a_lease_do_not_undo_its_release(holder, until, predates):
+    released = LeaseRow('h', 10.0, is_released=True)
+    assert LeaseRow(holder, until).predates_release(released) is predates
+    assert not LeaseRow(holder, until).predates_release(LeaseRow('h', 10.0))
+
+
 @pytest.mark.parametrize(
     ('is_own', 'written_at', 'is_gone', 'step'),
     [
--- a/wigeonspoke/core/tests/test_reachability.py
+++ b/wigeonspoke/core/tests/test_reachability.py
@@ -193,6 +193,16 @@
     assert [change.is_withdrawn for change in changes] == [True]
 
 
+def test_group_without_endpoints_isolates_no_node():
+    """No trial could end the isolation."""
+    reachability, endpoints = _isolated('a1')
+    gone = endpoints['a1']
+    reachability.fleet.drop('a1')
+    assert not reachability.is_isolated(SERVICE, 'one', 10.1)
+    reachability.record_failed(gone, 10.2)
+    assert not reachability.is_isolated(SERVICE, 'one', 10.2)
+
+
 @pytest.mark.parametrize(
     ('peers', 'excluded', 'expected'),
     [
