--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -225,6 +225,10 @@
         state = self.groups.get(_group_of(endpoint))
         if state is None or not state.is_determining(now):
             return False
+        return self.has_peers(now)
+
+    def has_peers(self, now: float) -> bool:
+        """Return whether there are peers, which isolation takes."""
         return self.peer_reach.has_peers(now)
 
     def suspends_beliefs(self, endpoint: Endpoint, now: float) -> bool:
@@ -264,7 +268,7 @@
         """Return the endpoints not to try, or None if no trial is due."""
         self._update(group, now)
         if state.is_determining(now):
-            if self.peer_reach.has_peers(now) and state.take_first_trial():
+            if self.has_peers(now) and state.take_first_trial():
                 return state.failed_ids(now)
             return None
         interval = WITNESS_SECONDS
@@ -321,13 +325,14 @@
         if state.isolated_at is not None:
             self._withdraw_if_down(group, state, now)
             return
-        failed = state.failed_ids(now)
-        if not failed:
+        if not state.failed_at:
             return
-        count = len(self._endpoints(group))
-        if len(failed) < min(MIN_FAILED_ENDPOINTS, count):
+        # Endpoints that leave or are no longer listed are no evidence.
+        listed = {one.endpoint_id for one in self._endpoints(group)}
+        failed = state.failed_ids(now) & listed
+        if not failed or len(failed) < min(MIN_FAILED_ENDPOINTS, len(listed)):
             return
-        if state.awaits_trial(max(0, count - len(failed)), now):
+        if state.awaits_trial(len(listed) - len(failed), now):
             return
         if now - self.peer_reach.last_answer_at(group) <= REACHED_SECONDS:
             state.begin_isolation(now)
@@ -342,8 +347,13 @@
         of the endpoints.  If no peer has a later one, while this node reaches
         other endpoints of the service, the isolation was a wrong conclusion.
         A node that reaches none of them stays isolated, since nothing tells
-        the two cases apart.
+        the two cases apart.  An isolation from a group without endpoints ends,
+        too, since no trial can end it.
         """
+        if not self._endpoints(group):
+            state.end_isolation()
+            self._note_change(group, is_isolated=False, is_withdrawn=True)
+            return
         if now - state.isolated_at <= REACHED_SECONDS:
             return
         if self.peer_reach.is_reached(group, now):
@@ -355,7 +365,7 @@
             for other, other_state in self.groups.items()
         )
         if reaches_others:
-            state.end_isolation(now)
+            state.end_isolation()
             self._note_change(group, is_isolated=False, is_withdrawn=True)
 
     def _endpoints(self, group: Group) -> list[Endpoint]:
--- a/wigeonspoke/core/tests/test_reachability.py
+++ b/wigeonspoke/core/tests/test_reachability.py
@@ -10,6 +10,7 @@
 
 SERVICE = 'draft'
 STEPS = 10_000
+REACHED_SECONDS = 2.5
 
 
 def _endpoint(name: str, domain: str = 'one') -> Endpoint:
@@ -192,6 +193,16 @@
     assert [change.is_withdrawn for change in changes] == [True]
 
 
+def test_group_without_endpoints_isolates_no_node():
+    """No trial could end the isolation."""
+    reachability, endpoints = _isolated('a1')
+    gone = endpoints['a1']
+    reachability.fleet.drop('a1')
+    assert not reachability.is_isolated(SERVICE, 'one', 10.1)
+    reachability.record_failed(gone, 10.2)
+    assert not reachability.is_isolated(SERVICE, 'one', 10.2)
+
+
 @pytest.mark.parametrize(
     ('peers', 'excluded', 'expected'),
     [
@@ -262,13 +273,13 @@
         return self.began_at is not None
 
     def update(self, now: float) -> None:
-        last_success = self.successes[-1][0] if self.successes else 0
+        last_success = max([0, *(at for at, _ in self.successes[-1:])])
         failed = {
             name
             for at, name in self.failures[-100:]
             if last_success < at and now - 2 <= at
         }
-        is_reached = any(now - at <= 2.5 for at in self.told[-1:])
+        is_reached = any(now - at <= REACHED_SECONDS for at in self.told[-1:])
         has_failed = len(failed) >= min(2, self.count)
         if self.began_at is None and has_failed and is_reached:
             self.began_at = now
