--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -205,7 +205,7 @@
         is_other = markers.request_id != self.context.request.request_id
         if is_other or is_corrupted(response, markers):
             raise AttemptError(invalid_response_error(attempt.peer))
-        attempts.record_error_answer(attempt, is_valid=True)
+        attempts.record_whole_answer(attempt, is_valid=True)
         return self._finish_relayed(chain, response)
 
     def _finish_relayed(
--- a/wigeonspoke/ingress/relay/peer_attempts.py
+++ b/wigeonspoke/ingress/relay/peer_attempts.py
@@ -176,7 +176,7 @@
     def record_complete(self) -> None:
         """Do nothing: so is a complete answer."""
 
-    def record_error_answer(
+    def record_whole_answer(
         self, attempt: EndpointAttempt, *, is_valid: bool
     ) -> None:
         """Record a complete response that ends the peer's attempts."""
--- a/wigeonspoke/ingress/relay/relay_app.py
+++ b/wigeonspoke/ingress/relay/relay_app.py
@@ -12,6 +12,7 @@
 from wigeonspoke.core.routing import RequestKind, Rule
 from wigeonspoke.ingress.calls.call_handler import CallHandler
 from wigeonspoke.ingress.fleet.prober import Prober
+from wigeonspoke.ingress.protocols import ClientRequest
 from wigeonspoke.ingress.relay.relay_head import (
     LAST_TRY,
     RELAY_HEADER,
@@ -136,8 +137,7 @@
         except (RequestError, OSError):
             yield from self._refuse(environ, start_response, head, 'body')
             return
-        context = self._make_context(head, arrived_at)
-        context.request = request
+        context = self._make_context(head, request, arrived_at)
         context.disconnect_monitor = DisconnectMonitor(environ)
         try:
             yield from self._run_handler(context, start_response)
@@ -145,13 +145,13 @@
             context.disconnect_monitor.stop()
 
     def _make_context(
-        self, head: RelayHead, arrived_at: float
+        self, head: RelayHead, request: ClientRequest, arrived_at: float
     ) -> RequestContext:
         """Return the context, with the limits that the sender has set."""
         rule = self._find_rule(head)
         timeout = min(rule.timeout_seconds, head.remaining_seconds)
         return RequestContext(
-            request=head.to_request(),
+            request=request,
             rule=msgspec.structs.replace(
                 rule,
                 max_attempts=min(rule.max_attempts, head.execution_limit),
--- a/wigeonspoke/ingress/streams/chain_attempts.py
+++ b/wigeonspoke/ingress/streams/chain_attempts.py
@@ -83,7 +83,7 @@
         """Record that the stream is complete."""
         self.request_handler.answer_watch.record_complete()
 
-    def record_error_answer(
+    def record_whole_answer(
         self, _attempt: EndpointAttempt, *, is_valid: bool
     ) -> None:
         """Record a complete response that is not an event stream."""
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -466,7 +466,7 @@
         The generator returns whether the response to the client is complete.
         """
         attempts = self._attempts_at(chain)
-        attempts.record_error_answer(attempt, is_valid=is_valid)
+        attempts.record_whole_answer(attempt, is_valid=is_valid)
         self.note(
             'error-answer', peer=chain.head.address, status=response.status
         )
