--- a/wigeonspoke/ingress/relay/relay_choice.py
+++ b/wigeonspoke/ingress/relay/relay_choice.py
@@ -5,15 +5,13 @@
 
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.reachability import RelayPeer
+from wigeonspoke.core.reachability.reachability import (
+    MAX_RETRY_AFTER_FRACTION,
+    MIN_RETRY_AFTER_SECONDS,
+)
 from wigeonspoke.core.relay import Way, choose_way
 from wigeonspoke.ingress.state import IngressState
 
-# Retry-After of a request that neither this node nor a peer can serve.  The
-# random part keeps clients from returning all at once, and the limit leaves a
-# client time for its second request.
-MIN_ISOLATED_RETRY_SECONDS = 1.0
-MAX_ISOLATED_RETRY_SECONDS = 2.0
-RETRY_TIME_FRACTION = 1 / 3
 ISOLATED = 'isolated'
 NO_CAPACITY = 'no-capacity'
 
@@ -129,12 +127,18 @@
 
     def retry_after(self, remaining_seconds: float) -> float:
         """Return when a refused request may come again, in seconds."""
-        span = MAX_ISOLATED_RETRY_SECONDS - MIN_ISOLATED_RETRY_SECONDS
-        wait_seconds = MIN_ISOLATED_RETRY_SECONDS
-        wait_seconds += span * self.state.rng.random()
-        if self.peer_retry_after is not None:
-            wait_seconds = max(wait_seconds, self.peer_retry_after)
-        return min(wait_seconds, RETRY_TIME_FRACTION * remaining_seconds)
+        draw = self.state.rng.random()
+        wait_seconds = self.state.reachability.refusal_retry_after(
+            self.service, time.monotonic(), remaining_seconds, draw
+        )
+        if wait_seconds is not None:
+            return wait_seconds
+        # Peers reach the service, but all that were asked have refused.
+        wait_seconds = max(MIN_RETRY_AFTER_SECONDS, self.peer_retry_after or 0)
+        return min(
+            wait_seconds * (1 + draw),
+            MAX_RETRY_AFTER_FRACTION * remaining_seconds,
+        )
 
     def record_failed(self, peer: RelayPeer) -> None:
         """Record that a peer gave no valid answer."""
