Prefer engines that keep the prompt of a route's request

Own engines may keep a prompt after its request. The questionnaire gets prompt_retention_seconds for a model, 0 by default. With it, the planner subtracts the time that a kept beginning saves for each generated token, as far as all stages of a route keep it. Engines whose streams queue for each other, and ejected ones, gain nothing by it.

--- a/wigeonspoke/config/generate.py
+++ b/wigeonspoke/config/generate.py
@@ -57,6 +57,7 @@
             request_seconds=model.answer_seconds,
             queue_seconds=model.queue_seconds,
             between_tokens_seconds=model.between_tokens_seconds,
+            prompt_retention_seconds=model.prompt_retention_seconds,
         )
 
 
--- a/wigeonspoke/config/questionnaire.py
+++ b/wigeonspoke/config/questionnaire.py
@@ -24,6 +24,7 @@
 Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 LayerNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_SECONDS)]
+Retention = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
 Weight = Annotated[float, msgspec.Meta(gt=0, le=MAX_COUNT)]
 Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 Digest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
@@ -38,7 +39,8 @@
     ``answer_seconds`` limits the time of a whole request,
     ``queue_seconds`` the wait before its first step.
     ``between_tokens_seconds`` is the target for the time from one token to
-    the next.
+    the next.  ``prompt_retention_seconds`` is how long its engines keep a
+    prompt after its request, 0 if they do not.
     """
 
     name: Name
@@ -47,6 +49,7 @@
     answer_seconds: Seconds = 120.0
     queue_seconds: Seconds = 30.0
     between_tokens_seconds: Seconds = 0.044
+    prompt_retention_seconds: Retention = 0
 
 
 class AcceleratorAnswer(
--- a/wigeonspoke/core/deployment/records.py
+++ b/wigeonspoke/core/deployment/records.py
@@ -25,7 +25,8 @@
     ``request_seconds`` limits the time of a whole request and
     ``queue_seconds`` the wait before its first step.
     ``between_tokens_seconds`` is the target for the time from one token to
-    the next.
+    the next.  ``prompt_retention_seconds`` is how long its engines keep a
+    prompt after its request.
     """
 
     name: str
@@ -34,6 +35,7 @@
     request_seconds: float
     queue_seconds: float
     between_tokens_seconds: float = 0.044
+    prompt_retention_seconds: float = 0
 
 
 class Engine(msgspec.Struct, frozen=True):
--- a/wigeonspoke/core/generation.py
+++ b/wigeonspoke/core/generation.py
@@ -137,7 +137,7 @@
         reassigned = self._reassign_stage(session, event, now)
         if reassigned:
             return [reassigned]
-        actions = self._cancel_attempt(session)
+        actions = self._cancel_attempt(session, now)
         error = StepError(
             outcome=Outcome.FAILED,
             reason=event.reason,
@@ -165,7 +165,7 @@
             return []
         self.view.count('generation_cancelled', Reason.CALLER_GONE.value)
         self._remove_session(session)
-        return [*self._cancel_attempt(session), *self.dispatch(now)]
+        return [*self._cancel_attempt(session, now), *self.dispatch(now)]
 
     def tick(self, now: float) -> list[AnyAction]:
         """End overdue requests and steps, then start queued requests."""
@@ -217,10 +217,15 @@
         self, session: GenerationSession, now: float
     ) -> Route | None:
         planner = self.view.planner
-        route = planner.choose_route(session.model, now, session.excluded)
+        prompt = planner.held_prompts.demand(
+            session.model, session.request.prompt, session.request.max_tokens
+        )
+        route = planner.choose_route(
+            session.model, now, session.excluded, prompt
+        )
         if route is None and session.excluded:
             session.excluded.clear()
-            route = planner.choose_route(session.model, now)
+            route = planner.choose_route(session.model, now, prompt=prompt)
         return route
 
     def _send(
@@ -269,6 +274,14 @@
         if token == END_OF_SEQUENCE:
             return self._finish(session, now)
         index = session.accept_token(token)
+        if session.route:
+            self.view.planner.held_prompts.record_read(
+                session.request_id,
+                session.model,
+                session.request.prompt,
+                tuple(engine.name for engine in session.route.stages),
+                now,
+            )
         emitted = EmitToken(session.request_id, index, token)
         if session.is_complete:
             return [emitted, *self._finish(session, now)]
@@ -300,9 +313,18 @@
             error=error,
             retry_after_seconds=RETRY_AFTER_SECONDS if error else 0,
         )
-        return [*self._cancel_attempt(session), finished, *self.dispatch(now)]
+        return [
+            *self._cancel_attempt(session, now),
+            finished,
+            *self.dispatch(now),
+        ]
 
-    def _cancel_attempt(self, session: GenerationSession) -> list[AnyAction]:
+    def _cancel_attempt(
+        self, session: GenerationSession, now: float
+    ) -> list[AnyAction]:
+        self.view.planner.held_prompts.record_end(
+            session.request_id, session.model, now
+        )
         cancels = session.cancel_attempt()
         for cancel in cancels:
             state = self.view.endpoint(cancel.endpoint)
--- a/wigeonspoke/core/routes/planner.py
+++ b/wigeonspoke/core/routes/planner.py
@@ -11,6 +11,7 @@
 consecutive groups, so that batches stay full with few streams in flight.
 """
 
+import math
 import random
 from collections.abc import Container
 
@@ -18,6 +19,12 @@
 
 from wigeonspoke.core.deployment import Engine, LayerRange, Model
 from wigeonspoke.core.membership import MarkRegistry, MarkState, PeerRegistry
+from wigeonspoke.core.routes.held_prompts import (
+    NO_PROMPT,
+    HeldPrompts,
+    PromptDemand,
+    saved_steps,
+)
 from wigeonspoke.core.routes.registry import (
     EndpointGroup,
     EndpointRegistry,
@@ -42,28 +49,52 @@
 class _PartialRoute:
     """The cheapest stages found so far from layer 0 to some layer.
 
-    ``rank`` is the rank of the last stage's engine in its group.
+    ``rank`` is the rank of the last stage's engine in its group.  ``held`` is
+    the beginning of the prompt that all stages hold, in tokens, and ``saved``
+    the time per generated token that this saves.
     """
 
-    __slots__ = ('cost', 'rank', 'stages')
+    __slots__ = ('cost', 'held', 'rank', 'saved', 'stages')
 
     def __init__(
         self,
         cost: float,
         stages: tuple[Engine, ...],
         rank: int | None = None,
+        held: float = math.inf,
+        saved: float = 0,
     ) -> None:
         self.cost = cost
+        self.held = held
+        self.saved = saved
         self.stages = stages
         self.rank = rank
 
+    @property
+    def total_cost(self) -> float:
+        """Return the cost less what is saved."""
+        return self.cost - self.saved
+
     def extended_with(
-        self, state: EndpointState, cost: float
+        self, state: EndpointState, cost: float, held: int, token_share: float
     ) -> '_PartialRoute':
-        """Return a copy with one more stage and the given total cost."""
+        """Return a copy with one more stage and the given total cost.
+
+        A stage that holds less of the prompt needs the activations of the
+        rest, so that the stages before it save nothing by them.
+        ``token_share`` is the part of the saved time that counts for each
+        generated token.
+        """
         if state.engine is None:
             return self
-        return _PartialRoute(cost, (*self.stages, state.engine), state.rank)
+        common = min(self.held, held)
+        saved = self.saved * common / self.held if self.saved else 0
+        if common:
+            step = state.engine.step_seconds * state.health.slowdown
+            saved += step * saved_steps(common) * token_share
+        return _PartialRoute(
+            cost, (*self.stages, state.engine), state.rank, common, saved
+        )
 
     def is_misaligned_with(self, state: EndpointState) -> bool:
         """Return whether an engine's rank differs from the last stage's."""
@@ -76,7 +107,14 @@
     ``failure_domain`` is the failure domain of this node.
     """
 
-    __slots__ = ('failure_domain', 'marks', 'peers', 'registry', 'rng')
+    __slots__ = (
+        'failure_domain',
+        'held_prompts',
+        'marks',
+        'peers',
+        'registry',
+        'rng',
+    )
 
     def __init__(
         self,
@@ -91,19 +129,25 @@
         self.marks = marks
         self.peers = peers
         self.rng = rng
+        self.held_prompts = HeldPrompts()
 
     def choose_route(
         self,
         model: Model,
         now: float,
         excluded: Container[str] = NO_ENDPOINTS,
+        prompt: PromptDemand = NO_PROMPT,
     ) -> Route | None:
         """Return the cheapest sampled route with capacity, if there is one."""
+        if not self._is_held_by_a_route(model, prompt):
+            prompt = NO_PROMPT
         partial_routes = {0: _PartialRoute(0, ())}
         for group in self.registry.groups.get(model.name, ()):
             prefix = partial_routes.get(group.layers.first)
             if prefix:
-                self._extend(partial_routes, prefix, group, now, excluded)
+                self._extend(
+                    partial_routes, prefix, group, now, excluded, prompt
+                )
         complete = partial_routes.get(model.layers)
         if complete is None:
             return None
@@ -219,17 +263,56 @@
         group: EndpointGroup,
         now: float,
         excluded: Container[str],
+        prompt: PromptDemand = NO_PROMPT,
     ) -> None:
         best = partial_routes.get(group.layers.end)
-        for state in self._sample(group, prefix.rank):
+        for state in self._sample(group, prefix.rank, prompt):
             if not self.has_capacity(state, now, excluded):
                 continue
-            cost = prefix.cost + self._stage_cost(prefix, state)
-            if best is None or cost < best.cost:
-                best = prefix.extended_with(state, cost)
+            extended = prefix.extended_with(
+                state,
+                prefix.cost + self._stage_cost(prefix, state),
+                self._held_tokens(state, prompt, now),
+                1 / prompt.answer_tokens,
+            )
+            if best is None or extended.total_cost < best.total_cost:
+                best = extended
         if best:
             partial_routes[group.layers.end] = best
 
+    def _is_held_by_a_route(self, model: Model, prompt: PromptDemand) -> bool:
+        """Return whether engines of all layers may hold a beginning.
+
+        Otherwise nothing can be saved by what some of them hold.
+        """
+        if not prompt.prefixes:
+            return False
+        reached = {0}
+        ranges: list[LayerRange] = []
+        for name in self.held_prompts.index.holders(prompt.prefixes):
+            state = self.registry.endpoints.get(name)
+            if state is not None and state.engine is not None:
+                ranges.append(state.engine.layers)
+        for layers in sorted(ranges):
+            if layers.first in reached:
+                reached.add(layers.end)
+        return model.layers in reached
+
+    def _held_tokens(
+        self, state: EndpointState, prompt: PromptDemand, now: float
+    ) -> int:
+        """Return the beginning of a prompt that an engine holds, in tokens.
+
+        It is no reason to choose an engine whose streams queue for each other
+        already: the saved time comes once, the wait with each token.
+        """
+        if not prompt.prefixes:
+            return 0
+        if self.known_streams(state) >= state.pipeline_streams:
+            return 0
+        index = self.held_prompts.index
+        return index.held_tokens(state.name, prompt.prefixes, now)
+
     def _stage_cost(self, prefix: _PartialRoute, state: EndpointState) -> float:
         engine = state.engine
         if engine is None:
@@ -243,6 +326,7 @@
         self,
         group: EndpointGroup,
         rank: int | None,
+        prompt: PromptDemand,
     ) -> list[EndpointState]:
         members = group.members
         if len(members) <= SAMPLE_SIZE:
@@ -250,6 +334,10 @@
         sampled = self.rng.sample(members, SAMPLE_SIZE)
         if rank is not None and rank < len(members):
             sampled.append(members[rank])
+        if prompt.prefixes:
+            holders = self.held_prompts.index.holders(prompt.prefixes)
+            held_by = [each for each in members if each.name in holders]
+            sampled.extend(held_by[:SAMPLE_SIZE])
         return sampled
 
     def _replica_cost(self, state: EndpointState) -> tuple[int, float]:
--- a/wigeonspoke/core/tests/test_prefixes.py
+++ b/wigeonspoke/core/tests/test_prefixes.py
@@ -2,8 +2,10 @@
 
 import random
 
+import msgspec
 import pytest
 
+from wigeonspoke.core.outcomes import Reason
 from wigeonspoke.core.prefixes import (
     CacheEvent,
     PrefixIndex,
@@ -11,6 +13,15 @@
     part_prefixes,
 )
 from wigeonspoke.core.prefixes.index import MAX_ENTRIES
+from wigeonspoke.core.routes.planner import _PartialRoute
+from wigeonspoke.core.tests.examples import (
+    MODEL,
+    make_configuration,
+    make_engine,
+)
+from wigeonspoke.core.view import ClusterView
+
+PROMPT = tuple(range(256))
 
 PARTS = part_prefixes([('sys', 40), ('tool', 60), ('own', 700)])
 OTHER = part_prefixes([('sys', 40), ('tool', 60), ('other', 500)])
@@ -119,3 +130,63 @@
     assert one[:2] == other[:2]
     assert one[2] != other[2]
     assert len(block_prefixes(tuple(range(9999)))) == 16
+
+
+def _load_holders(view, streams: int) -> None:
+    for name in ('x2', 'y2'):
+        view.endpoint(name).streams = streams
+
+
+def _eject_one(view) -> None:
+    view.eject(view.endpoint('y2'), Reason.RESET, 10)
+
+
+# Requests follow a kept prompt only where this does not make them late.
+@pytest.mark.parametrize(
+    ('retention', 'at', 'hinder', 'expected'),
+    [
+        (60, 10, None, {'x2', 'y2'}),
+        (60, 71, None, set()),
+        (0, 10, None, set()),
+        # As many streams as queue for each other: the wait is longer.
+        (60, 10, lambda view: _load_holders(view, 8), set()),
+        (60, 10, _eject_one, set()),
+    ],
+)
+def test_route_follows_a_kept_prompt(retention, at, hinder, expected):
+    engines = tuple(
+        make_engine(f'{stage}{number}', 'a', first, first + 2)
+        for stage, first in (('x', 0), ('y', 2))
+        for number in range(8)
+    )
+    model = msgspec.structs.replace(MODEL, prompt_retention_seconds=retention)
+    view = ClusterView('n1', 'a', random.Random(3))
+    view.adopt(make_configuration(1, engines))
+    held = view.planner.held_prompts
+    held.record_read('r1', model, PROMPT, ('x2', 'y2'), 5)
+    held.record_end('r1', model, 10)
+    if hinder:
+        hinder(view)
+    demand = held.demand(model, PROMPT, 20)
+    always = {'x2', 'y2'}
+    for _ in range(20):
+        route = view.planner.choose_route(model, at, prompt=demand)
+        always &= {engine.name for engine in route.stages}
+    assert always == expected
+
+
+def test_stage_that_holds_less_ends_the_saving_of_those_before():
+    """Its engine needs the activations of the tokens that it does not hold."""
+    engines = tuple(
+        make_engine(name, 'a', first, first + 2)
+        for name, first in (('x2', 0), ('y1', 2))
+    )
+    view = ClusterView('n1', 'a', random.Random(3))
+    view.adopt(make_configuration(1, engines))
+    state = view.endpoint('x2')
+    stage = _PartialRoute(0, ()).extended_with(state, 0.02, 256, 0.1)
+    assert stage.total_cost < stage.cost
+    whole = stage.extended_with(view.endpoint('y1'), 0.04, 0, 0.1)
+    assert not whole.saved
+    half = stage.extended_with(view.endpoint('y1'), 0.04, 128, 0.1)
+    assert half.saved == pytest.approx(stage.saved)
--- a/wigeonspoke/core/view.py
+++ b/wigeonspoke/core/view.py
@@ -146,6 +146,7 @@
         """Exclude a failed endpoint from new work until a probe succeeds."""
         if state.health.record_failure(reason.value, now):
             self.ejected.add(state.name)
+            self.planner.held_prompts.index.end_run(state.name)
             self.count('endpoint_ejected', reason.value)
             self.note('endpoint-ejected', state.name, detail=reason.value)
 
