--- a/wigeonspoke/core/tests/test_chain_times.py
+++ b/wigeonspoke/core/tests/test_chain_times.py
@@ -427,3 +427,29 @@
     _set_load(selector, 'one-a', 1, 996)
     _set_load(selector, 'one-b', 2, 1992)
     assert _select(selector, demand, 1) == 'one-a'
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_choice_keeps_its_rules_under_any_load(seed):
+    """Guards the order of domains, and memory and gaps of what runs there."""
+    rng = random.Random(seed)
+    names = ['one-a', 'one-b', 'one-c', 'two-a', 'two-b', 'two-c']
+    kinds = {name: rng.choice(('large', 'middle', 'small')) for name in names}
+    selector = _selector(kinds, nodes=rng.randrange(1, 80), seed=seed)
+    for name in names:
+        streams = rng.randrange(1, 90)
+        unread = rng.randrange(streams // 4 + 1)
+        tokens = streams * rng.randrange(300, 2000)
+        _set_load(selector, name, streams, tokens, (unread, unread * 300))
+    selector.chains('drafting', TIMED)
+    ranks = {}
+    for known in selector.cached_chains['drafting'].known:
+        estimate = selector.times.estimate(known, DEMAND, (), 0)
+        seconds = estimate.first_event_seconds()
+        is_late = 4 * seconds > 1
+        is_foreign = not (is_late or known.is_own_domain)
+        gap = estimate.gap_seconds()
+        if estimate.has_memory() and 4 * gap <= 1:
+            head = known.head_id.partition('/')[0]
+            ranks[head] = (is_late, is_foreign, seconds)
+    assert _select(selector) == min(ranks, key=ranks.get, default='')
