Let streams wait in one queue per service in place of polling

Each waiting stream looked for a chain every 20 ms, so that chance decided which one got the next free slot. They now wait in a FairQueue per service, which wakes the next one when a stream ends or news of peers, endpoints or suspects arrives.

The whole test suite has not been run on this state yet.

--- a/wigeonspoke/core/admission/fair_queue.py
+++ b/wigeonspoke/core/admission/fair_queue.py
@@ -38,6 +38,7 @@
         'deadline',
         'is_requeued',
         'place',
+        'queued_at',
         'rank',
         'request_id',
         'rule',
@@ -69,6 +70,7 @@
         self.is_requeued = False
         # Order of arrival, set when it is queued.
         self.sequence = 0
+        self.queued_at: float = 0
 
     @property
     def cost(self) -> float:
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -250,6 +250,7 @@
                 pace=engine_state.slowdown,
             )
         if self.state.suspects.clear(endpoint.endpoint_id):
+            self.state.queues.wake()
             self.state.log.write('trusted', endpoint=endpoint.endpoint_id)
 
     def _suspect(
--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -216,6 +216,7 @@
     def _apply_facts(self, update: PeerUpdate, now: float) -> None:
         instance_id = update.gossip.report.node
         self.state.chains.peer_load.update(instance_id, update.streams)
+        self.state.queues.wake()
         self.state.lease_holding_peers.discard(instance_id)
         if update.leases:
             self.state.lease_holding_peers.add(instance_id)
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -23,6 +23,7 @@
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
 from wigeonspoke.ingress.fleet.part_watch import PartWatch
 from wigeonspoke.ingress.protocols import WireFormat
+from wigeonspoke.ingress.requests.waiting_queue import WaitingQueues
 from wigeonspoke.ingress.settings import IngressSettings
 
 # Number of nodes assumed until the registered nodes have been counted.
@@ -53,6 +54,7 @@
         'peer_leases',
         'peers',
         'registered_node_count',
+        'queues',
         'replicas',
         'reservations',
         'rng',
@@ -107,6 +109,7 @@
         self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
         self.budgets: dict[str, RetryWindowBudget] = {}
+        self.queues = WaitingQueues()
         # By service, for services whose requests have different ranks.
         self.reservations: dict[str, RankReservation] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
--- a/wigeonspoke/ingress/streams/chain_admission.py
+++ b/wigeonspoke/ingress/streams/chain_admission.py
@@ -42,17 +42,17 @@
         self.waits_since = now
 
     def admits(
-        self, profile: EngineProfile, now: float
+        self, profile: EngineProfile, now: float, is_first: bool
     ) -> Callable[[Chain, int, float], bool] | None:
         """Return whether a chain admits the stream, None if all do.
 
-        A stream that may have begun elsewhere is not held back: refusing it
-        would lose what it was served.
+        One that ``is_first`` is not held back, and neither is one that may
+        have begun elsewhere: refusing it would lose what it was served.
         """
         if self.reservation is None:
             return None
         reserved: float = 0
-        if not self.context.possible_executions:
+        if not is_first and not self.context.possible_executions:
             chains = self.state.chains.chains(self.service, profile)
             reserved = self.reservation.reserved(
                 self.rank, self.state.node_count, len(chains), now
--- a/wigeonspoke/ingress/streams/chain_choice.py
+++ b/wigeonspoke/ingress/streams/chain_choice.py
@@ -1,12 +1,13 @@
 """Choice of the chains that one stream is sent to."""
 
 import time
-
-import eventlet
+from functools import partial
 
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 from wigeonspoke.ingress.requests.request_handler import RequestContext
+from wigeonspoke.ingress.requests.turn import Turn
+from wigeonspoke.ingress.requests.waiting_queue import Waiter
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.streams.chain_admission import ChainAdmission
 
@@ -16,7 +17,6 @@
 # The same if there are complete chains, but all are full: streams end
 # continuously, so a full chain soon has room.
 FULL_CHAIN_WAIT_FRACTION = 0.6
-CHAIN_POLL_SECONDS = 0.02
 
 
 class ChainChoice:
@@ -26,7 +26,14 @@
     failed.
     """
 
-    __slots__ = ('admission', 'context', 'excluded', 'service', 'state')
+    __slots__ = (
+        'admission',
+        'context',
+        'excluded',
+        'service',
+        'state',
+        'turn',
+    )
 
     def __init__(
         self, state: IngressState, context: RequestContext, service: str
@@ -35,6 +42,7 @@
         self.context = context
         self.service = service
         self.excluded: set[str] = set()
+        self.turn = Turn(state, context, service)
         self.admission = ChainAdmission(state, context, service)
 
     @property
@@ -45,24 +53,30 @@
 
     def wait(self) -> Chain | None:
         """Choose a chain, waiting for a limited time for one with room."""
-        wait_since = time.monotonic()
-        if self._stays_closed(wait_since):
+        since = time.monotonic()
+        if self._stays_closed(since) or self.profile is None:
             return None
-        self.admission.begin_wait(wait_since)
-        while self.profile is not None:
-            now = time.monotonic()
-            chain = self._select(now)
-            if chain is not None:
-                self.admission.record_start(chain, now)
-            if (
-                chain is not None
-                or self.context.disconnect_monitor.is_disconnected
-            ):
-                return chain
-            if now >= min(self.context.deadline, wait_since + self._max_wait()):
-                return None
-            eventlet.sleep(CHAIN_POLL_SECONDS)
-        return None
+        self.admission.begin_wait(since)
+        longest = (
+            FULL_CHAIN_WAIT_FRACTION * self.context.rule.target_latency_seconds
+        )
+        deadline = min(self.context.deadline, since + longest)
+        chains = self.state.chains
+        waiter = Waiter(
+            self.turn.make_entry(deadline, since),
+            self._select,
+            chains.begin,
+            chains.end,
+        )
+        chain = self.turn.take(waiter, partial(self._wait_until, since))
+        if chain is not None:
+            self.admission.record_start(chain, time.monotonic())
+        return chain
+
+    @property
+    def retry_after(self) -> float | None:
+        """When a refused stream may come again, None if that is unknown."""
+        return self.turn.retry_after if self.turn.refusal else None
 
     def is_possible(self) -> bool:
         """Return whether a chain could be sent the stream at once."""
@@ -94,7 +108,16 @@
             return False
         return next_send_at > now + self._max_wait()
 
-    def _select(self, now: float) -> Chain | None:
+    def _wait_until(self, since: float) -> float:
+        if self.profile is None:
+            return since
+        return min(self.context.deadline, since + self._max_wait())
+
+    def _select(self, now: float, is_first: bool = False) -> Chain | None:
+        """Return a chain with capacity.
+
+        One that ``is_first`` is held back for no other request.
+        """
         if self.profile is None:
             return None
         return self.state.chains.select(
@@ -102,7 +125,7 @@
             self.profile,
             self.excluded,
             now,
-            admits=self.admission.admits(self.profile, now),
+            admits=self.admission.admits(self.profile, now, is_first),
         )
 
     def _max_wait(self) -> float:
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -183,6 +183,7 @@
         if chain is not None:
             self.end_attempt(attempt)
             self.state.chains.end(chain)
+            self.state.queues.wake()
 
     def _fail_over(self, silent: EndpointAttempt) -> Iterator[bytes]:
         """Send the stream to another chain, too, while one is silent.
@@ -485,6 +486,8 @@
     def _retry_after(self) -> float:
         if self.refusal is not None:
             return refusal_retry_after(self.refusal)
+        if self.chain_choice.retry_after is not None:
+            return self.chain_choice.retry_after
         return self.retry_after(
             self.chain_choice.heads(),
             NO_CHAIN_RETRY_AFTER_SECONDS,
--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -114,6 +114,7 @@
             self.state.part_watch.record_engine_end(known, 'started again')
         self.state.part_watch.record_listed(endpoint)
         if self.state.fleet.put(endpoint):
+            self.state.queues.wake()
             self.state.log.write(
                 'endpoint',
                 endpoint=endpoint.endpoint_id,
@@ -147,6 +148,7 @@
 
     def _drop(self, endpoint_id: str, reason: str) -> None:
         if self.state.fleet.drop(endpoint_id) is not None:
+            self.state.queues.wake()
             self.state.log.write(
                 'endpoint-gone',
                 endpoint=endpoint_id,
