--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -236,6 +236,7 @@
         self.state.chains.peer_load.update(
             instance_id, update.streams, update.loads
         )
+        self.state.queues.wake()
         self.state.lease_holding_peers.discard(instance_id)
         if update.leases:
             self.state.lease_holding_peers.add(instance_id)
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -25,6 +25,7 @@
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
 from wigeonspoke.ingress.fleet.part_watch import PartWatch
 from wigeonspoke.ingress.protocols import WireFormat
+from wigeonspoke.ingress.requests.waiting_queue import WaitingQueues
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.wake_up import WakeUp
 
@@ -60,6 +61,7 @@
         'reachability',
         'reachability_news',
         'registered_node_count',
+        'queues',
         'relay_traffic',
         'released_leases',
         'released_peer_leases',
@@ -132,6 +134,7 @@
         self.connection_pool = ConnectionPool()
         self.relay_traffic = RelayTraffic()
         self.budgets: dict[str, RetryWindowBudget] = {}
+        self.queues = WaitingQueues()
         # By service, for services whose requests have different ranks.
         self.reservations: dict[str, RankReservation] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -231,6 +231,7 @@
         chain = self.chains_in_use.pop(attempt, None)
         if chain is not None:
             self._attempts_at(chain).end(attempt, chain)
+            self.state.queues.wake()
 
     def _fail_over(self, silent: EndpointAttempt) -> Iterator[bytes]:
         """Send the stream to another chain, too, while one is silent.
@@ -536,6 +537,8 @@
         if self.relay.is_refused:
             remaining = self.context.deadline - time.monotonic()
             return self.relay.retry_after(remaining)
+        if self.chain_choice.retry_after is not None:
+            return self.chain_choice.retry_after
         return self.retry_after(
             self.chain_choice.heads(),
             NO_CHAIN_RETRY_AFTER_SECONDS,
