Replay the queue, reservation and expected times of nodes

Change: the policy queue decides by FairQueue, RankReservation, RankTable and ChainSelector of the core; hosts report tokens as nodes do. Checked: tests of bench/line and explain (56); lint.

--- a/wigeonspoke/bench/line/chain.py
+++ b/wigeonspoke/bench/line/chain.py
@@ -21,13 +21,17 @@
 
 
 class EngineRun:
-    """A stream on a chain; ``on_end`` is called with whether it completed."""
+    """A stream on a chain.
+
+    ``on_end`` is called with whether it completed, and ``on_event`` before
+    each event is recorded.
+    """
 
     __slots__ = (
         'context',
-        'host',
         'is_ended',
         'on_end',
+        'on_event',
         'output_left',
         'prompt_left',
         'stream',
@@ -39,7 +43,7 @@
         stream: LineStream,
         output_done: int,
         on_end: Callable[[bool], None],
-        host: str,
+        on_event: Callable[[], None],
     ) -> None:
         self.stream = stream
         self.prompt_left = stream.prompt + output_done
@@ -48,7 +52,7 @@
         self.tokens = stream.tokens
         self.context: float = 0
         self.on_end = on_end
-        self.host = host
+        self.on_event = on_event
         self.is_ended = False
 
 
@@ -194,6 +198,7 @@
                 continue
             run.context += stride
             run.output_left -= stride
+            run.on_event()
             run.stream.record_event(now)
             if run.output_left <= 0:
                 self.end(run, is_complete=True)
--- a/wigeonspoke/bench/line/host.py
+++ b/wigeonspoke/bench/line/host.py
@@ -13,7 +13,13 @@
 from wigeonspoke.bench.line.fleet import SERVICE
 from wigeonspoke.bench.line.streams import LineStream
 from wigeonspoke.bench.scheduler import Scheduler
-from wigeonspoke.core.chains import Chain, ChainSelector, SuspectRegistry
+from wigeonspoke.core.chains import (
+    Chain,
+    ChainSelector,
+    RequestDemand,
+    SuspectRegistry,
+)
+from wigeonspoke.core.chains.times import ChainUse
 from wigeonspoke.core.fleet import EngineProfile, Fleet
 from wigeonspoke.core.forwarding import RetryWindowBudget
 from wigeonspoke.core.routing import RoutingTable
@@ -106,7 +112,13 @@
         self.died_at: float = 0
         self.live_hosts = 1
         self.suspects = SuspectRegistry()
-        self.selector = ChainSelector(fleet, self.suspects, domain)
+        self.selector = ChainSelector(
+            fleet,
+            self.suspects,
+            domain,
+            rng=random.Random(f'{name} choice {seed}'),
+            count_nodes=lambda: self.live_hosts,
+        )
         # It begins in the past, so that the budget is not ramped up.
         self.budget = RetryWindowBudget(
             RETRY_RATIO,
@@ -136,33 +148,37 @@
         head = chain.head
         streams = self.selector.streams_at(head.endpoint_id)
         is_allowed = self.selector.has_capacity(chain, self.now)
-        return is_allowed and streams + 1 <= head.slots - reserved
+        return is_allowed and streams < head.slots - reserved
 
     def send(
-        self, stream: LineStream, chain: Chain, urgency: int | None = None
+        self,
+        stream: LineStream,
+        chain: Chain,
+        demand: RequestDemand | None = None,
+        urgency: int | None = None,
     ) -> bool:
         """Send a stream to a chain; return whether the chain admits it.
 
         A chain that does not answer counts as one that breaks off later.
         """
-        self.selector.begin(chain)
+        use = self.selector.begin(chain, demand, self.now)
         virtual = self.chains[chain.head.endpoint_id]
         done = stream.events * virtual.speed.settings['stride']
         run = EngineRun(
             stream,
             min(done, stream.output - 1),
-            partial(self._handle_end, stream, chain),
-            self.name,
+            partial(self._handle_end, stream, chain, use),
+            partial(self._handle_event, stream, use),
         )
         if not virtual.is_alive:
-            self._handle_end(stream, chain, is_complete=False)
+            run.on_end(False)
             return True
         if virtual.start(run, urgency):
             self.runs[stream.number] = (run, virtual)
             return True
         self.suspects.deprioritize(chain.head.endpoint_id, self.now)
         self.selector.record_refusal(chain, self.now)
-        self.selector.end(chain)
+        self.selector.end(chain, use, self.now)
         return False
 
     def refuse(self, stream: LineStream, retry_after: float) -> None:
@@ -175,7 +191,6 @@
         entry = self.runs.get(stream.number)
         if entry is not None:
             run, virtual = entry
-            run.on_end = partial(self._handle_drop, stream, virtual.head_id)
             virtual.end(run, is_complete=False)
 
     def die(self) -> None:
@@ -186,29 +201,34 @@
             run.on_end = _ignore_end
             virtual.end(run, is_complete=False)
 
-    def _handle_drop(
-        self, stream: LineStream, head_id: str, is_complete: bool
-    ) -> None:
-        self.runs.pop(stream.number, None)
-        self.selector.in_flight[head_id] -= 1
-        self.policy.notice_change()
+    def _handle_event(self, stream: LineStream, use: ChainUse) -> None:
+        gap = self.scheduler.now - stream.last_event_at
+        self.selector.times.record_event(use, gap, self.now)
 
     def _handle_end(
-        self, stream: LineStream, chain: Chain, is_complete: bool
+        self,
+        stream: LineStream,
+        chain: Chain,
+        use: ChainUse,
+        is_complete: bool,
     ) -> None:
+        """Stop counting a stream that has completed, or later a lost one."""
         self.runs.pop(stream.number, None)
-        if not is_complete:
+        if not is_complete and not stream.is_ended:
             self.scheduler.call_later(
-                DETECTION_SECONDS, self._handle_break, stream, chain
+                DETECTION_SECONDS, self._handle_break, stream, chain, use
             )
             return
-        self.selector.end(chain)
-        self.clients.receive_end(stream, is_complete=True)
+        self.selector.end(chain, use, self.now)
+        if is_complete:
+            self.clients.receive_end(stream, is_complete=True)
         self.policy.notice_change()
 
-    def _handle_break(self, stream: LineStream, chain: Chain) -> None:
+    def _handle_break(
+        self, stream: LineStream, chain: Chain, use: ChainUse
+    ) -> None:
         """Suspect the engines of a chain, and send the stream elsewhere."""
-        self.selector.end(chain)
+        self.selector.end(chain, use, self.now)
         for hop in chain.hops:
             self.suspects.suspect(hop.endpoint, 'silent', self.now)
         if not self.is_alive or stream.is_ended:
--- a/wigeonspoke/bench/line/policies.py
+++ b/wigeonspoke/bench/line/policies.py
@@ -1,10 +1,9 @@
 """The policies that are compared."""
 
-from wigeonspoke.bench.line.fleet import HOST, SERVICE
+from wigeonspoke.bench.line.fleet import SERVICE
 from wigeonspoke.bench.line.host import LineHost
 from wigeonspoke.bench.line.streams import LineStream
 from wigeonspoke.core.chains import Chain
-from wigeonspoke.core.routing import Rule
 
 NAIVE_RETRY_AFTER_SECONDS = 1.0
 # Values of the policy that is compared with, as of commit 362f75a.
@@ -120,8 +119,3 @@
         self.waiting.pop(stream.number)
         jitter = RETRY_AFTER_JITTER_SECONDS * self.host.rng.random()
         self.host.refuse(stream, RETRY_AFTER_SECONDS + jitter)
-
-
-def find_rule(host: LineHost, stream: LineStream) -> Rule:
-    """Return the rule of a stream."""
-    return host.routing_table.find_rule(HOST, f'/{stream.kind.name}/')
--- a/wigeonspoke/bench/line/replay.py
+++ b/wigeonspoke/bench/line/replay.py
@@ -15,8 +15,10 @@
 from wigeonspoke.bench.line.host import LineHost, LinePolicy
 from wigeonspoke.bench.line.patterns import FaultKind, LineFault, LoadPattern
 from wigeonspoke.bench.line.policies import NaivePolicy, PollingPolicy
+from wigeonspoke.bench.line.queue_policy import QueuePolicy
 from wigeonspoke.bench.line.streams import LineStream, generate_streams
 from wigeonspoke.bench.scheduler import Scheduler
+from wigeonspoke.core.chains.token_load import TokenLoad
 from wigeonspoke.core.fleet import Fleet
 from wigeonspoke.core.routing import RoutingTable
 
@@ -43,6 +45,7 @@
 POLICIES: dict[str, Callable[[LineHost], LinePolicy]] = {
     'naive': NaivePolicy,
     'polling': PollingPolicy,
+    'queue': QueuePolicy,
 }
 
 
@@ -213,18 +216,26 @@
         """Tell all other hosts the streams of one."""
         if not host.is_alive:
             return
-        report = dict(host.selector.in_flight)
         self.scheduler.call_later(
-            NEWS_DELAY_SECONDS, self._deliver, host, report
+            NEWS_DELAY_SECONDS,
+            self._deliver,
+            host,
+            dict(host.selector.in_flight),
+            dict(host.selector.times.loads),
         )
         self.scheduler.call_later(NEWS_PERIOD_SECONDS, self._publish, host)
 
-    def _deliver(self, sender: LineHost, report: dict[str, int]) -> None:
+    def _deliver(
+        self,
+        sender: LineHost,
+        streams: dict[str, int],
+        loads: dict[str, TokenLoad],
+    ) -> None:
         if not self.has_news:
             return
         for host in self.hosts:
             if host is not sender and host.is_alive:
-                host.selector.peer_load.update(sender.name, report)
+                host.selector.peer_load.update(sender.name, streams, loads)
                 host.policy.notice_change()
 
     def _inject(self, fault: LineFault) -> None:
--- a/wigeonspoke/bench/line/streams.py
+++ b/wigeonspoke/bench/line/streams.py
@@ -14,6 +14,9 @@
 # the requests has about a quarter of the tokens.
 LENGTH_SIGMA = 0.5
 MIN_OUTPUT_TOKENS = 5
+# Spread of the logarithm of the clients' estimates, which are right at the
+# median and off by half in one of three cases.
+HINT_SIGMA = 0.4
 # Clients that wait for the end of an outage return within this time.
 RETURN_SECONDS = 0.2
 # Time to the complete response (`timeout-ms` of the users' streams).
@@ -34,6 +37,7 @@
         'events',
         'excluded',
         'first_event_seconds',
+        'hint',
         'host',
         'is_ended',
         'is_served',
@@ -51,7 +55,7 @@
         kind: StreamKind,
         domain: str,
         arrived_at: float,
-        tokens: tuple[int, int],
+        tokens: tuple[int, int, int],
     ) -> None:
         self.number = number
         self.kind = kind
@@ -59,6 +63,8 @@
         self.arrived_at = arrived_at
         self.prompt = tokens[0]
         self.output = tokens[1]
+        # The client's estimate of the output.
+        self.hint = tokens[2]
         self.arrivals = 0
         self.events = 0
         self.first_event_seconds = math.inf
@@ -160,11 +166,13 @@
     return outage.end + RETURN_SECONDS * rng.random()
 
 
-def _draw_tokens(rng: random.Random) -> tuple[int, int]:
-    """Draw the tokens of a prompt and of its output."""
-    prompt = MEAN_PROMPT_TOKENS * _draw_factor(rng)
-    output = MEAN_OUTPUT_TOKENS * _draw_factor(rng)
-    return max(1, int(prompt)), max(MIN_OUTPUT_TOKENS, int(output))
+def _draw_tokens(rng: random.Random) -> tuple[int, int, int]:
+    """Draw the tokens of a prompt, of its output, and the client's estimate."""
+    prompt = max(1, int(MEAN_PROMPT_TOKENS * _draw_factor(rng)))
+    drawn = int(MEAN_OUTPUT_TOKENS * _draw_factor(rng))
+    output = max(MIN_OUTPUT_TOKENS, drawn)
+    hint = max(1, int(output * rng.lognormvariate(0, HINT_SIGMA)))
+    return prompt, output, hint
 
 
 def _draw_factor(rng: random.Random) -> float:
