--- a/wigeonspoke/bench/line/queue_policy.py
+++ b/wigeonspoke/bench/line/queue_policy.py
@@ -14,6 +14,9 @@
     FairQueue,
     QueuedRequest,
     RankReservation,
+    ReturningClients,
+    SizeClasses,
+    StartRate,
 )
 from wigeonspoke.core.chains import Chain, RequestDemand
 from wigeonspoke.core.routing import Rule
@@ -27,14 +30,24 @@
 RETRY_AFTER_SECONDS = 1.2
 RETRY_AFTER_JITTER_SECONDS = 1.2
 CLIENT_GAP_SECONDS = 2.0
+RETRY_SPREAD = 0.5
+MAX_RETRY_PART = 1 / 3
 
 
 class Waiting:
     """A stream that is at a host, and its entry in the queue."""
 
-    __slots__ = ('arrived_at', 'attempts', 'entry', 'stream', 'waits_since')
-
-    def __init__(self, stream: LineStream, now: float) -> None:
+    __slots__ = (
+        'arrived_at',
+        'attempts',
+        'entry',
+        'size',
+        'stream',
+        'waits_since',
+    )
+
+    def __init__(self, stream: LineStream, size: str, now: float) -> None:
+        self.size = size
         self.stream = stream
         self.arrived_at = now
         self.attempts = 0
@@ -48,12 +61,24 @@
     ``waiting`` holds the queued streams by their number.
     """
 
-    __slots__ = ('fair', 'host', 'is_checked', 'reservation', 'waiting')
+    __slots__ = (
+        'fair',
+        'host',
+        'is_checked',
+        'rate',
+        'reservation',
+        'returning',
+        'sizes',
+        'waiting',
+    )
 
     def __init__(self, host: LineHost) -> None:
         self.host = host
         self.fair = FairQueue()
+        self.rate = StartRate()
         self.reservation = RankReservation()
+        self.returning = ReturningClients()
+        self.sizes: dict[str, SizeClasses] = {}
         self.waiting: dict[str, Waiting] = {}
         self.is_checked = False
 
@@ -63,7 +88,9 @@
         if not stream.events:
             host.budget.record_request(host.now)
             self.reservation.record_arrival(self._rank(stream), host.now)
-        self._wait(Waiting(stream, host.now))
+        sizes = self.sizes.setdefault(stream.kind.name, SizeClasses())
+        size = sizes.classify(stream.tokens)
+        self._wait(Waiting(stream, size, host.now))
 
     def cancel(self, stream: LineStream) -> None:
         """Forget a stream."""
@@ -111,8 +138,14 @@
             now + longest,
             self._rank(stream),
             stream.kind.name,
+            waiting.size,
         )
+        entry.queued_at = now
         entry.is_requeued = bool(stream.events)
+        if not waiting.attempts:
+            entry.place = self.returning.place(
+                _client_key(entry), entry.deadline, now
+            )
         return entry
 
     def _enter(self, waiting: Waiting, now: float) -> None:
@@ -120,21 +153,30 @@
             self._refuse(waiting)
             return
         entry = waiting.entry
+        expected = self._expected_wait(entry)
         self.waiting[entry.request_id] = waiting
         if entry.is_requeued:
             self.fair.requeue(entry)
         else:
             self.fair.push(entry, 1, now)
+        self.rate.record_length(len(self.waiting), now)
+        self._dispatch()
+        if self.waiting.get(entry.request_id) is not waiting:
+            return
+        if expected is not None and now + expected > entry.deadline:
+            self._leave(entry.request_id)
+            self._refuse(waiting)
+            return
         scheduler = self.host.scheduler
         scheduler.call_later(entry.deadline - now, self._end_wait, waiting, now)
-        self._dispatch()
         if self.waiting and not self.is_checked:
             self.is_checked = True
             scheduler.call_later(CHECK_SECONDS, self._check)
 
     def _leave(self, request_id: str) -> None:
         self.fair.remove(request_id)
-        self.waiting.pop(request_id, None)
+        if self.waiting.pop(request_id, None) is not None:
+            self.rate.record_length(len(self.waiting), self.host.now)
 
     def _check(self) -> None:
         """Look at intervals for what changes without an event."""
@@ -161,6 +203,7 @@
         if chain is None:
             return False
         self.fair.record_start(entry, self.host.now)
+        self.rate.record_start(entry.rank, self.host.now)
         self._leave(entry.request_id)
         self._send(waiting, chain)
         return True
@@ -209,8 +252,32 @@
             self._wait(waiting)
 
     def _refuse(self, waiting: Waiting) -> None:
-        jitter = RETRY_AFTER_JITTER_SECONDS * self.host.rng.random()
-        self.host.refuse(waiting.stream, RETRY_AFTER_SECONDS + jitter)
+        entry = waiting.entry
+        retry_after = self._find_retry_after(waiting)
+        if retry_after is None:
+            jitter = RETRY_AFTER_JITTER_SECONDS * self.host.rng.random()
+            retry_after = RETRY_AFTER_SECONDS + jitter
+        else:
+            self.returning.record_refusal(
+                _client_key(entry), retry_after, entry.place, self.host.now
+            )
+        self.host.refuse(waiting.stream, retry_after)
+
+    def _expected_wait(self, entry: QueuedRequest) -> float | None:
+        ahead = self.fair.count_ahead(entry.rank, entry.account)
+        return self.rate.expected_wait(ahead, entry.rank, self.host.now)
+
+    def _find_retry_after(self, waiting: Waiting) -> float | None:
+        host = self.host
+        entry = waiting.entry
+        expected = self._expected_wait(entry)
+        if expected is None:
+            return None
+        # One start more, for the stream itself.
+        own = self.rate.expected_wait((0, 1), entry.rank, host.now) or 0
+        spread = 1 + RETRY_SPREAD * host.rng.random()
+        left = max(0, waiting.stream.deadline - host.scheduler.now)
+        return min((expected + own) * spread, MAX_RETRY_PART * left)
 
     def _select(self, waiting: Waiting, *, is_first: bool) -> Chain | None:
         host = self.host
@@ -276,3 +343,7 @@
     def _rule(self, stream: LineStream) -> Rule:
         table = self.host.routing_table
         return table.find_rule(HOST, f'/{stream.kind.name}/')
+
+
+def _client_key(entry: QueuedRequest) -> tuple[str, str]:
+    return entry.account, entry.request_id
