--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -211,6 +211,7 @@
         if not peers.update(gossip.report, now):
             return
         self._apply_facts(update, now)
+        self.state.queues.wake()
         if is_new:
             self.state.log.write(
                 'peer', peer=instance_id, address=gossip.address
@@ -236,7 +237,6 @@
         self.state.chains.peer_load.update(
             instance_id, update.streams, update.loads
         )
-        self.state.queues.wake()
         self.state.lease_holding_peers.discard(instance_id)
         if update.leases:
             self.state.lease_holding_peers.add(instance_id)
