--- a/wigeonspoke/core/tests/test_chain_times.py
+++ b/wigeonspoke/core/tests/test_chain_times.py
@@ -453,3 +453,21 @@
             head = known.head_id.partition('/')[0]
             ranks[head] = (is_late, is_foreign, seconds)
     assert _select(selector) == min(ranks, key=ranks.get, default='')
+
+
+def test_target_that_no_chain_meets_does_not_spread_requests():
+    """Speeds that are configured too low would make every chain late."""
+    selector = _selector({'one-a': 'middle', 'two-a': 'middle'})
+    _set_load(selector, 'one-a', 1, 996)
+    hurried = msgspec.structs.replace(DEMAND, target_latency_seconds=0.01)
+    assert _select(selector, hurried) == 'two-a'
+    _set_load(selector, 'one-a', 0, 0)
+    for _ in range(10):
+        assert _select(selector, hurried) == 'one-a'
+
+
+def test_correction_of_gaps_keeps_peaks():
+    gaps = Corrections(keeps_peaks=True)
+    for number in range(20):
+        gaps.record('a', 0.04 if number % 5 else 0.2, 0.1, 0)
+    assert gaps.factor('a', 1) * 5 > 6
