Probe engines without extra connections, and confirm an end at a single endpoint

A trial connection beside each probe doubled the new connections; it is only made once a probe has failed. A refused connection at the only endpoint of a failure domain waited until isolation was ruled out, so that further requests reached replicas that a request ends: the refusal counts there once another endpoint of the service has been connected to.

--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -249,6 +249,11 @@
         )
         return tuple(others)
 
+    def is_only_one_of_group(self, endpoint: Endpoint) -> bool:
+        """Return whether a group has no other endpoint."""
+        group = (endpoint.service, endpoint.failure_domain)
+        return len(self._endpoints(group)) <= 1
+
     def has_connected_beside(self, endpoint: Endpoint, since: float) -> bool:
         """Return whether another endpoint of the service was connected to.
 
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -186,9 +186,6 @@
         self.state.count_event('probe', reason)
         failure = EngineFailure('')
         asked_at = time.monotonic()
-        # The report may come over a connection that is open already, and new
-        # connections tell whether the engine can be reached.
-        trial = eventlet.spawn(self.try_connection, endpoint)
         for _ in range(PROBE_ATTEMPTS):
             result = self.control.fetch_state(
                 endpoint.address, PROBE_TIMEOUT_SECONDS
@@ -197,7 +194,9 @@
                 self._process_state(endpoint, result.unwrap(), reason, asked_at)
                 return
             failure = result.failure()
-        trial.wait()
+        # New connections tell whether the engine can be reached.  An engine
+        # that reports needs none, and each one has a cost at the engine.
+        self.try_connection(endpoint)
         if failure.refuses_connections:
             self._confirm_end(endpoint, asked_at)
         self._when_determined(
@@ -236,6 +235,9 @@
 
         This node may be what lost its connectivity, so that the refusal only
         counts if it can connect to another endpoint of the service after it.
+        The only endpoint of a failure domain cannot be told from a lost group
+        by its failures alone; there the refusal and the other connection have
+        to suffice, since further requests would reach replicas meanwhile.
         """
         reachability = self.state.reachability
         others = reachability.others_of_service(endpoint)
@@ -245,12 +247,13 @@
                 break
             if not self.state.availability.is_backing_off(other, now):
                 self.try_connection(other)
-        self._wait_until_determined(endpoint)
-        if (
-            reachability.has_connected_beside(endpoint, refused_at)
-            and not self._is_isolated_from(endpoint)
-            and not self.state.part_watch.has_ended(endpoint)
-        ):
+        if not reachability.is_only_one_of_group(endpoint):
+            self._wait_until_determined(endpoint)
+            if self._is_isolated_from(endpoint):
+                return
+        if reachability.has_connected_beside(
+            endpoint, refused_at
+        ) and not self.state.part_watch.has_ended(endpoint):
             self._record_end(endpoint, REFUSES_CONNECTIONS)
 
     def _when_determined(
