--- /dev/null
+++ b/wigeonspoke/ingress/requests/endpoint_reports.py
@@ -0,0 +1,117 @@
+"""What endpoints say of themselves in their responses to requests."""
+
+import http
+import time
+from collections.abc import Callable
+
+from wigeonspoke.core.fleet import Endpoint
+from wigeonspoke.ingress.protocols import HeaderList, ResponseMarkers
+from wigeonspoke.ingress.requests.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.state import IngressState
+
+# Characters of an endpoint's text that are written to the log.
+MAX_LOGGED_TEXT = 64
+
+
+class EndpointReports:
+    """Records limits, leavings and backoffs that a response names.
+
+    ``note`` writes a line about the request to the log.
+    """
+
+    __slots__ = ('note', 'request_id', 'state')
+
+    def __init__(
+        self,
+        state: IngressState,
+        request_id: str,
+        note: Callable[..., None],
+    ) -> None:
+        self.state = state
+        self.request_id = request_id
+        self.note = note
+
+    def read_markers(
+        self,
+        attempt: EndpointAttempt,
+        endpoint: Endpoint,
+        status: int,
+        headers: HeaderList,
+    ) -> ResponseMarkers:
+        """Read the markers of an endpoint's response, and act on them."""
+        # Only now, since an unreachable endpoint's connection may be accepted
+        # on its way and then reset.
+        reachability = self.state.reachability
+        if attempt.connected_at is not None:
+            reachability.record_connected(endpoint, attempt.connected_at)
+        reachability.record_answered(endpoint, time.monotonic())
+        markers = self.state.wire.read_response_markers(status, headers)
+        self._record_limit(endpoint, markers)
+        # One that is not the expected run does not speak for it.
+        is_other_run = (
+            status == http.HTTPStatus.MISDIRECTED_REQUEST
+            and not markers.fault_address
+        )
+        if not is_other_run:
+            self._record_leaving(endpoint, status, markers)
+            self._record_backoff(attempt, endpoint, markers)
+        return markers
+
+    def _record_limit(
+        self, endpoint: Endpoint, markers: ResponseMarkers
+    ) -> None:
+        """Record the limit that a response names.
+
+        A response without a limit ends the one named before, unless it may
+        come from elsewhere.
+        """
+        limit = markers.requests_per_second
+        if limit is not None:
+            self.state.count_event('limit-named')
+        elif markers.request_id != self.request_id:
+            return
+        now = time.monotonic()
+        if self.state.limits.record_answer(endpoint.start_id, limit, now):
+            self.note('limit-changed', endpoint=endpoint.start_id, limit=limit)
+            self.state.tell_news()
+
+    def _record_leaving(
+        self, endpoint: Endpoint, status: int, markers: ResponseMarkers
+    ) -> None:
+        if not markers.is_leaving:
+            return
+        self.state.count_event('leaving-named')
+        if self.state.record_leaving(endpoint, f'answer {status}'):
+            self.note('turned-from', endpoint=endpoint.start_id)
+
+    def _record_backoff(
+        self,
+        attempt: EndpointAttempt,
+        endpoint: Endpoint,
+        markers: ResponseMarkers,
+    ) -> None:
+        """Record for how long an endpoint wants nothing, or that it is over."""
+        backoffs = self.state.availability.backoffs
+        start_id = endpoint.start_id
+        seconds = markers.retry_after_seconds
+        if markers.unreadable_retry_after:
+            self.note(
+                'retry-after-unreadable',
+                endpoint=start_id,
+                text=markers.unreadable_retry_after[:MAX_LOGGED_TEXT],
+            )
+        if seconds is None:
+            if backoffs.record_answer(start_id, attempt.sent_at):
+                self.note('backoff-ended', endpoint=start_id)
+            return
+        now = time.monotonic()
+        self.state.count_event('backoff-named')
+        if backoffs.record_refusal(start_id, seconds, attempt.sent_at, now):
+            until = backoffs.find_until(start_id, now) or now
+            self.note(
+                'backoff',
+                endpoint=start_id,
+                named=seconds,
+                waits=round(until - now, 3),
+                sent_ago=round(now - attempt.sent_at, 3),
+            )
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -28,6 +28,7 @@
     ResponseMarkers,
 )
 from wigeonspoke.ingress.relay.relay_choice import RelayChoice
+from wigeonspoke.ingress.requests.endpoint_reports import EndpointReports
 from wigeonspoke.ingress.requests.responses import (
     EndpointResponse,
     NodeResponse,
@@ -41,8 +42,6 @@
 MIN_RETRY_AFTER_SECONDS = 1.0
 # Clients that wait for the same endpoint return within this time.
 RETURN_SPREAD_SECONDS = 1.0
-# Characters of an endpoint's text that are written to the log.
-MAX_LOGGED_TEXT = 64
 
 
 class RequestContext(msgspec.Struct):
@@ -383,23 +382,10 @@
         headers: HeaderList,
     ) -> ResponseMarkers:
         """Read the markers of an endpoint's response, and act on them."""
-        # Only now, since an unreachable endpoint's connection may be accepted
-        # on its way and then reset.
-        reachability = self.state.reachability
-        if attempt.connected_at is not None:
-            reachability.record_connected(endpoint, attempt.connected_at)
-        reachability.record_answered(endpoint, time.monotonic())
-        markers = self.state.wire.read_response_markers(status, headers)
-        self._record_limit(endpoint, markers)
-        # One that is not the expected run does not speak for it.
-        is_other_run = (
-            status == http.HTTPStatus.MISDIRECTED_REQUEST
-            and not markers.fault_address
+        reports = EndpointReports(
+            self.state, self.context.request.request_id, self.note
         )
-        if not is_other_run:
-            self._record_leaving(endpoint, status, markers)
-            self._record_backoff(attempt, endpoint, markers)
-        return markers
+        return reports.read_markers(attempt, endpoint, status, headers)
 
     def retry_after(
         self,
@@ -449,65 +435,6 @@
             **facts,
         )
 
-    def _record_limit(
-        self, endpoint: Endpoint, markers: ResponseMarkers
-    ) -> None:
-        """Record the limit that a response names.
-
-        A response without a limit ends the one named before, unless it may
-        come from elsewhere.
-        """
-        limit = markers.requests_per_second
-        if limit is not None:
-            self.state.count_event('limit-named')
-        elif markers.request_id != self.context.request.request_id:
-            return
-        now = time.monotonic()
-        if self.state.limits.record_answer(endpoint.start_id, limit, now):
-            self.note('limit-changed', endpoint=endpoint.start_id, limit=limit)
-            self.state.tell_news()
-
-    def _record_leaving(
-        self, endpoint: Endpoint, status: int, markers: ResponseMarkers
-    ) -> None:
-        if not markers.is_leaving:
-            return
-        self.state.count_event('leaving-named')
-        if self.state.record_leaving(endpoint, f'answer {status}'):
-            self.note('turned-from', endpoint=endpoint.start_id)
-
-    def _record_backoff(
-        self,
-        attempt: EndpointAttempt,
-        endpoint: Endpoint,
-        markers: ResponseMarkers,
-    ) -> None:
-        """Record for how long an endpoint wants nothing, or that it is over."""
-        backoffs = self.state.availability.backoffs
-        start_id = endpoint.start_id
-        seconds = markers.retry_after_seconds
-        if markers.unreadable_retry_after:
-            self.note(
-                'retry-after-unreadable',
-                endpoint=start_id,
-                text=markers.unreadable_retry_after[:MAX_LOGGED_TEXT],
-            )
-        if seconds is None:
-            if backoffs.record_answer(start_id, attempt.sent_at):
-                self.note('backoff-ended', endpoint=start_id)
-            return
-        now = time.monotonic()
-        self.state.count_event('backoff-named')
-        if backoffs.record_refusal(start_id, seconds, attempt.sent_at, now):
-            until = backoffs.find_until(start_id, now) or now
-            self.note(
-                'backoff',
-                endpoint=start_id,
-                named=seconds,
-                waits=round(until - now, 3),
-                sent_ago=round(now - attempt.sent_at, 3),
-            )
-
     def _endpoint_status(self) -> int | None:
         """Return the status of an endpoint's answer, None if there is none."""
         if self.response is None:
