--- a/wigeonspoke/ingress/metrics_page.py
+++ b/wigeonspoke/ingress/metrics_page.py
@@ -35,6 +35,8 @@
         'suspects': len(state.suspects.suspicions),
         'suspected_parts': len(parts.suspicions),
         'quarantined_parts': len(parts.quarantined(now)),
+        'queued_requests': len(state.queues),
+        'queue_age_seconds': state.queues.oldest_age(now),
     }
     for name, reading in gauges.items():
         gauge = Gauge(f'{PREFIX}_{name}', name, registry=registry)
--- a/wigeonspoke/ingress/requests/waiting_queue.py
+++ b/wigeonspoke/ingress/requests/waiting_queue.py
@@ -194,6 +194,11 @@
         """Whether no further request may wait."""
         return len(self) >= MAX_QUEUED
 
+    def oldest_age(self, now: float) -> float:
+        """Return for how long the first of all requests has waited."""
+        queues = self.by_service.values()
+        return max((queue.oldest_age(now) for queue in queues), default=0)
+
     def of_service(self, service: str) -> ServiceQueue:
         """Return the queue of a service."""
         return self.by_service.setdefault(service, ServiceQueue())
