--- a/wigeonspoke/platform/tests/test_waiting_queue.py
+++ b/wigeonspoke/platform/tests/test_waiting_queue.py
@@ -1,5 +1,7 @@
 """Streams that wait for a chain are served in order, or refused."""
 
+import time
+
 import eventlet
 import pytest
 
@@ -118,3 +120,22 @@
     # It has waited 1.2 s of the 3 s that its client has.
     assert 0 < float(headers['retry-after']) * 10 <= 6
     client.close()
+
+
+def test_a_stream_that_others_precede_for_too_long_is_refused_at_once(
+    full_harness,
+):
+    queue = full_harness.node.state.queues.of_service('drafting')
+    client = _send(full_harness, '/bulk/x', 'bulk')
+    _wait_for_length(full_harness, 1)
+    # One start in 10 s.
+    queue.rate.busy.add(time.monotonic(), 10)
+    queue.rate.record_start(2, time.monotonic())
+    status, headers, _ = request_stream(full_harness, path='/bulk/x')
+    assert status == 503
+    assert len(full_harness.node.state.queues) == 1
+    state = full_harness.node.state
+    assert state.counters['queue-refused', 'queue-too-long rank 2'] == 1
+    # A third of the 3 s that the client has.
+    assert float(headers['retry-after']) <= 1
+    client.close()
