--- a/wigeonspoke/bench/line/figures.py
+++ b/wigeonspoke/bench/line/figures.py
@@ -41,8 +41,8 @@
 class LineResult(msgspec.Struct, frozen=True):
     """Figures of one pattern under one policy.
 
-    ``refused_with_room`` counts refusals by a host that knew of unreserved
-    room.  ``missed`` describes each target that was missed.
+    ``refused_with_room`` counts refusals while there was unreserved room that
+    the host knew of.  ``missed`` describes each target that was missed.
     """
 
     pattern: str
--- a/wigeonspoke/bench/line/host.py
+++ b/wigeonspoke/bench/line/host.py
@@ -144,11 +144,17 @@
         return self.selector.chains(SERVICE, self.profile)
 
     def has_room(self, chain: Chain, reserved: float = 0) -> bool:
-        """Return whether a chain has unreserved room, as the host knows."""
+        """Return whether a chain has unreserved room, and the host knows it.
+
+        A host may also take a chain for free that is full, since news is old.
+        """
         head = chain.head
-        streams = self.selector.streams_at(head.endpoint_id)
-        is_allowed = self.selector.has_capacity(chain, self.now)
-        return is_allowed and streams < head.slots - reserved
+        if not self.selector.has_capacity(chain, self.now):
+            return False
+        virtual = self.chains[head.endpoint_id]
+        known = self.selector.streams_at(head.endpoint_id)
+        streams = max(known, len(virtual.runs))
+        return virtual.is_alive and streams < head.slots - reserved
 
     def send(
         self,
--- a/wigeonspoke/bench/tests/test_line.py
+++ b/wigeonspoke/bench/tests/test_line.py
@@ -1,5 +1,7 @@
 """Short replays of load patterns in virtual time."""
 
+import functools
+
 import msgspec
 import pytest
 from click.testing import CliRunner
@@ -13,6 +15,8 @@
 from wigeonspoke.bench.line.chain import ChainSpeed
 from wigeonspoke.cli import main
 
+# The least share in time of urgent streams, and of a small account.
+LEAST_SHARE = 0.95
 PATTERNS = {pattern.name: pattern for pattern in read_patterns()}
 
 
@@ -70,3 +74,34 @@
     assert printed.output.count('| waves |') == len(POLICIES)
     assert set(written.lines[0].by_domain) == {'a', 'b', 'c'}
     assert CliRunner().invoke(main, ['bench', 'line', 'x']).exit_code == 2
+
+
+@functools.cache
+def _figures(name, hosts):
+    return _replay(name, 'queue', hosts=hosts, seconds=15).run()
+
+
+# The targets of docs/design/uneven_load.md, part 5.
+@pytest.mark.parametrize('hosts', [1, 6, 100])
+def test_urgent_streams_are_served_at_too_little_capacity(hosts):
+    assert _figures('two-ranks', hosts).by_rank['0'].in_time >= LEAST_SHARE
+
+
+@pytest.mark.parametrize('hosts', [1, 6, 100])
+def test_a_small_account_is_served_beside_a_large_one(hosts):
+    small = _figures('large-account', hosts).by_account['small']
+    assert small.in_time >= LEAST_SHARE
+
+
+@pytest.mark.parametrize('name', PATTERNS)
+def test_no_rank_account_or_size_class_starves(name):
+    figures = _figures(name, 6)
+    mean = figures.total.in_time
+    for share in (*figures.by_rank.values(), *figures.by_account.values()):
+        assert share.in_time >= mean / 4
+    assert all(each.in_time >= mean / 2 for each in figures.by_size.values())
+
+
+@pytest.mark.parametrize('name', PATTERNS)
+def test_nothing_is_refused_while_unreserved_capacity_is_free(name):
+    assert not _figures(name, 6).refused_with_room
