Restore the virtual time of a rank when a request is put back

Each look at a queue that started nothing moved the virtual time on, so that an account with few requests fell behind one with many. The tests of ranks and of the queue read capacities where chains keep them now.

--- a/wigeonspoke/bench/line/chain.py
+++ b/wigeonspoke/bench/line/chain.py
@@ -7,15 +7,11 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from typing import Any
 
-from wigeonspoke.bench.line.fleet import ACCELERATOR, ENGINE_SETTINGS, SLOTS
+from wigeonspoke.bench.line.fleet import ACCELERATOR, SLOTS, SPEEDS
 from wigeonspoke.bench.line.streams import LineStream
 from wigeonspoke.bench.scheduler import Scheduler
 
-MILLISECONDS = 1000.0
-MILLION = 1000000.0
-BITS = 8
 # Streams without the header that names their urgency.
 DEFAULT_URGENCY = 5
 
@@ -63,42 +59,31 @@
     engine with all layers, and the activations cross one link for each hop.
     """
 
-    __slots__ = ('hops', 'kind', 'settings')
+    __slots__ = ('hops',)
 
     def __init__(self, hops: int) -> None:
-        self.settings = ENGINE_SETTINGS
-        self.kind: dict[str, Any] = next(
-            kind
-            for kind in ENGINE_SETTINGS['kinds']
-            if kind['name'] == ACCELERATOR
-        )
         self.hops = hops
 
     def step_seconds(self, generating: int, context: float) -> float:
         """Return the time of one step for some generating requests."""
-        settings = self.settings
-        milliseconds = (
-            settings['step_ms']
-            + settings['per_seq_ms'] * generating
-            + settings['context_per_k'] * context / MILLISECONDS
+        seconds = (
+            SPEEDS.step_seconds
+            + SPEEDS.request_step_seconds * generating
+            + SPEEDS.context_token_seconds * context
         )
-        compute = milliseconds * self.kind['pace'] / MILLISECONDS
+        compute = seconds * ACCELERATOR.step_time_factor
         return compute + self._transfer_seconds(generating)
 
     def read_seconds(self, tokens: int, earlier: float) -> float:
         """Return the time to read some tokens after earlier ones."""
-        settings = self.settings
-        pairs = ((earlier + tokens) ** 2 - earlier**2) / 2 / MILLION
-        factor = self.kind['read-x']
-        linear = tokens / settings['read_per_s']
-        quadratic = settings['pairs_per_m'] * pairs / MILLISECONDS
-        compute = factor * (linear + quadratic)
+        pairs = ((earlier + tokens) ** 2 - earlier**2) / 2
+        linear = SPEEDS.read_token_seconds * tokens
+        quadratic = SPEEDS.token_pair_seconds * pairs
+        compute = ACCELERATOR.read_time_factor * (linear + quadratic)
         return compute + self._transfer_seconds(tokens)
 
     def _transfer_seconds(self, tokens: float) -> float:
-        bits = BITS * self.settings['act-bytes'] * tokens
-        link = self.settings['link-mbps'] * MILLION
-        return bits / link * (self.hops - 1)
+        return SPEEDS.link_token_seconds * tokens * (self.hops - 1)
 
 
 class VirtualChain:
@@ -177,7 +162,7 @@
         seconds = self._step_seconds()
         piece = 0
         if reader is not None:
-            piece = min(self.speed.settings['chunk'], reader.prompt_left)
+            piece = min(SPEEDS.chunk_tokens, reader.prompt_left)
             seconds += self.speed.read_seconds(piece, reader.context)
         self.is_running = seconds > 0
         if self.is_running:
@@ -188,11 +173,11 @@
             return 0
         context = sum(run.context for run in self.generating)
         step = self.speed.step_seconds(len(self.generating), context)
-        return step * self.speed.settings['stride']
+        return step * SPEEDS.steps_per_pass
 
     def _end_pass(self, reader: EngineRun | None, piece: int) -> None:
         now = self.scheduler.now
-        stride = self.speed.settings['stride']
+        stride = SPEEDS.steps_per_pass
         for run in self.generating:
             if run.is_ended:
                 continue
--- a/wigeonspoke/bench/line/host.py
+++ b/wigeonspoke/bench/line/host.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from wigeonspoke.bench.line.chain import EngineRun, VirtualChain
-from wigeonspoke.bench.line.fleet import SERVICE
+from wigeonspoke.bench.line.fleet import SERVICE, SPEEDS
 from wigeonspoke.bench.line.streams import LineStream
 from wigeonspoke.bench.scheduler import Scheduler
 from wigeonspoke.core.chains import (
@@ -169,7 +169,7 @@
         """
         use = self.selector.begin(chain, demand, self.now)
         virtual = self.chains[chain.head.endpoint_id]
-        done = stream.events * virtual.speed.settings['stride']
+        done = stream.events * SPEEDS.steps_per_pass
         run = EngineRun(
             stream,
             min(done, stream.output - 1),
--- a/wigeonspoke/cli/explain.py
+++ b/wigeonspoke/cli/explain.py
@@ -22,7 +22,7 @@
 
 
 class TokenCounts(click.ParamType):
-    """Tokens of prompt and output, as in the header Token-Usage."""
+    """Tokens of prompt and output, separated by a comma."""
 
     name = 'N,M'
 
--- a/wigeonspoke/core/admission/fair_queue.py
+++ b/wigeonspoke/core/admission/fair_queue.py
@@ -44,6 +44,7 @@
         'rule',
         'sequence',
         'size',
+        'virtual_before',
         'weight',
         'work',
     )
@@ -71,6 +72,8 @@
         # Order of arrival, set when it is queued.
         self.sequence = 0
         self.queued_at: float = 0
+        # Virtual time of its rank before it was charged.
+        self.virtual_before: float = 0
 
     @property
     def cost(self) -> float:
@@ -160,6 +163,7 @@
         """Charge for a request that has been removed from ``queued``."""
         account = request.account
         start = self._start_tag(account)
+        request.virtual_before = self.virtual_time
         if self.heap and self.heap[0][-1] == account:
             self.virtual_time = max(self.virtual_time, start)
         finish = start + request.cost
@@ -171,6 +175,7 @@
         account = request.account
         start = self._start_tag(account) - request.cost
         self.finish_tags[account] = start
+        self.virtual_time = request.virtual_before
         if account in self.entries:
             self._enter(account, start)
 
--- a/wigeonspoke/platform/tests/test_ranks.py
+++ b/wigeonspoke/platform/tests/test_ranks.py
@@ -59,7 +59,10 @@
 def _fill_chains(harness, free):
     """Leave some capacity free on each chain, as peers report."""
     chains = harness.node.state.chains
-    capacities = chains.cached_chains['drafting'].capacities
+    capacities = {
+        known.head_id: known.capacity
+        for known in chains.cached_chains['drafting'].known
+    }
     streams = {
         head_id: int(capacity) - free
         for head_id, capacity in capacities.items()
--- a/wigeonspoke/platform/tests/test_waiting_queue.py
+++ b/wigeonspoke/platform/tests/test_waiting_queue.py
@@ -45,7 +45,11 @@
     state = harness.node.state
     head_id = head_engine(harness, 'one').endpoint_id
     streams = {chain.head.endpoint_id: 1000 for chain in harness.chains()}
-    capacity = state.chains.cached_chains['drafting'].capacities[head_id]
+    capacity = next(
+        known.capacity
+        for known in state.chains.cached_chains['drafting'].known
+        if known.head_id == head_id
+    )
     streams[head_id] = int(capacity) - free
     if not free:
         streams[head_id] = 1000
