Know a returning client by its request, not by the id of its attempt

A client gives each attempt an id of its own, so that none of those that had waited as told got its place back. The key is the digest of service, method, target, account and body.

The limit of capacity for the most urgent streams is in force again: with speeds configured it is what slots and memory allow, and without it a stream that nothing precedes would overtake those that wait.

Checked: the new test fails with the former key; tests of the queue.

--- a/wigeonspoke/core/admission/returning_clients.py
+++ b/wigeonspoke/core/admission/returning_clients.py
@@ -24,7 +24,7 @@
 
     One that waited as it was told gets the place of its first arrival, and
     one that did not comes behind the others of its account.  Entries are keyed
-    by account and request id.
+    by account and by what makes a request the same when it comes again.
     """
 
     __slots__ = ('refused',)
--- a/wigeonspoke/ingress/requests/turn.py
+++ b/wigeonspoke/ingress/requests/turn.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from wigeonspoke.core.admission import QueuedRequest
+from wigeonspoke.core.quarantine import request_key
 from wigeonspoke.ingress.requests.request_handler import RequestContext
 from wigeonspoke.ingress.requests.waiting_queue import Target, Waiter
 from wigeonspoke.ingress.state import IngressState
@@ -175,7 +176,16 @@
 
     @property
     def _client_key(self) -> tuple[str, str]:
-        return (self.context.account, self.context.request.request_id)
+        """Key by which a request is known again when its client returns.
+
+        Each attempt of a client has a request id of its own.
+        """
+        request = self.context.request
+        account = self.context.account
+        key = request_key(
+            self.service, request.method, request.target, account, request.body
+        )
+        return (account, key)
 
     def _note(
         self, waiter: Waiter, kind: str, since: float, **facts: object
--- a/wigeonspoke/ingress/streams/chain_admission.py
+++ b/wigeonspoke/ingress/streams/chain_admission.py
@@ -57,10 +57,6 @@
             reserved = self.reservation.reserved(
                 self.rank, self.state.node_count, len(chains), now
             )
-        if not reserved:
-            # The estimate of a chain's capacity is not exact, and nothing is
-            # kept from the most urgent streams but what engines refuse.
-            return None
         return partial(self._is_admitted, reserved, now)
 
     def record_start(self, chain: Chain, now: float) -> None:
--- a/wigeonspoke/platform/tests/test_waiting_queue.py
+++ b/wigeonspoke/platform/tests/test_waiting_queue.py
@@ -126,6 +126,27 @@
     client.close()
 
 
+# Each attempt of a client has a request id of its own, so that a place kept by
+# the id alone is never found again.
+def test_a_client_that_returns_in_time_gets_its_place_back(full_harness):
+    returning = full_harness.node.state.queues.returning
+    queue = full_harness.node.state.queues.of_service('drafting')
+    client = _send(full_harness, '/bulk/x', 'first')
+    _wait_for_length(full_harness, 1)
+    eventlet.sleep(0.3)
+    queue.rate.record_start(2, queue.rate.busy_since + 0.3)
+    _, headers, _ = client.read_response()
+    assert len(returning.refused) == 1
+    place = next(iter(returning.refused.values())).first_deadline
+    eventlet.sleep(float(headers['retry-after']))
+    again = _send(full_harness, '/bulk/x', 'second')
+    _wait_for_length(full_harness, 1)
+    (waiter,) = queue.waiters.values()
+    assert waiter.entry.place == (0, place)
+    for each in (client, again):
+        each.close()
+
+
 def test_a_stream_that_others_precede_for_too_long_is_refused_at_once(
     full_harness,
 ):
