--- a/wigeonspoke/ingress/metrics_page.py
+++ b/wigeonspoke/ingress/metrics_page.py
@@ -32,9 +32,12 @@
     gauges = {
         'configuration_version': state.routing_table.version,
         'endpoints': len(state.fleet.endpoints),
+        'isolated_groups': len(state.reachability.isolated_groups(now)),
         'suspects': len(state.suspects.suspicions),
         'suspected_parts': len(parts.suspicions),
         'quarantined_parts': len(parts.quarantined(now)),
+        'queued_requests': len(state.queues),
+        'queue_age_seconds': state.queues.oldest_age(now),
     }
     for name, reading in gauges.items():
         gauge = Gauge(f'{PREFIX}_{name}', name, registry=registry)
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -12,10 +12,14 @@
 from wigeonspoke.core.forwarding import RetryWindowBudget
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
 from wigeonspoke.core.quarantine import Answer, Refusal, is_request_key
+from wigeonspoke.core.relay import RunCounts, may_hand_over, outcome_of
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.requests.answer_watch import AnswerWatch, ClaimTrial
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
-from wigeonspoke.ingress.requests.endpoint_attempt import EndpointAttempt
+from wigeonspoke.ingress.requests.endpoint_attempt import (
+    AttemptError,
+    EndpointAttempt,
+)
 from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import (
     ClientRequest,
@@ -23,6 +27,12 @@
     HeaderList,
     ResponseMarkers,
 )
+from wigeonspoke.ingress.relay.relay_choice import RelayChoice
+from wigeonspoke.ingress.requests.endpoint_reports import EndpointReports
+from wigeonspoke.ingress.requests.responses import (
+    EndpointResponse,
+    NodeResponse,
+)
 from wigeonspoke.ingress.state import IngressState
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -32,14 +42,15 @@
 MIN_RETRY_AFTER_SECONDS = 1.0
 # Clients that wait for the same endpoint return within this time.
 RETURN_SPREAD_SECONDS = 1.0
-# Characters of an endpoint's text that are written to the log.
-MAX_LOGGED_TEXT = 64
 
 
 class RequestContext(msgspec.Struct):
     """An admitted request, its deadline and its attempts so far.
 
-    ``possible_executions`` counts the attempts that ran or may have run.
+    ``arrivals`` counts the attempts that have reached an endpoint, and
+    ``possible_executions`` those that ran or may have run, at this node and at
+    peers.  ``service`` is set if another node has chosen the service, and
+    ``relayed_from`` is the name of that node.
     """
 
     request: ClientRequest
@@ -49,7 +60,15 @@
     deadline: float
     disconnect_monitor: DisconnectMonitor | None = None
     attempts: int = 0
+    arrivals: int = 0
     possible_executions: int = 0
+    service: str = ''
+    relayed_from: str = ''
+
+    @property
+    def counts(self) -> RunCounts:
+        """How often the request has arrived and may have run."""
+        return RunCounts(self.arrivals, self.possible_executions)
 
 
 class SilentAttempt(msgspec.Struct, frozen=True):
@@ -57,6 +76,7 @@
 
     answer: Answer | None
     endpoints: tuple[Endpoint, ...]
+    executions: int
 
 
 class RequestHandler:
@@ -65,12 +85,15 @@
     __slots__ = (
         'answer_watch',
         'context',
+        'executions_before',
         'has_ended_endpoint',
         'has_tried',
         'last_error',
         'open_attempts',
         'prober',
         'refusal',
+        'relay',
+        'response',
         'service',
         'state',
     )
@@ -93,10 +116,16 @@
         self.has_ended_endpoint = False
         # Whether the trial of the whole request has reached an endpoint.
         self.has_tried = False
-        self.service = choose_target(
+        # The complete response to the client, None for a stream of events.
+        self.response: EndpointResponse | NodeResponse | None = None
+        self.executions_before = context.possible_executions
+        self.service = context.service or choose_target(
             context.rule.targets,
             state.rng.random(),
         )
+        self.relay = RelayChoice(
+            state, self.service, is_relayed=bool(context.relayed_from)
+        )
         self.answer_watch = AnswerWatch(
             state.part_watch,
             claim_trial,
@@ -104,7 +133,9 @@
             context.account,
             context.request,
         )
-        self.budget.record_request(context.arrived_at)
+        # The budget counts each request once, at the node of its client.
+        if not context.relayed_from:
+            self.budget.record_request(context.arrived_at)
 
     @property
     def budget(self) -> RetryWindowBudget:
@@ -112,11 +143,63 @@
         return self.state.budget(self.service)
 
     def reserve_attempt(self, now: float) -> bool:
-        """Take an attempt from the retry budget; the first one is free."""
-        if not self.context.attempts:
+        """Take an attempt from the retry budget.
+
+        The first one that arrives at an endpoint is free, at whichever node.
+        """
+        if not self.context.arrivals:
             return True
         return self.budget.withdraw(now)
 
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event that the client has, empty if there is none."""
+        return self.context.request.last_event_id
+
+    @property
+    def outcome(self) -> Outcome:
+        """The outcome of a relayed request, which its sender is told."""
+        return outcome_of(
+            self._endpoint_status(),
+            self.executions_before,
+            self.context.possible_executions,
+        )
+
+    @property
+    def outcome_reason(self) -> str:
+        """Why a relayed request has this outcome."""
+        if isinstance(self.response, NodeResponse):
+            return self.response.reason
+        return str(Reason.DONE)
+
+    @property
+    def is_last_try(self) -> bool:
+        """Whether the request must not be sent to another endpoint.
+
+        It may have ended its endpoint, or was the trial of a quarantined key,
+        or is quarantined.
+        """
+        return (
+            self.has_ended_endpoint
+            or self.has_tried
+            or self.answer_watch.is_trial
+            or self.refusal is not None
+        )
+
+    def may_relay(self, silent_runs: int = 0) -> bool:
+        """Return whether the request may be handed to a peer.
+
+        ``silent_runs`` is how often it may run in an attempt that is silent.
+        """
+        context = self.context
+        executions = context.possible_executions + silent_runs
+        return may_hand_over(
+            RunCounts(context.arrivals, executions),
+            self.relay.handovers,
+            self.context.rule.max_attempts,
+            may_repeat=self.may_repeat(),
+        )
+
     def may_attempt(self, max_attempts: int) -> bool:
         """Return whether another attempt is useful and allowed."""
         context = self.context
@@ -126,9 +209,10 @@
             or time.monotonic() >= context.deadline
         ):
             return False
-        if not context.attempts:
+        attempts = max(context.attempts, context.arrivals)
+        if not attempts and not self.relay.handovers:
             return True
-        if context.attempts >= max_attempts or not self.is_allowed():
+        if attempts >= max_attempts or not self.is_allowed():
             return False
         return not context.possible_executions or self.may_repeat()
 
@@ -183,13 +267,24 @@
         ):
             self.state.count_event('turned-elsewhere', reason)
         self.state.availability.record_sent(endpoint, now)
-        attempt.connect(min(CONNECT_TIMEOUT_SECONDS, deadline - now))
+        timeout = min(CONNECT_TIMEOUT_SECONDS, deadline - now)
+        try:
+            attempt.connect(timeout)
+        except AttemptError as error:
+            # A time-out for lack of time tells nothing of the endpoint.
+            is_short = error.is_timed_out and timeout < CONNECT_TIMEOUT_SECONDS
+            if not is_short and not attempt.is_aborted:
+                self.state.record_unreached(endpoint)
+            self._return_reserved(now)
+            raise
+        context.arrivals += 1
         forward_context = ForwardContext(
             endpoint=endpoint,
             remaining_seconds=context.deadline - time.monotonic(),
             account=context.account,
             chain=chain,
             last_event_id=last_event_id,
+            urgency=None if chain is None else self._urgency(),
         )
         attempt.send(
             request.method,
@@ -203,7 +298,10 @@
         self.context.attempts += 1
         may_repeat = self.context.rule.may_repeat
         pool = self.state.connection_pool if may_repeat else None
-        attempt = EndpointAttempt(address, pool)
+        return self.open_attempt(EndpointAttempt(address, pool))
+
+    def open_attempt(self, attempt: EndpointAttempt) -> EndpointAttempt:
+        """Abort an attempt if the client disconnects."""
         self.open_attempts.append(attempt)
         self.context.disconnect_monitor.on_disconnect = self._abort_attempts
         return attempt
@@ -213,21 +311,22 @@
         self.open_attempts.remove(attempt)
         attempt.close()
 
-    def leave_silent(self) -> SilentAttempt:
+    def leave_silent(self, executions: int = 1) -> SilentAttempt:
         """Begin to try others beside a silent attempt.
 
-        It counts as a run from then on.
+        It counts as a run from then on, one at a peer as all the runs that
+        the peer was allowed.
         """
-        self.context.possible_executions += 1
+        self.context.possible_executions += executions
         watch = self.answer_watch
-        return SilentAttempt(watch.answer, watch.endpoints)
+        return SilentAttempt(watch.answer, watch.endpoints, executions)
 
     def return_to(self, silent: SilentAttempt) -> None:
         """Go on with a silent attempt: no other one has taken over.
 
         If it fails later, it has reasons of its own.
         """
-        self.context.possible_executions -= 1
+        self.context.possible_executions -= silent.executions
         self.answer_watch.answer = silent.answer
         self.answer_watch.endpoints = silent.endpoints
         self.refusal = None
@@ -284,17 +383,10 @@
         headers: HeaderList,
     ) -> ResponseMarkers:
         """Read the markers of an endpoint's response, and act on them."""
-        markers = self.state.wire.read_response_markers(status, headers)
-        self._record_limit(endpoint, markers)
-        # One that is not the expected run does not speak for it.
-        is_other_run = (
-            status == http.HTTPStatus.MISDIRECTED_REQUEST
-            and not markers.fault_address
+        reports = EndpointReports(
+            self.state, self.context.request.request_id, self.note
         )
-        if not is_other_run:
-            self._record_leaving(endpoint, status, markers)
-            self._record_backoff(attempt, endpoint, markers)
-        return markers
+        return reports.read_markers(attempt, endpoint, status, headers)
 
     def retry_after(
         self,
@@ -319,12 +411,22 @@
     def is_allowed(self) -> bool:
         """Return whether the current configuration still allows the request."""
         context = self.context
-        return self.state.routing_table.allows(
-            context.rule, context.request.key
+        table = self.state.routing_table
+        if not context.relayed_from:
+            return table.allows(context.rule, context.request.key)
+        # The key stays at the node of the client, which has checked it.
+        rule = context.rule
+        if table.find_rule(rule.host, rule.prefix) is None:
+            return False
+        return not context.account or any(
+            account.name == context.account
+            for account in table.accounts.values()
         )
 
     def note(self, kind: str, **facts: object) -> None:
         """Write a decision about the request to the log."""
+        if self.context.relayed_from:
+            facts['relayed_from'] = self.context.relayed_from
         self.state.log.write(
             kind,
             request=self.context.request.request_id,
@@ -334,64 +436,28 @@
             **facts,
         )
 
-    def _record_limit(
-        self, endpoint: Endpoint, markers: ResponseMarkers
-    ) -> None:
-        """Record the limit that a response names.
+    def _urgency(self) -> int | None:
+        """Return the urgency to tell engines, None if ranks don't differ."""
+        ranks = self.state.routing_table.ranks
+        context = self.context
+        rank = ranks.rank(self.service, context.rule, context.account)
+        return ranks.urgency(self.service, rank)
 
-        A response without a limit ends the one named before, unless it may
-        come from elsewhere.
-        """
-        limit = markers.requests_per_second
-        if limit is not None:
-            self.state.count_event('limit-named')
-        elif markers.request_id != self.context.request.request_id:
-            return
-        now = time.monotonic()
-        if self.state.limits.record_answer(endpoint.start_id, limit, now):
-            self.note('limit-changed', endpoint=endpoint.start_id, limit=limit)
-            self.state.tell_news()
+    def _endpoint_status(self) -> int | None:
+        """Return the status of an endpoint's answer, None if there is none."""
+        if self.response is None:
+            return http.HTTPStatus.OK
+        if isinstance(self.response, EndpointResponse):
+            return self.response.status
+        return None
 
-    def _record_leaving(
-        self, endpoint: Endpoint, status: int, markers: ResponseMarkers
-    ) -> None:
-        if not markers.is_leaving:
-            return
-        self.state.count_event('leaving-named')
-        if self.state.record_leaving(endpoint, f'answer {status}'):
-            self.note('turned-from', endpoint=endpoint.start_id)
+    def _return_reserved(self, now: float) -> None:
+        """Return to the budget what was taken for an attempt.
 
-    def _record_backoff(
-        self,
-        attempt: EndpointAttempt,
-        endpoint: Endpoint,
-        markers: ResponseMarkers,
-    ) -> None:
-        """Record for how long an endpoint wants nothing, or that it is over."""
-        backoffs = self.state.availability.backoffs
-        start_id = endpoint.start_id
-        seconds = markers.retry_after_seconds
-        if markers.unreadable_retry_after:
-            self.note(
-                'retry-after-unreadable',
-                endpoint=start_id,
-                text=markers.unreadable_retry_after[:MAX_LOGGED_TEXT],
-            )
-        if seconds is None:
-            if backoffs.record_answer(start_id, attempt.sent_at):
-                self.note('backoff-ended', endpoint=start_id)
-            return
-        now = time.monotonic()
-        self.state.count_event('backoff-named')
-        if backoffs.record_refusal(start_id, seconds, attempt.sent_at, now):
-            until = backoffs.find_until(start_id, now) or now
-            self.note(
-                'backoff',
-                endpoint=start_id,
-                named=seconds,
-                waits=round(until - now, 3),
-                sent_ago=round(now - attempt.sent_at, 3),
-            )
+        A connection that was never established is no arrival.
+        """
+        if self.context.arrivals:
+            self.budget.put_back(now)
 
     def _abort_attempts(self) -> None:
         for attempt in self.open_attempts:
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from wigeonspoke.core.admission import RankReservation
 from wigeonspoke.core.availability import EndpointAvailability
 from wigeonspoke.core.chains import (
     ChainActivity,
@@ -14,18 +15,23 @@
 )
 from wigeonspoke.core.fleet import Endpoint, Fleet
 from wigeonspoke.core.forwarding import ReplicaSelector, RetryWindowBudget
-from wigeonspoke.core.leases import LeaseRow
+from wigeonspoke.core.leases import LeaseRow, VersionedLease
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
 from wigeonspoke.core.membership import PeerRegistry
+from wigeonspoke.core.relay import RelayTraffic
+from wigeonspoke.core.reachability import Reachability
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
 from wigeonspoke.ingress.fleet.part_watch import PartWatch
 from wigeonspoke.ingress.protocols import WireFormat
+from wigeonspoke.ingress.requests.waiting_queue import WaitingQueues
 from wigeonspoke.ingress.settings import IngressSettings
+from wigeonspoke.ingress.wake_up import WakeUp
 
 # Number of nodes assumed until the registered nodes have been counted.
 ASSUMED_NODE_COUNT = 10
+MILLISECONDS_PER_SECOND = 1000
 
 
 class IngressState:
@@ -43,6 +49,7 @@
         'fleet',
         'availability',
         'hears_all_peers',
+        'is_stopping',
         'lease_holding_peers',
         'leases',
         'limits',
@@ -51,8 +58,15 @@
         'peer_addresses',
         'peer_leases',
         'peers',
+        'reachability',
+        'reachability_news',
         'registered_node_count',
+        'queues',
+        'relay_traffic',
+        'released_leases',
+        'released_peer_leases',
         'replicas',
+        'reservations',
         'rng',
         'routing_table',
         'settings',
@@ -85,10 +99,19 @@
         self.leases: dict[str, float] = {}
         # Leases reported by the peers that hold them, by failure domain.
         self.peer_leases: dict[str, LeaseRow] = {}
+        # Leases that this node released because it cannot reach the engines,
+        # and those of which peers say so, by failure domain.
+        self.released_leases: dict[str, VersionedLease] = {}
+        self.released_peer_leases: dict[str, VersionedLease] = {}
+        # Whether this node stops, so that peers relay no requests to it.
+        self.is_stopping = False
         # Instance ids of peers that hold a lease.
         self.lease_holding_peers: set[str] = set()
         self.routing_table = RoutingTable()
         self.fleet = Fleet()
+        self.reachability = Reachability(self.fleet, settings.failure_domain)
+        # Woken when trial connections may be due.
+        self.reachability_news = WakeUp()
         self.suspects = SuspectRegistry()
         # Called when peers should hear of news at once.
         self.tell_news: Callable[[], None] = _ignore
@@ -100,11 +123,20 @@
         )
         self.availability = EndpointAvailability(self.fleet, self.limits)
         self.chains = ChainSelector(
-            self.fleet, self.suspects, domain, self.availability
+            self.fleet,
+            self.suspects,
+            domain,
+            self.availability,
+            random.Random(settings.name),
+            lambda: self.node_count,
         )
         self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
+        self.relay_traffic = RelayTraffic()
         self.budgets: dict[str, RetryWindowBudget] = {}
+        self.queues = WaitingQueues()
+        # By service, for services whose requests have different ranks.
+        self.reservations: dict[str, RankReservation] = {}
         self.counters: Counter[tuple[str, str]] = Counter()
         self.rng = random.Random(settings.name)
 
@@ -140,6 +172,11 @@
             revision=self.fleet.revision,
         )
 
+    def record_unreached(self, endpoint: Endpoint) -> None:
+        """Record that a connection to an endpoint was not established."""
+        self.reachability.record_failed(endpoint, time.monotonic())
+        self.reachability_news.wake()
+
     def record_store_failure(self, now: float) -> None:
         """Record that a call to the store was refused or not answered."""
         self.store_failed_at = max(self.store_failed_at, now)
@@ -159,6 +196,19 @@
         if existing is None or until > existing.until:
             self.peer_leases[domain] = LeaseRow(holder, until)
 
+    def record_released_lease(
+        self, domain: str, released: VersionedLease
+    ) -> None:
+        """Record that the holder of a lease has released it."""
+        known = self.released_peer_leases.get(domain)
+        if known is None or released.version > known.version:
+            self.released_peer_leases[domain] = released
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that this node has at endpoints."""
+        return self.chains.in_flight.total() + self.replicas.in_flight.total()
+
     def heard_leases(self) -> dict[str, LeaseRow]:
         """Return leases of other nodes to tell peers, in a large fleet.
 
@@ -200,6 +250,11 @@
         """Increment the counter of an event with an optional reason."""
         self.counters[name, reason] += 1
 
+    def count_amount(self, name: str, reason: str, seconds: float) -> None:
+        """Add a time in milliseconds to a counter."""
+        milliseconds = round(seconds * MILLISECONDS_PER_SECOND)
+        self.counters[name, reason] += milliseconds
+
     def is_node_gone(self, name: str, live_names: set[str]) -> bool:
         """Return whether a node is considered gone.
 
--- a/wigeonspoke/ingress/streams/chain_choice.py
+++ b/wigeonspoke/ingress/streams/chain_choice.py
@@ -1,13 +1,16 @@
 """Choice of the chains that one stream is sent to."""
 
 import time
+from functools import partial
 
-import eventlet
-
-from wigeonspoke.core.chains import Chain
+from wigeonspoke.core.chains import Chain, ChainUse, RequestDemand
 from wigeonspoke.core.fleet import Endpoint, EngineProfile
 from wigeonspoke.ingress.requests.request_handler import RequestContext
+from wigeonspoke.ingress.requests.turn import Turn
+from wigeonspoke.ingress.requests.waiting_queue import Waiter
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.streams.chain_admission import ChainAdmission
+from wigeonspoke.ingress.streams.request_demand import build_demand
 
 # How long a request waits for a complete chain, as a fraction of the rule's
 # target latency.  Up to an eighth of it makes no difference to users.
@@ -15,7 +18,6 @@
 # The same if there are complete chains, but all are full: streams end
 # continuously, so a full chain soon has room.
 FULL_CHAIN_WAIT_FRACTION = 0.6
-CHAIN_POLL_SECONDS = 0.02
 
 
 class ChainChoice:
@@ -25,7 +27,14 @@
     failed.
     """
 
-    __slots__ = ('context', 'excluded', 'service', 'state')
+    __slots__ = (
+        'admission',
+        'context',
+        'excluded',
+        'service',
+        'state',
+        'turn',
+    )
 
     def __init__(
         self, state: IngressState, context: RequestContext, service: str
@@ -34,6 +43,8 @@
         self.context = context
         self.service = service
         self.excluded: set[str] = set()
+        self.turn = Turn(state, context, service)
+        self.admission = ChainAdmission(state, context, service)
 
     @property
     def profile(self) -> EngineProfile | None:
@@ -43,21 +54,30 @@
 
     def wait(self) -> Chain | None:
         """Choose a chain, waiting for a limited time for one with room."""
-        wait_since = time.monotonic()
-        if self._stays_closed(wait_since):
+        since = time.monotonic()
+        if self._stays_closed(since) or self.profile is None:
             return None
-        while self.profile is not None:
-            now = time.monotonic()
-            chain = self._select(now)
-            if (
-                chain is not None
-                or self.context.disconnect_monitor.is_disconnected
-            ):
-                return chain
-            if now >= min(self.context.deadline, wait_since + self._max_wait()):
-                return None
-            eventlet.sleep(CHAIN_POLL_SECONDS)
-        return None
+        self.admission.begin_wait(since)
+        longest = (
+            FULL_CHAIN_WAIT_FRACTION * self.context.rule.target_latency_seconds
+        )
+        deadline = min(self.context.deadline, since + longest)
+        chains = self.state.chains
+        waiter = Waiter(
+            self.turn.make_entry(deadline, since),
+            self._select,
+            chains.begin,
+            chains.end,
+        )
+        chain = self.turn.take(waiter, partial(self._wait_until, since))
+        if chain is not None:
+            self.admission.record_start(chain, time.monotonic())
+        return chain
+
+    @property
+    def retry_after(self) -> float | None:
+        """When a refused stream may come again, None if that is unknown."""
+        return self.turn.retry_after if self.turn.refusal else None
 
     def is_possible(self) -> bool:
         """Return whether a chain could be sent the stream at once."""
@@ -81,6 +101,18 @@
             )
         )
 
+    def begin(self, chain: Chain) -> ChainUse:
+        """Record that the stream is sent to a chain."""
+        now = time.monotonic()
+        return self.state.chains.begin(chain, self._demand(now), now)
+
+    def _demand(self, now: float) -> RequestDemand | None:
+        """Return what is asked of a chain, if speeds of engines are known."""
+        profile = self.profile
+        if profile is None or profile.speeds is None:
+            return None
+        return build_demand(self.context, profile.speeds, now)
+
     def _stays_closed(self, now: float) -> bool:
         """Return whether no head may be sent to for longer than is waited."""
         heads = self.heads()
@@ -89,7 +121,16 @@
             return False
         return next_send_at > now + self._max_wait()
 
-    def _select(self, now: float) -> Chain | None:
+    def _wait_until(self, since: float) -> float:
+        if self.profile is None:
+            return since
+        return min(self.context.deadline, since + self._max_wait())
+
+    def _select(self, now: float, is_first: bool = False) -> Chain | None:
+        """Return a chain with capacity.
+
+        One that ``is_first`` is held back for no other request.
+        """
         if self.profile is None:
             return None
         return self.state.chains.select(
@@ -97,6 +138,8 @@
             self.profile,
             self.excluded,
             now,
+            self._demand(now),
+            self.admission.admits(self.profile, now, is_first),
         )
 
     def _max_wait(self) -> float:
