Do not take the stall of a failed chain for its gap between events

The correction of gaps rises fast and falls slowly. After a stall, new requests were kept from the chain although it had been repaired.

Checked: the new test fails without the change; tests of chains.

--- a/wigeonspoke/core/chains/times.py
+++ b/wigeonspoke/core/chains/times.py
@@ -33,6 +33,9 @@
 # Gaps are compared with what was expected when their request began.  Later
 # than this many seconds, the load of the chain is another one.
 GAP_OBSERVATION_SECONDS = 2.0
+# A gap above this multiple of the expected one comes from a fault of the chain,
+# which other means detect, and says nothing about its load.
+MAX_GAP_RATIO = 3.0
 # Engines that serve whole requests keep no prompt after its request.
 RETENTION_SECONDS = 0
 
@@ -221,10 +224,7 @@
         if there was one.
         """
         if use.has_event:
-            if use.expected_gap and now <= use.begun_at + (
-                GAP_OBSERVATION_SECONDS
-            ):
-                self.event_gaps.record(use.head_id, gap, use.expected_gap, now)
+            self._record_gap(use, gap, now)
             return None
         use.has_event = True
         self.prefixes.record_begin(use.run, use.prefixes, now)
@@ -264,6 +264,12 @@
         self.event_gaps.forget(known.head_id)
         self.prefixes.end_run(known.run)
 
+    def _record_gap(self, use: ChainUse, gap: float, now: float) -> None:
+        """Learn from a gap between events how far expected ones are off."""
+        is_recent = now <= use.begun_at + GAP_OBSERVATION_SECONDS
+        if is_recent and 0 < gap <= MAX_GAP_RATIO * use.expected_gap:
+            self.event_gaps.record(use.head_id, gap, use.expected_gap, now)
+
     def _candidate(
         self, known: KnownChain, estimate: ChainEstimate
     ) -> Candidate:
--- a/wigeonspoke/core/tests/test_chain_times.py
+++ b/wigeonspoke/core/tests/test_chain_times.py
@@ -242,6 +242,18 @@
     assert not _select(selector, hurried, 20)
 
 
+# A stall after an engine has failed would otherwise keep requests from a chain
+# that has been repaired, for as long as its streams recover.
+def test_stall_of_a_chain_does_not_count_as_its_gap():
+    selector = _selector({'one-a': 'small'})
+    chain = selector.chains('drafting', TIMED)[0]
+    use = selector.begin(chain, DEMAND, 0)
+    selector.times.record_event(use, 0, 0.1)
+    factor = selector.times.event_gaps.factor(use.head_id, 0.1)
+    selector.times.record_event(use, 10 * use.expected_gap, 1)
+    assert selector.times.event_gaps.factor(use.head_id, 1) == factor
+
+
 def test_less_urgent_request_leaves_the_fast_chain():
     selector = _selector(
         {'one-a': 'large', 'one-b': 'middle', 'one-c': 'tiny', 'two-a': 'tiny'}
