Ask refused clients to return no sooner than a chain needs to recover

Retry-After followed the recent rate of starts, which says nothing about a chain that has failed: clients returned at once and were refused again.

Checked: tests of the queue.

--- a/wigeonspoke/ingress/requests/turn.py
+++ b/wigeonspoke/ingress/requests/turn.py
@@ -15,6 +15,10 @@
 # Retry-After is lengthened at random by up to this fraction, so that clients
 # don't return together.
 RETRY_SPREAD = 0.5
+# Retry-After is no shorter than this: a chain that has failed takes some seconds
+# to be complete again, and a client that returns sooner is refused again.
+MIN_RETRY_SECONDS = 1.2
+MIN_RETRY_SPREAD = 1.0
 # A client returns only if Retry-After is at most this part of its time left.
 MAX_RETRY_PART = 1 / 3
 
@@ -172,7 +176,9 @@
         own = self.queue.rate.expected_wait((0, 1), entry.rank, now) or 0
         spread = 1 + RETRY_SPREAD * self.state.rng.random()
         longest = MAX_RETRY_PART * max(0, self.context.deadline - now)
-        return min((expected + own) * spread, longest)
+        least_spread = 1 + MIN_RETRY_SPREAD * self.state.rng.random()
+        least = MIN_RETRY_SECONDS * least_spread
+        return min(max(least, (expected + own) * spread), longest)
 
     @property
     def _client_key(self) -> tuple[str, str]:
