--- a/wigeonspoke/ingress/requests/turn.py
+++ b/wigeonspoke/ingress/requests/turn.py
@@ -15,8 +15,8 @@
 # Retry-After is lengthened at random by up to this fraction, so that clients
 # don't return together.
 RETRY_SPREAD = 0.5
-# Retry-After is no shorter than this: a chain that has failed takes some seconds
-# to be complete again, and a client that returns sooner is refused again.
+# Retry-After is no shorter than this: a chain that has failed takes some
+# seconds to be complete again, and a client that returns sooner is refused.
 MIN_RETRY_SECONDS = 1.2
 MIN_RETRY_SPREAD = 1.0
 # A client returns only if Retry-After is at most this part of its time left.
