Clarify wording in the pages and comments on uneven load

Sections now have names, stale statements are corrected, and comments state reasons instead of measured figures. No behavior, bound, log key or name on the wire changes.

--- a/wigeonspoke/bench/line/policies.py
+++ b/wigeonspoke/bench/line/policies.py
@@ -6,7 +6,8 @@
 from wigeonspoke.core.chains import Chain
 
 NAIVE_RETRY_AFTER_SECONDS = 1.0
-# Values of the policy that is compared with, as of commit 362f75a.
+# Values of the ingress node at commit 362f75a, where each waiting stream polled
+# for a chain.
 FULL_CHAIN_WAIT_FRACTION = 0.6
 CHAIN_POLL_SECONDS = 0.02
 MAX_ATTEMPTS = 5
--- a/wigeonspoke/bench/line/replay.py
+++ b/wigeonspoke/bench/line/replay.py
@@ -26,17 +26,17 @@
 # that what a host knows of others is 0.7 s old on average.
 NEWS_PERIOD_SECONDS = 0.25
 NEWS_DELAY_SECONDS = 0.575
-# A host without news for this long is taken for gone, as by
-# `PEER_TIMEOUT_SECONDS` and rounds of 0.25 s.
+# Hosts forget the streams of a host without news for this time.
 PEER_TIMEOUT_SECONDS = 3.0
-# The balancer goes on sending to a dead host for this long.
+# The load balancer sends to a dead host for this time.
 BALANCER_SECONDS = 1.0
+# The registry lists engines for this time after their end.
 REGISTRY_SECONDS = 2.0
 # A client leaves after this time without an event.
 CLIENT_GAP_SECONDS = 2.0
 # A client waits for Retry-After if it is at most this part of its time.
 RETRY_AFTER_FRACTION = 1 / 3
-# Clients come a little later than they were told.
+# Clients return later than Retry-After by up to this fraction.
 RETURN_JITTER = 0.1
 REPEAT_SECONDS = 0.05
 MAX_REPEATS = 20
--- a/wigeonspoke/bench/tests/test_line.py
+++ b/wigeonspoke/bench/tests/test_line.py
@@ -81,7 +81,7 @@
     return _replay(name, 'queue', hosts=hosts, seconds=15).run()
 
 
-# The targets of docs/design/uneven_load.md, part 5.
+# The targets of docs/design/uneven_load.md, "Replay of load patterns".
 @pytest.mark.parametrize('hosts', [1, 6, 100])
 def test_urgent_streams_are_served_at_too_little_capacity(hosts):
     assert _figures('two-ranks', hosts).by_rank['0'].in_time >= LEAST_SHARE
--- a/wigeonspoke/core/admission/fair_queue.py
+++ b/wigeonspoke/core/admission/fair_queue.py
@@ -18,8 +18,8 @@
 from wigeonspoke.core.admission.served_shares import ClassKey, ServedShares
 from wigeonspoke.core.timers import LazyTimers
 
-# Entries of a heap that are out of date are removed when they outnumber the
-# others by this.
+# Outdated entries of a heap are removed when they outnumber the others by this
+# many.
 SPARE_ENTRIES = 64
 
 
--- a/wigeonspoke/core/admission/reservation.py
+++ b/wigeonspoke/core/admission/reservation.py
@@ -18,7 +18,8 @@
 # Mean age of what peers report of their streams: a round of gossip.
 NEWS_AGE_SECONDS = 0.7
 # A waiting request takes capacity that was reserved and not used this long.
-# It is half of the time for which the most urgent requests wait.
+# It is less than the 0.3 s for which a stream with a target latency of 0.5 s
+# waits, so that such a stream can still use it.
 UNUSED_SECONDS = 0.25
 
 
@@ -31,7 +32,7 @@
 
 
 class _FreeCapacity:
-    """Since when a chain has had free capacity that nobody took."""
+    """The time since which free capacity of a chain has been unused."""
 
     __slots__ = ('free_since', 'streams')
 
@@ -59,7 +60,7 @@
         self.arrivals.setdefault(rank, RecentCount()).add(now)
 
     def retain(self, head_ids: set[str], now: float) -> None:
-        """Drop what is known of other chains and of ranks no longer seen."""
+        """Drop the state of other chains and of ranks without requests."""
         for head_id in self.free_capacity.keys() - head_ids:
             self.free_capacity.pop(head_id)
         for rank in tuple(self.arrivals):
@@ -117,7 +118,7 @@
         if free is None:
             free = _FreeCapacity(streams, now)
             self.free_capacity[head_id] = free
-        # A clock that has stepped back begins anew.
+        # If the clock has stepped back, the time is measured from now.
         is_earlier = now < free.free_since
         is_full = streams >= load.capacity
         if is_full or streams > free.streams or is_earlier:
--- a/wigeonspoke/core/admission/returning_clients.py
+++ b/wigeonspoke/core/admission/returning_clients.py
@@ -8,8 +8,8 @@
 MAX_ENTRIES = 1024
 # How long after Retry-After a client may return and keep its place.
 RETURN_SECONDS = 2.0
-# What a client may come too early without losing its place: clocks differ, and
-# Retry-After has two decimal places.
+# How much too early a client may return without losing its place: clocks
+# differ, and Retry-After has two decimal places.
 EARLY_SECONDS = 0.02
 
 
--- a/wigeonspoke/core/admission/served_shares.py
+++ b/wigeonspoke/core/admission/served_shares.py
@@ -14,8 +14,8 @@
 MIN_SHARE = 0.25
 # The same for a size class, compared with the mean of its rule.
 MIN_SIZE_SHARE = 0.5
-# What a class earns, as a multiple of the least that it is to get.  At 1, the
-# starts still saved up left classes 2 % below the least.
+# What a class earns, as a multiple of the least that it is to get.  Above 1,
+# since credit that is saved up but not yet used leaves a class below the least.
 EARNED_FACTOR = 1.2
 # What a class can save up, so that one that was held back for long doesn't
 # hold up all others later.
@@ -27,7 +27,7 @@
 
 
 class _Served:
-    """Arrivals and starts of late."""
+    """Recent arrivals and starts."""
 
     __slots__ = ('arrivals', 'starts')
 
--- a/wigeonspoke/core/admission/start_rate.py
+++ b/wigeonspoke/core/admission/start_rate.py
@@ -2,7 +2,8 @@
 
 from wigeonspoke.core.admission.recent_counts import RecentCount
 
-# Time for which requests must have waited, of late, before the rate counts.
+# Seconds within the counting period in which requests must have waited before
+# the rate is used: a rate from less time would rest on very few starts.
 MIN_BUSY_SECONDS = 0.25
 
 
--- a/wigeonspoke/core/chains/estimate.py
+++ b/wigeonspoke/core/chains/estimate.py
@@ -13,7 +13,7 @@
 from wigeonspoke.core.chains.demand import RequestDemand
 from wigeonspoke.core.chains.speed import ChainSpeed
 
-# How old the news of peers are, in seconds: they exchange them in rounds of
+# Age of the news of peers, in seconds: nodes exchange it in rounds of
 # 0.7 s.  Requests that peers have sent since are not known.
 NEWS_AGE_SECONDS = 0.7
 # Above this share of the memory, a request has to wait until others have
--- a/wigeonspoke/core/chains/timed_choice.py
+++ b/wigeonspoke/core/chains/timed_choice.py
@@ -1,7 +1,7 @@
 """Choice of a chain by the expected times of a request.
 
 All nodes that know the same of the chains would choose the same one until they
-hear of each other's requests.  A node therefore distributes the requests that
+learn of each other's requests.  A node therefore distributes the requests that
 they are all expected to send within the age of the news, one after the other,
 each to the chain that is best after those before, and takes the chain of one
 of them at random.
@@ -25,7 +25,7 @@
 # Requests that are distributed at most; further ones are distributed with
 # them.  This bounds the cost of a choice.
 MAX_PORTIONS = 16
-# Own requests of about this time, in seconds, give the rate of arrivals.
+# Period, in seconds, of the node's own requests that give the rate of arrivals.
 RATE_WINDOW_SECONDS = 10.0
 
 
--- a/wigeonspoke/core/explanation/chains.py
+++ b/wigeonspoke/core/explanation/chains.py
@@ -217,7 +217,8 @@
         if estimate is None:
             return
         demand = estimate.demand
-        # The choice among this chain alone tells whether it rules it out.
+        # A choice with this chain as the only candidate shows whether it is
+        # ruled out.
         chosen = self.selector.times.choose((known,), 1, demand, now)
         if not estimate.has_memory():
             yield Finding(
--- a/wigeonspoke/core/reachability/group.py
+++ b/wigeonspoke/core/reachability/group.py
@@ -2,16 +2,16 @@
 
 import math
 
-# A failed connection attempt is evidence for this long.
+# A failed connection attempt is evidence for this time.
 FAILURE_SECONDS = 2.0
-# Endpoints of a group that have to fail, if it has as many.
+# Endpoints that must fail before a group with at least as many is isolated.
 MIN_FAILED_ENDPOINTS = 2
 # Isolation is being determined for this long after a failure.
 DETERMINATION_SECONDS = 1.0
 # Failures that go on for longer without evidence of isolation mean that the
 # endpoints are down: twice the time in which isolation has to be detected.
 MAX_DETERMINATION_SECONDS = 2.0
-# Time after a first failure in which the trial that it causes has a result.
+# Time within which the trial that a first failure causes has a result.
 # Until then no conclusion is drawn: several endpoints may have ended at once.
 TRIAL_RESULT_SECONDS = 0.3
 # Time between trial connections: at first, and at most after isolations that
--- a/wigeonspoke/core/reachability/peer_reach.py
+++ b/wigeonspoke/core/reachability/peer_reach.py
@@ -1,4 +1,4 @@
-"""What peers tell of the endpoints that they reach."""
+"""What peers report of the endpoints that they reach."""
 
 import math
 from collections import Counter
@@ -9,9 +9,10 @@
 from wigeonspoke.core.reachability.records import ReachedReport, RelayPeer
 
 # A peer reaches a group if it had an answer within this time.  It covers the
-# age of the answer at the peer and up to two gossip rounds of 0.84 s.
+# age of the answer at the peer and up to two gossip rounds, which take at most
+# 0.84 s each with their jitter.
 REACHED_SECONDS = 2.5
-# A peer that was not heard from for this long is forgotten.  Gossip of large
+# A peer without a message for this time is forgotten.  Gossip of large
 # deployments reaches a given peer only every few rounds.
 PEER_MEMORY_SECONDS = 10.0
 # More nodes than the largest deployment has.
@@ -77,7 +78,7 @@
         self.peers.pop(name, None)
 
     def has_peers(self, now: float) -> bool:
-        """Return whether any peer was heard from of late."""
+        """Return whether a message of any peer arrived recently."""
         return any(
             now - peer.heard_at <= PEER_MEMORY_SECONDS
             for peer in self.peers.values()
--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -2,9 +2,9 @@
 
 A group is the endpoints of a service in a failure domain.  A host may lose its
 connectivity to a group, while clients, the store and its peers still reach
-it.  Its failed connections then tell nothing of the endpoints: the node says
-so to its peers, forms no belief about the endpoints, and has requests relayed
-until trial connections succeed.
+it.  Its failed connections then are no evidence about the endpoints: the node
+reports the isolation to its peers, does not change its view of the endpoints'
+health, and relays requests until trial connections succeed.
 """
 
 import math
@@ -29,7 +29,7 @@
 
 # Groups in a message, which is bounded in bytes.
 MAX_REPORTS = 32
-# Groups of which something is remembered: more than any deployment has.
+# Groups with recorded state: more than any deployment has.
 MAX_GROUPS = 256
 # While a peer is isolated from a group, a node that has no requests for it
 # makes a trial connection this often, so that it can say that it reaches it.
@@ -94,7 +94,7 @@
         return state is not None and state.isolated_at is not None
 
     def is_service_isolated(self, service: str, now: float) -> bool:
-        """Return whether this node is isolated from all endpoints."""
+        """Return whether this node is isolated from all groups of it."""
         endpoints = self.fleet.of_service(service)
         domains = {endpoint.failure_domain for endpoint in endpoints}
         return bool(domains) and all(
@@ -139,7 +139,7 @@
     def refusal_retry_after(
         self, service: str, now: float, remaining_seconds: float, draw: float
     ) -> float | None:
-        """Return when a request that no node can serve may come again.
+        """Return the Retry-After of a request that no node can serve.
 
         It is None unless this node is isolated from the service and no peer
         reaches it, so that the request is to be refused at once.  ``draw`` is
@@ -166,7 +166,7 @@
             self.peer_reach.relayed.pop(peer)
 
     def reports(self, now: float) -> tuple[ReachedReport, ...]:
-        """Return what to tell peers: the groups with the most recent news."""
+        """Return reports for peers: the groups with the most recent news."""
         news: list[tuple[float, ReachedReport]] = []
         for group, state in self.groups.items():
             age = max(0, now - state.answered_at)
@@ -190,7 +190,7 @@
         open_requests: int = 0,
         is_stopping: bool = False,
     ) -> None:
-        """Apply what a peer tells of the groups that it reaches."""
+        """Apply what a peer reports of the groups that it reaches."""
         self.peer_reach.merge(
             RelayPeer(peer, address, failure_domain),
             reports,
@@ -228,11 +228,11 @@
         return self.has_peers(now)
 
     def has_peers(self, now: float) -> bool:
-        """Return whether there are peers, which isolation takes."""
+        """Return whether there are peers, without which nothing is isolated."""
         return self.peer_reach.has_peers(now)
 
     def suspends_beliefs(self, endpoint: Endpoint, now: float) -> bool:
-        """Return whether failures tell nothing of an endpoint now."""
+        """Return whether failures are no evidence about an endpoint now."""
         return self.is_isolated(
             endpoint.service, endpoint.failure_domain, now
         ) or self.is_determining(endpoint, now)
--- a/wigeonspoke/core/reachability/records.py
+++ b/wigeonspoke/core/reachability/records.py
@@ -1,13 +1,13 @@
-"""Records of what nodes reach, told in gossip and used to choose peers."""
+"""Reports of the groups that nodes reach, and the peers chosen by them."""
 
 import msgspec
 
 
 class ReachedReport(msgspec.Struct, frozen=True, array_like=True):
-    """What a node tells of a group: the endpoints of a service in a domain.
+    """What a node reports of a group: the endpoints of a service in a domain.
 
     ``answer_age`` is the age in seconds of the last answer or new connection
-    of an endpoint of the group, or None if there was none of late.
+    of an endpoint of the group, or None if there was none recently.
     """
 
     service: str
--- a/wigeonspoke/core/relay/handover.py
+++ b/wigeonspoke/core/relay/handover.py
@@ -1,8 +1,8 @@
-"""What a node allows a peer to which it hands a request, and what that cost.
+"""Limits of a peer to which a request is handed over, and their accounting.
 
 Both nodes together stay within the limits of the request's rule, also if the
 peer ends without an answer.  The node therefore tells the peer how often the
-request may run in all, and counts all of these runs if it hears no more.
+request may run in all, and counts all of these runs if no answer comes.
 """
 
 import http
@@ -11,8 +11,8 @@
 
 from wigeonspoke.core.outcomes import Outcome
 
-# Peers that one request is handed to.  A peer that ends without an answer costs
-# up to the target latency, so that the time is over after a few.
+# Peers that one request is handed to.  A peer that fails without an answer
+# takes up to the target latency, so that the deadline is reached after a few.
 MAX_HANDOVERS = 3
 
 
@@ -24,7 +24,7 @@
 
 
 class Handover(msgspec.Struct, frozen=True):
-    """What a peer is told.
+    """The limits that a peer is sent with a request.
 
     ``execution_limit`` is how often the request may have run in all when the
     peer has ended, those counted in ``before`` included.
@@ -59,7 +59,7 @@
 def plan_handover(
     counts: RunCounts, max_executions: int, *, may_repeat: bool
 ) -> Handover:
-    """Return what a peer may do.
+    """Return the limits for a peer.
 
     If more than one run is left, one of them is kept for another peer, since
     this one may end without saying how many it has used.
--- a/wigeonspoke/core/relay/ways.py
+++ b/wigeonspoke/core/relay/ways.py
@@ -27,8 +27,8 @@
     whether an endpoint of the other groups has capacity, and ``has_peer``
     whether a peer may be handed the request.
 
-    A request that came from a peer is never relayed again: the peer has a
-    better view of whom else to ask, and a circle of nodes is ruled out.
+    A request that came from a peer is never relayed again: its sender
+    can choose another peer, and relaying loops are ruled out.
     """
     if has_own or not has_isolated_group:
         return Way.OWN
--- a/wigeonspoke/ingress/relay/peer_attempts.py
+++ b/wigeonspoke/ingress/relay/peer_attempts.py
@@ -37,8 +37,8 @@
     invalid_response_error,
 )
 
-# Endpoint ids of this form are used by no endpoint: the registry's have no
-# slash at their beginning.
+# No endpoint has an id with this prefix: ids in the registry do not begin with
+# a slash.
 PEER_ID_PREFIX = '/peer/'
 
 
@@ -51,8 +51,8 @@
 class PeerAttempts:
     """Hands one request to peers, one after the other or beside a silent one.
 
-    ``plans`` holds what each peer with an open attempt was allowed, and
-    ``answers`` what those that have answered told of their attempts.
+    ``plans`` holds the limits that were sent with each open attempt, and
+    ``answers`` the counts and outcomes of those that were answered.
     """
 
     __slots__ = ('answers', 'request_handler', 'plans', 'state')
@@ -177,7 +177,7 @@
         """Do nothing: events are evidence at the peer, which knows the run."""
 
     def record_complete(self) -> None:
-        """Do nothing: so is a complete answer."""
+        """Do nothing: a complete answer is evidence at the peer, too."""
 
     def record_whole_answer(
         self, attempt: EndpointAttempt, *, is_valid: bool
--- a/wigeonspoke/ingress/relay/relay_app.py
+++ b/wigeonspoke/ingress/relay/relay_app.py
@@ -1,4 +1,4 @@
-"""Serves requests of clients that other nodes send on."""
+"""Serves requests that other nodes relay for their clients."""
 
 import http
 import time
--- a/wigeonspoke/ingress/relay/relay_choice.py
+++ b/wigeonspoke/ingress/relay/relay_choice.py
@@ -17,7 +17,7 @@
 
 
 class RelayChoice:
-    """Tells where a request goes next while groups are isolated.
+    """Decides where a request goes next while groups are isolated.
 
     ``draw`` is drawn once for each request, so that all its attempts are on
     the same side while a group recovers.  ``excluded`` are the names of the
@@ -42,13 +42,13 @@
         self.state = state
         self.service = service
         self.is_relayed = is_relayed
-        # A node that recovers is not asked by peers, so that one which is
-        # asked all the same does what it can.
+        # Peers do not choose a recovering node.  If a relayed request comes
+        # to one nevertheless, it may use all endpoints.
         self.draw = 0 if is_relayed else state.rng.random()
         self.excluded: set[str] = set()
         self.handovers = 0
         self.is_refused = False
-        # The time that a peer named which refused the request, in seconds.
+        # Retry-After of a peer that refused the request, in seconds.
         self.peer_retry_after: float | None = None
 
     def blocked_endpoints(self, now: float) -> tuple[Endpoint, ...]:
@@ -91,8 +91,8 @@
         )
         self.is_refused = way is Way.REFUSE
         if way is Way.OWN and not is_own_possible:
-            # There is no peer that could serve what a recovering group is
-            # spared.
+            # No peer can take the share of requests that is withheld from a
+            # recovering group.
             self.draw = 0
         return way
 
@@ -126,7 +126,7 @@
         return NO_CAPACITY
 
     def retry_after(self, remaining_seconds: float) -> float:
-        """Return when a refused request may come again, in seconds."""
+        """Return the Retry-After of a refused request, in seconds."""
         draw = self.state.rng.random()
         wait_seconds = self.state.reachability.refusal_retry_after(
             self.service, time.monotonic(), remaining_seconds, draw
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -271,7 +271,8 @@
         try:
             attempt.connect(timeout)
         except AttemptError as error:
-            # A time-out for lack of time tells nothing of the endpoint.
+            # A time-out shortened by the request's deadline is no evidence
+            # about the endpoint.
             is_short = error.is_timed_out and timeout < CONNECT_TIMEOUT_SECONDS
             if not is_short and not attempt.is_aborted:
                 self.state.record_unreached(endpoint)
--- a/wigeonspoke/ingress/requests/turn.py
+++ b/wigeonspoke/ingress/requests/turn.py
@@ -24,7 +24,7 @@
 
     ``refusal`` is why the last wait ended without a target, '' if it did not
     or the client has gone.  ``retry_after`` goes with it; it is None if
-    nothing tells when there will be capacity.
+    it is not known when there will be capacity.
     """
 
     __slots__ = (
@@ -84,7 +84,7 @@
     ) -> Target | None:
         """Return a target for the request, None if its wait is over.
 
-        ``wait_until`` tells until when the request may wait, as of now.
+        ``wait_until`` returns the time until which the request may wait.
         """
         now = time.monotonic()
         self.refusal = ''
--- a/wigeonspoke/ingress/requests/waiting_queue.py
+++ b/wigeonspoke/ingress/requests/waiting_queue.py
@@ -25,8 +25,8 @@
 # Requests that a wake-up passes over because they can't start, although others
 # may, such as one for which the free chain has failed.
 MAX_PASSED_OVER = 4
-# Limits of chains rise and backoffs end without an event.  Each queue looks
-# for that, whatever its length.
+# Interval of checks, since limits of chains rise and backoffs end without an
+# event.  There is one check per queue, whatever its length.
 TIMED_CHECK_SECONDS = 0.05
 
 Target = Any
@@ -72,7 +72,7 @@
         return target
 
     def wake(self) -> None:
-        """Wake the request, which looks whether it has a target."""
+        """Wake the request, which checks whether it has a target."""
         if not self.event.ready():
             self.event.send()
 
@@ -86,9 +86,9 @@
         self.fair = FairQueue()
         self.rate = StartRate()
         self.waiters: dict[str, Waiter] = {}
-        # Whether a greenlet looks at the queue at intervals.
+        # Whether a greenlet checks the queue at intervals.
         self.is_checked = False
-        # Whether a greenlet is about to look at the queue.
+        # Whether a greenlet is about to check the queue.
         self.is_woken = False
 
     def try_direct(self, waiter: Waiter, now: float) -> Target | None:
--- a/wigeonspoke/ingress/streams/chain_monitor.py
+++ b/wigeonspoke/ingress/streams/chain_monitor.py
@@ -118,7 +118,7 @@
 
 
 def describe_ratio(ratio: float) -> str:
-    """Return in a word how an observed time compares with the expected one."""
+    """Return how an observed time compares with the expected one."""
     if ratio > ODD_TIME_FACTOR:
         return 'late'
     return 'early' if ratio * ODD_TIME_FACTOR < 1 else 'as-expected'
