--- a/wigeonspoke/bench/line/host.py
+++ b/wigeonspoke/bench/line/host.py
@@ -39,10 +39,10 @@
     def receive_refusal(
         self, stream: LineStream, host: 'LineHost', retry_after: float
     ) -> None:
-        """Take a refusal of a stream."""
+        """Handle a refusal of a stream."""
 
     def receive_end(self, stream: LineStream, *, is_complete: bool) -> None:
-        """Take the end of a stream that has reached an engine."""
+        """Handle the end of a stream that has reached an engine."""
 
 
 class LinePolicy(Protocol):
@@ -119,7 +119,7 @@
             rng=random.Random(f'{name} choice {seed}'),
             count_nodes=lambda: self.live_hosts,
         )
-        # It begins in the past, so that the budget is not ramped up.
+        # It starts one window ago: the extra retries grow in the first window.
         self.budget = RetryWindowBudget(
             RETRY_RATIO,
             RETRY_EXTRA,
--- a/wigeonspoke/bench/line/queue_policy.py
+++ b/wigeonspoke/bench/line/queue_policy.py
@@ -21,7 +21,8 @@
 from wigeonspoke.core.chains import Chain, RequestDemand
 from wigeonspoke.core.routing import Rule
 
-# The values of the ingress node, whose modules need sockets.
+# Copies of the values in `wigeonspoke.ingress`, whose modules need sockets and
+# are not imported here.
 WAIT_FRACTION = 0.6
 CHECK_SECONDS = 0.05
 MAX_PASSED_OVER = 4
@@ -179,7 +180,7 @@
             self.rate.record_length(len(self.waiting), self.host.now)
 
     def _check(self) -> None:
-        """Look at intervals for what changes without an event."""
+        """Check at intervals for changes without an event."""
         self.is_checked = bool(self.waiting) and self.host.is_alive
         if self.is_checked:
             self._dispatch()
--- a/wigeonspoke/core/chains/times.py
+++ b/wigeonspoke/core/chains/times.py
@@ -1,4 +1,4 @@
-"""Expected times of a node's requests on chains, and what is learned of them.
+"""Expected times of a node's requests on chains, corrected by observed ones.
 
 They are used only where the configuration names the speeds of engines.
 """
@@ -30,8 +30,8 @@
 from wigeonspoke.core.chains.token_load import NO_LOAD, TokenLoad, add_load
 from wigeonspoke.core.prefixes import Prefix, PrefixIndex, part_prefixes
 
-# Gaps are compared with what was expected when their request began.  Later
-# than this many seconds, the load of the chain is another one.
+# Gaps are compared with what was expected when their request began, for this
+# many seconds: after them the load of the chain has changed.
 GAP_OBSERVATION_SECONDS = 2.0
 # A gap above this multiple of the expected one comes from a fault of the chain,
 # which other means detect, and says nothing about its load.
--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -231,7 +231,9 @@
         remaining = self.context.deadline - now
         if not self.context.rule.may_repeat:
             return self.context.deadline
-        return now + min(self.peer_attempts.patience * usual, remaining / 2)
+        return now + min(
+            self.peer_attempts.silence_factor * usual, remaining / 2
+        )
 
     def _attempt_replica(self, replica: Endpoint) -> EndpointResponse | None:
         """Try a replica; return its response if that is final."""
--- a/wigeonspoke/ingress/relay/peer_attempts.py
+++ b/wigeonspoke/ingress/relay/peer_attempts.py
@@ -59,7 +59,7 @@
 
     # The peer finds out by the usual limits that an endpoint is silent, and
     # tries another one.  This node waits for the outcome of that.
-    patience = 2.0
+    silence_factor = 2.0
 
     def __init__(self, request_handler: RequestHandler) -> None:
         self.request_handler = request_handler
--- a/wigeonspoke/ingress/streams/chain_admission.py
+++ b/wigeonspoke/ingress/streams/chain_admission.py
@@ -11,7 +11,7 @@
 
 
 class ChainAdmission:
-    """Tells on which chains a stream may start, where ranks are in force."""
+    """Decides on which chains a stream may start, where ranks are in force."""
 
     __slots__ = ('context', 'reservation', 'service', 'state', 'waits_since')
 
--- a/wigeonspoke/ingress/streams/chain_attempts.py
+++ b/wigeonspoke/ingress/streams/chain_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts of a stream at chains, and what they tell of the engines."""
+"""Attempts of a stream at chains, and their evidence about the engines."""
 
 import http
 import time
@@ -24,7 +24,7 @@
     __slots__ = ('request_handler', 'state', 'uses')
 
     # Multiple of the usual limits after which a chain counts as silent.
-    patience = 1.0
+    silence_factor = 1.0
 
     def __init__(self, request_handler: 'StreamHandler') -> None:
         self.request_handler = request_handler
@@ -126,8 +126,8 @@
     ) -> None:
         """Record an attempt that was given up.
 
-        It was left for an earlier chain that went on, or the time is over, so
-        that the chain may be tried again.
+        An earlier chain has continued the stream, or the deadline has passed;
+        the chain has not failed, so that it may be tried again.
         """
         self._record_error(chain, error)
         self.request_handler.chain_choice.excluded.difference_update(
--- a/wigeonspoke/ingress/streams/chain_monitor.py
+++ b/wigeonspoke/ingress/streams/chain_monitor.py
@@ -19,7 +19,8 @@
 # turn for up to this multiple of the rule's event gap.
 QUEUED_PAUSE_FACTOR = 4
 
-# A first event is early or late if it is off by more than this factor.
+# A first event is early or late if its time differs from the expected one by
+# more than this factor.
 ODD_TIME_FACTOR = 2
 
 
@@ -34,7 +35,7 @@
     __slots__ = (
         'has_event',
         'head_id',
-        'patience',
+        'silence_factor',
         'rule',
         'silent_at',
         'state',
@@ -49,12 +50,12 @@
         self.use: ChainUse | None = None
         self.has_event = False
         # Multiple of the usual silence limits.
-        self.patience = 1.0
+        self.silence_factor = 1.0
         self.waiting_since = 0
         self.silent_at = 0
 
     def begin(
-        self, chain: Chain, use: ChainUse | None, patience: float = 1.0
+        self, chain: Chain, use: ChainUse | None, silence_factor: float = 1.0
     ) -> None:
         """Start monitoring a chain to which the stream was sent.
 
@@ -62,11 +63,11 @@
         """
         self.head_id = chain.head.endpoint_id
         self.use = use
-        self.patience = patience
+        self.silence_factor = silence_factor
         self.has_event = False
         self.waiting_since = time.monotonic()
         silence_limit = FIRST_EVENT_FRACTION * self.rule.target_latency_seconds
-        silence_limit *= patience
+        silence_limit *= silence_factor
         self.silent_at = self.waiting_since + silence_limit
 
     def record_event(self) -> None:
@@ -82,7 +83,7 @@
             self.head_id,
             self._active_streams,
         )
-        self.silent_at = now + self.patience * usual_limit
+        self.silent_at = now + self.silence_factor * usual_limit
         self.state.suspects.restore(self.head_id)
 
     def is_alive(self, now: float, *, response_started: bool) -> bool:
--- a/wigeonspoke/ingress/streams/request_demand.py
+++ b/wigeonspoke/ingress/streams/request_demand.py
@@ -14,8 +14,8 @@
 ) -> RequestDemand:
     """Return the demand of a request, with the time that it has left.
 
-    ``yields`` is set if ranks differ and one that is more urgent than that of
-    the request is in use.
+    ``yields`` is to be set if ranks differ and one that is more urgent than
+    that of the request is in use.  No caller sets it yet.
     """
     request = context.request
     rule = context.rule
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -274,7 +274,7 @@
         attempts = self._attempts_at(chain)
         attempts.send(attempt, chain)
         self.chain_monitor.begin(
-            chain, attempts.use_of(attempt), attempts.patience
+            chain, attempts.use_of(attempt), attempts.silence_factor
         )
         head = yield from self._read_until_silent(
             attempt, attempt.read_head, chain
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -175,7 +175,7 @@
 
 
 def says_leaving(header_values: Mapping[str, str]) -> bool:
-    """Return whether headers, with names in lower case, tell of a leaving."""
+    """Return whether headers, with names in lower case, announce a stop."""
     return header_values.get(LEAVING_HEADER.lower(), '').strip() == '1'
 
 
