--- a/wigeonspoke/ingress/requests/endpoint_reports.py
+++ b/wigeonspoke/ingress/requests/endpoint_reports.py
@@ -39,15 +39,15 @@
         headers: HeaderList,
     ) -> ResponseMarkers:
         """Read the markers of an endpoint's response, and act on them."""
-        # Only now, since an unreachable endpoint's connection may be accepted
-        # on its way and then reset.
+        # A connection counts as established only with a response: on the path
+        # to an unreachable endpoint, it may be accepted and then reset.
         reachability = self.state.reachability
         if attempt.connected_at is not None:
             reachability.record_connected(endpoint, attempt.connected_at)
         reachability.record_answered(endpoint, time.monotonic())
         markers = self.state.wire.read_response_markers(status, headers)
         self._record_limit(endpoint, markers)
-        # One that is not the expected run does not speak for it.
+        # A response of another run says nothing about the expected one.
         is_other_run = (
             status == http.HTTPStatus.MISDIRECTED_REQUEST
             and not markers.fault_address
@@ -90,7 +90,7 @@
         endpoint: Endpoint,
         markers: ResponseMarkers,
     ) -> None:
-        """Record for how long an endpoint wants nothing, or that it is over."""
+        """Record the beginning or the end of an endpoint's backoff."""
         backoffs = self.state.availability.backoffs
         start_id = endpoint.start_id
         seconds = markers.retry_after_seconds
