Explain a choice as nodes make it

The command and the replayed load let less urgent streams prefer slow chains, which nodes do not: their choice is not told of ranks yet.

--- a/wigeonspoke/bench/line/queue_policy.py
+++ b/wigeonspoke/bench/line/queue_policy.py
@@ -325,14 +325,12 @@
 
     def _demand(self, waiting: Waiting) -> RequestDemand:
         stream = waiting.stream
-        rank = self._rank(stream)
         left = waiting.arrived_at + stream.kind.target - self.host.now
         return RequestDemand(
             stream.prompt,
             stream.hint,
             left,
             MAX_GAP_SECONDS,
-            yields=any(other < rank for other in self.reservation.arrivals),
         )
 
     def _rank(self, stream: LineStream) -> int:
--- a/wigeonspoke/ingress/explain.py
+++ b/wigeonspoke/ingress/explain.py
@@ -10,7 +10,6 @@
 from werkzeug.datastructures import MultiDict
 from werkzeug.wrappers import Request
 
-from wigeonspoke.core.admission import RankReservation
 from wigeonspoke.core.chains import RequestDemand, expected_answer_tokens
 from wigeonspoke.core.explanation import (
     ChainExplainer,
@@ -156,7 +155,7 @@
                 rank,
                 state.node_count,
             ),
-            _build_demand(rule, question, service.engine, rank, reservation),
+            _build_demand(rule, question, service.engine),
         )
         return explainer.explain(
             target.service, service.engine, target.weight, now
@@ -178,8 +177,6 @@
     rule: Rule,
     question: RequestQuestion,
     profile: EngineProfile,
-    rank: int,
-    reservation: RankReservation | None,
 ) -> RequestDemand | None:
     """Return the demand of a request, None where times are not estimated.
 
@@ -188,7 +185,6 @@
     speeds = profile.speeds
     if speeds is None:
         return None
-    in_use = () if reservation is None else reservation.arrivals
     return RequestDemand(
         prompt_tokens=question.prompt_tokens or int(speeds.prompt_tokens),
         output_tokens=expected_answer_tokens(
@@ -196,7 +192,6 @@
         ),
         target_latency_seconds=rule.target_latency_seconds,
         target_event_gap_seconds=rule.target_event_gap_seconds,
-        yields=any(other < rank for other in in_use),
     )
 
 
