Log what a refusal knew of other ways, and each trial connection

Cause: the lines of a request that no endpoint served name the last error alone. Whether the node held itself for isolated, knew peers that reach the service or had asked one could not be told, nor which trial connection said that a group is reached.

Change: stream-ended and the new call-ended name the domains that the node is isolated from, the peers that reach the service, the handovers and arrivals; a line trial names the endpoint, the result and the time of each trial.

--- a/wigeonspoke/core/reachability/peer_reach.py
+++ b/wigeonspoke/core/reachability/peer_reach.py
@@ -98,6 +98,10 @@
         """Return whether a peer that is not isolated reaches a group."""
         return any(_reaches(peer, group, now) for peer in self.peers.values())
 
+    def count_reaching(self, service: str, now: float) -> int:
+        """Return how many peers may be chosen for a service."""
+        return len(self._usable(service, now, ()))
+
     def isolated_groups(self, now: float) -> set[Group]:
         """Return the groups from which some peer says that it is isolated."""
         isolated: set[Group] = set()
@@ -110,13 +114,7 @@
         self, service: str, now: float, excluded: Collection[str], draw: float
     ) -> RelayPeer | None:
         """Choose a peer that reaches a service, by a number from 0 to 1."""
-        usable = [
-            peer
-            for name, peer in self.peers.items()
-            if name not in excluded
-            and not peer.is_stopping
-            and _reaches_service(peer, service, now)
-        ]
+        usable = self._usable(service, now, excluded)
         local = [
             peer
             for peer in usable
@@ -124,6 +122,18 @@
         ]
         return self._draw(local or usable, draw)
 
+    def _usable(
+        self, service: str, now: float, excluded: Collection[str]
+    ) -> list[_Peer]:
+        """Return the peers that reach a service and do not stop."""
+        return [
+            peer
+            for name, peer in self.peers.items()
+            if name not in excluded
+            and not peer.is_stopping
+            and _reaches_service(peer, service, now)
+        ]
+
     def _draw(self, candidates: list[_Peer], draw: float) -> RelayPeer | None:
         weights = [self._weight(peer) for peer in candidates]
         rest = draw * sum(weights)
--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -136,6 +136,10 @@
         """
         return self.peer_reach.choose(service, now, excluded, draw)
 
+    def count_peers(self, service: str, now: float) -> int:
+        """Return how many peers reach a service, as far as is known."""
+        return self.peer_reach.count_reaching(service, now)
+
     def refusal_retry_after(
         self, service: str, now: float, remaining_seconds: float, draw: float
     ) -> float | None:
--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -422,6 +422,14 @@
             self.has_ended_endpoint = self.answer_watch.has_ended(replica)
 
     def _node_response(self) -> NodeResponse:
+        self.note(
+            'call-ended',
+            reason=str(self.last_error.reason) if self.last_error else '',
+            runs=self.context.possible_executions,
+            arrivals=self.context.arrivals,
+            client_left=self.context.disconnect_monitor.is_disconnected,
+            **self.relay.describe(time.monotonic()),
+        )
         if self.refusal is not None:
             self.note_refusal(self.refusal)
         if self.context.possible_executions:
--- a/wigeonspoke/ingress/fleet/reachability_loop.py
+++ b/wigeonspoke/ingress/fleet/reachability_loop.py
@@ -33,9 +33,18 @@
             self._report_changes()
 
     def _try(self, endpoint: Endpoint) -> None:
+        tried_at = time.monotonic()
         error = self.prober.try_connection(endpoint)
-        self.state.count_event(
-            'trial-connection', 'connected' if error is None else 'failed'
+        result = 'connected' if error is None else 'failed'
+        self.state.count_event('trial-connection', result)
+        self.state.log.write(
+            'trial',
+            service=endpoint.service,
+            domain=endpoint.failure_domain,
+            endpoint=endpoint.endpoint_id,
+            address=endpoint.address,
+            result=result,
+            seconds=round(time.monotonic() - tried_at, 3),
         )
         self._report_changes()
 
--- a/wigeonspoke/ingress/relay/relay_choice.py
+++ b/wigeonspoke/ingress/relay/relay_choice.py
@@ -125,6 +125,19 @@
             return ISOLATED
         return NO_CAPACITY
 
+    def describe(self, now: float) -> dict[str, object]:
+        """Return for the log what is known of the ways to the service."""
+        reachability = self.state.reachability
+        return {
+            'isolated_from': sorted(
+                domain
+                for service, domain in reachability.isolated_groups(now)
+                if service == self.service
+            ),
+            'peers': reachability.count_peers(self.service, now),
+            'handovers': self.handovers,
+        }
+
     def retry_after(self, remaining_seconds: float) -> float:
         """Return the Retry-After of a refused request, in seconds."""
         draw = self.state.rng.random()
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -490,8 +490,10 @@
             reason=str(self.last_error.reason) if self.last_error else '',
             started=self.response_started,
             runs=self.context.possible_executions,
+            arrivals=self.context.arrivals,
             client_left=self.context.disconnect_monitor.is_disconnected,
             last=self.cursor.last_number,
+            **self.relay.describe(time.monotonic()),
         )
         if self.refusal is not None:
             self.note_refusal(self.refusal)
