Relay a request that reaches no endpoint before it is refused

Callers saw 503 for each stream while trial connections of their host succeeded and those of requests did not.

Cause: a request went to a peer only once the node held itself for isolated. Trial connections are evidence about other connections than the request's own.

Ruled out: to doubt the trials. If a trial reaches an endpoint, the group is reached as far as the node can know, and requests for other endpoints of it are rightly sent there.

--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -88,6 +88,20 @@
 
     def _try_replicas(self) -> EndpointResponse | None:
         """Try replicas; return the response if one of them is final."""
+        response = self._try_reached()
+        while (
+            response is None
+            and self.must_try_peers()
+            and not self.has_earlier_input()
+        ):
+            chain = self.peer_attempts.reserve(time.monotonic())
+            if chain is None:
+                break
+            response = self._attempt_peer(chain)
+        return response
+
+    def _try_reached(self) -> EndpointResponse | None:
+        """Try the replicas that this node reaches, or peers if it does not."""
         while self._may_try():
             now = time.monotonic()
             way = self.relay.choose_way(
--- a/wigeonspoke/ingress/relay/relay_choice.py
+++ b/wigeonspoke/ingress/relay/relay_choice.py
@@ -14,6 +14,7 @@
 
 ISOLATED = 'isolated'
 NO_CAPACITY = 'no-capacity'
+UNREACHED = 'unreached'
 
 
 class RelayChoice:
@@ -22,13 +23,15 @@
     ``draw`` is drawn once for each request, so that all its attempts are on
     the same side while a group recovers.  ``excluded`` are the names of the
     peers that the request was handed to.  ``is_refused`` is whether neither
-    endpoints nor peers are reached.
+    endpoints nor peers are reached.  ``is_last_resort`` is whether peers are
+    asked because the request itself reached no endpoint.
     """
 
     __slots__ = (
         'draw',
         'excluded',
         'handovers',
+        'is_last_resort',
         'is_refused',
         'is_relayed',
         'peer_retry_after',
@@ -48,6 +51,7 @@
         self.excluded: set[str] = set()
         self.handovers = 0
         self.is_refused = False
+        self.is_last_resort = False
         # Retry-After of a peer that refused the request, in seconds.
         self.peer_retry_after: float | None = None
 
@@ -123,7 +127,7 @@
         reachability = self.state.reachability
         if reachability.is_service_isolated(self.service, now):
             return ISOLATED
-        return NO_CAPACITY
+        return UNREACHED if self.is_last_resort else NO_CAPACITY
 
     def describe(self, now: float) -> dict[str, object]:
         """Return for the log what is known of the ways to the service."""
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -200,6 +200,22 @@
             may_repeat=self.may_repeat(),
         )
 
+    def must_try_peers(self) -> bool:
+        """Return whether peers are the last way to serve the request.
+
+        No connection to an endpoint was established for it, so that it has
+        run nowhere.  Other requests or trials may have reached the endpoints,
+        or it may not be known yet that this node does not.
+        """
+        context = self.context
+        if not context.attempts or context.arrivals or self.relay.is_relayed:
+            return False
+        is_over = time.monotonic() >= context.deadline
+        if is_over or context.disconnect_monitor.is_disconnected:
+            return False
+        self.relay.is_last_resort = True
+        return self.refusal is None and self.is_allowed() and self.may_relay()
+
     def may_attempt(self, max_attempts: int) -> bool:
         """Return whether another attempt is useful and allowed."""
         context = self.context
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -140,14 +140,23 @@
 
     def _try_chains(self) -> Iterator[bytes]:
         """Try chains; the generator returns whether one served the stream."""
-        while self.may_attempt(MAX_ATTEMPTS):
-            chain = self._reserve_chain()
-            if chain is None:
-                break
+        chain = self._next_chain()
+        while chain is not None:
             if (yield from self._attempt(chain)):
                 return True
+            chain = self._next_chain()
         return False
 
+    def _next_chain(self) -> Chain | None:
+        """Return the chain of the next attempt, or a peer in its place."""
+        if self.may_attempt(MAX_ATTEMPTS) and not self.relay.is_last_resort:
+            chain = self._reserve_chain()
+            if chain is not None:
+                return chain
+        if self.must_try_peers():
+            return self.peer_attempts.reserve(time.monotonic())
+        return None
+
     def _reserve_chain(self) -> Chain | None:
         """Return a chain, or a peer in its place, for the next attempt.
 
