Take only answers for evidence that silent endpoints are reached

Cause: a trial connection that was open for 10 ms counted as an answer of its endpoint. It refuted each piece of evidence against the group, and told peers that the node reaches it. Class: a belief about an endpoint from a source that cannot vouch for it, here whatever establishes connections on the way.

Ruled out: that trials ask in any case, since a health check takes a slot of an endpoint; that requests without an answer count like failures to connect, since a sound endpoint may pause for a second.

Change: requests without an answer on new connections make a node doubt a group and ask its endpoints. It is isolated if they give no answer while a peer has one. Peers that have no requests for the group ask it as well.

--- a/wigeonspoke/core/reachability/group.py
+++ b/wigeonspoke/core/reachability/group.py
@@ -20,6 +20,9 @@
 MAX_TRIAL_SECONDS = 4.0
 # After this time without isolation, trials are as frequent as at first.
 CALM_SECONDS = 10.0
+# Time between trials while requests get no answer and nothing is concluded:
+# the time that an endpoint has to answer one.
+UNANSWERED_TRIAL_SECONDS = 0.75
 # Successful trials, at different endpoints, that end an isolation.
 MIN_SUCCESSES = 2
 # Successful trials that end it at a single endpoint while the registry lists
@@ -38,7 +41,12 @@
     """Connection attempts to a group, and the isolation from it.
 
     Times are on the monotonic clock.  ``failed_at`` holds the last failure
-    of each endpoint after the last success.  ``run_started_at`` is the first
+    of each endpoint after the last success.  ``unanswered_ids`` are those of
+    them whose connections were established and gave no answer: something on
+    the way may establish connections.  Only an answer refutes them, and only
+    answered trials end an isolation that follows from them (``needs_answers``).
+    ``failed_trial_at`` is when the last trial began that had no answer.
+    ``run_started_at`` is the first
     failure of the current run of failures, and of the current or the last
     isolation.  ``isolated_at`` is when the isolation began, None without one,
     and ``recovered_at`` when the last one ended and the recovery began.
@@ -51,14 +59,17 @@
         'connected_at',
         'connected_ids',
         'failed_at',
+        'failed_trial_at',
         'isolated_at',
         'last_tried',
+        'needs_answers',
         'next_trial_at',
         'recovered_at',
         'run_started_at',
         'run_tried_at',
         'successes',
         'trial_seconds',
+        'unanswered_ids',
     )
 
     def __init__(self) -> None:
@@ -76,24 +87,58 @@
         self.next_trial_at = -math.inf
         self.last_tried = ''
         self.successes: list[tuple[str, float]] = []
+        self.unanswered_ids: set[str] = set()
+        self.needs_answers = False
+        self.failed_trial_at = -math.inf
 
     def record_connected(
-        self, endpoint_id: str, now: float, endpoint_count: int
+        self,
+        endpoint_id: str,
+        now: float,
+        endpoint_count: int,
+        *,
+        is_answered: bool = True,
     ) -> bool:
-        """Record a new connection; return whether it ends the isolation."""
-        self.connected_at = max(self.connected_at, now)
-        self.answered_at = max(self.answered_at, now)
+        """Record a new connection; return whether it ends the isolation.
+
+        One that is not answered refutes failures to connect, and no others.
+        """
+        if is_answered:
+            self.connected_at = max(self.connected_at, now)
+            self.answered_at = max(self.answered_at, now)
         self.failed_at = {
             failed_id: failed_at
             for failed_id, failed_at in self.failed_at.items()
             if failed_at > now
+            or (not is_answered and failed_id in self.unanswered_ids)
         }
+        self.unanswered_ids.intersection_update(self.failed_at)
         if self.isolated_at is not None and now >= self.isolated_at:
+            if self.needs_answers and not is_answered:
+                return False
             return self._record_success(endpoint_id, now, endpoint_count)
         if self.is_recovering(now):
             self.connected_ids.add(endpoint_id)
         return False
 
+    def record_answered(self, endpoint_id: str, now: float) -> None:
+        """Record an answer on whichever connection.
+
+        It may have come late: the endpoint was slow, not out of reach.
+        """
+        self.answered_at = max(self.answered_at, now)
+        if endpoint_id in self.unanswered_ids:
+            self.unanswered_ids.discard(endpoint_id)
+            self.failed_at.pop(endpoint_id)
+
+    def record_unanswered(self, endpoint_id: str, now: float) -> None:
+        """Record a new connection on which a request got no answer."""
+        if not self.has_unanswered(now) and self.isolated_at is None:
+            self.run_started_at = now
+            self.next_trial_at = now
+        self.failed_at[endpoint_id] = now
+        self.unanswered_ids.add(endpoint_id)
+
     def record_failed(self, endpoint_id: str, now: float) -> bool:
         """Record a failed attempt; return whether isolation begins again.
 
@@ -107,6 +152,7 @@
         if is_new_run and self.isolated_at is None:
             self.run_started_at = now
         self.failed_at[endpoint_id] = now
+        self.unanswered_ids.discard(endpoint_id)
         if not self.is_recovering(now) or endpoint_id not in self.connected_ids:
             return False
         self.trial_seconds = min(MAX_TRIAL_SECONDS, 2 * self.trial_seconds)
@@ -118,6 +164,7 @@
         if now - self.recovered_at > CALM_SECONDS:
             self.trial_seconds = MIN_TRIAL_SECONDS
         self.isolated_at = now
+        self.needs_answers = self.has_unanswered(now)
         self.next_trial_at = now + self.trial_seconds
         self.successes = []
         self.connected_ids = set()
@@ -125,7 +172,9 @@
     def end_isolation(self) -> None:
         """End an isolation, without a recovery."""
         self.isolated_at = None
+        self.needs_answers = False
         self.failed_at = {}
+        self.unanswered_ids = set()
         self.successes = []
 
     def failed_ids(self, now: float) -> set[str]:
@@ -136,6 +185,10 @@
             if now - failed_at <= FAILURE_SECONDS
         }
 
+    def has_unanswered(self, now: float) -> bool:
+        """Return whether a request got no answer a short time ago."""
+        return bool(self.failed_ids(now) & self.unanswered_ids)
+
     def awaits_trial(self, untested_count: int, now: float) -> bool:
         """Return whether the trial of this run of failures has no result."""
         if not untested_count:
--- a/wigeonspoke/core/reachability/peer_reach.py
+++ b/wigeonspoke/core/reachability/peer_reach.py
@@ -34,6 +34,7 @@
     heard_at: float
     answered_at: dict[Group, float]
     isolated: set[Group]
+    doubted: set[Group]
     open_requests: int
     is_stopping: bool
 
@@ -61,15 +62,24 @@
         """Replace what is known of a peer by its newest message."""
         answered_at: dict[Group, float] = {}
         isolated: set[Group] = set()
+        doubted: set[Group] = set()
         for report in reports:
             group = (report.service, report.failure_domain)
             if report.answer_age is not None:
                 answered_at[group] = now - max(0, report.answer_age)
             if report.is_isolated:
                 isolated.add(group)
+            if report.is_doubted:
+                doubted.add(group)
         self.peers.pop(relay_peer.name, None)
         self.peers[relay_peer.name] = _Peer(
-            relay_peer, now, answered_at, isolated, open_requests, is_stopping
+            relay_peer,
+            now,
+            answered_at,
+            isolated,
+            doubted,
+            open_requests,
+            is_stopping,
         )
         self._forget_old(now)
 
@@ -102,13 +112,13 @@
         """Return how many peers may be chosen for a service."""
         return len(self._usable(service, now, ()))
 
-    def isolated_groups(self, now: float) -> set[Group]:
-        """Return the groups from which some peer says that it is isolated."""
-        isolated: set[Group] = set()
+    def doubted_groups(self, now: float) -> set[Group]:
+        """Return the groups that some peer does not reach, or may not reach."""
+        doubted: set[Group] = set()
         for peer in self.peers.values():
             if now - peer.heard_at <= REACHED_SECONDS:
-                isolated |= peer.isolated
-        return isolated
+                doubted |= peer.isolated | peer.doubted
+        return doubted
 
     def choose(
         self, service: str, now: float, excluded: Collection[str], draw: float
--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -14,6 +14,7 @@
 from wigeonspoke.core.fleet import Endpoint, Fleet
 from wigeonspoke.core.reachability.group import (
     MIN_FAILED_ENDPOINTS,
+    UNANSWERED_TRIAL_SECONDS,
     GroupState,
 )
 from wigeonspoke.core.reachability.peer_reach import (
@@ -31,8 +32,8 @@
 MAX_REPORTS = 32
 # Groups with recorded state: more than any deployment has.
 MAX_GROUPS = 256
-# While a peer is isolated from a group, a node that has no requests for it
-# makes a trial connection this often, so that it can say that it reaches it.
+# While a peer does not reach a group, or doubts it, a node that has no requests
+# for it asks an endpoint this often, so that it can say that it reaches it.
 WITNESS_SECONDS = 1.0
 # A trial succeeds at the earliest two intervals of 0.5 s after the endpoints
 # can be reached again, so that clients need not return sooner.
@@ -58,8 +59,13 @@
         # Isolations that began or ended since :meth:`take_changes`.
         self.changes: deque[IsolationChange] = deque(maxlen=MAX_CHANGES)
 
-    def record_connected(self, endpoint: Endpoint, now: float) -> None:
-        """Record that a new connection to an endpoint was established."""
+    def record_connected(
+        self, endpoint: Endpoint, now: float, *, is_answered: bool = True
+    ) -> None:
+        """Record a new connection to an endpoint.
+
+        ``is_answered`` is whether the endpoint has answered a request on it.
+        """
         latest = self.connections.setdefault(endpoint.service, {})
         latest.pop(endpoint.endpoint_id, None)
         latest[endpoint.endpoint_id] = now
@@ -68,7 +74,7 @@
         group = _group_of(endpoint)
         count = len(self._endpoints(group))
         if self._state(group).record_connected(
-            endpoint.endpoint_id, now, count
+            endpoint.endpoint_id, now, count, is_answered=is_answered
         ):
             self._note_change(group, is_isolated=False)
 
@@ -79,10 +85,41 @@
             self._note_change(group, is_isolated=True)
         self._update(group, now)
 
+    def record_unanswered(
+        self, endpoint: Endpoint, sent_at: float, now: float
+    ) -> bool:
+        """Record a request that got no answer on a new connection.
+
+        It tells nothing if the group has answered on a connection opened later.
+        Return whether peers should hear that the group is doubted.
+        """
+        state = self._state_of(endpoint)
+        if state.connected_at >= sent_at:
+            return False
+        is_news = not state.has_unanswered(now)
+        state.record_unanswered(endpoint.endpoint_id, now)
+        return is_news
+
+    def record_failed_trial(self, endpoint: Endpoint, began_at: float) -> None:
+        """Record that a trial which began at a time had no answer."""
+        state = self._state_of(endpoint)
+        state.failed_trial_at = max(state.failed_trial_at, began_at)
+
     def record_answered(self, endpoint: Endpoint, now: float) -> None:
         """Record that an endpoint answered, on whichever connection."""
-        state = self._state(_group_of(endpoint))
-        state.answered_at = max(state.answered_at, now)
+        state = self._state_of(endpoint)
+        state.record_answered(endpoint.endpoint_id, now)
+
+    def needs_answer(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether only an answer shows that a group is reached.
+
+        It does while requests get none, and for what peers are told.  After
+        failures to connect, a connection suffices.
+        """
+        state = self._state_of(endpoint)
+        if state.isolated_at is not None:
+            return state.needs_answers
+        return state.has_unanswered(now) or not state.is_determining(now)
 
     def is_isolated(
         self, service: str, failure_domain: str, now: float
@@ -114,7 +151,7 @@
 
     def due_trials(self, now: float) -> tuple[Endpoint, ...]:
         """Return the endpoints to connect to now, as trials."""
-        for group in self.peer_reach.isolated_groups(now):
+        for group in self.peer_reach.doubted_groups(now):
             if self._endpoints(group):
                 self._state(group)
         trials: list[Endpoint] = []
@@ -175,11 +212,13 @@
         for group, state in self.groups.items():
             age = max(0, now - state.answered_at)
             is_isolated = state.own_share(now) < 1
-            if age > REACHED_SECONDS and not is_isolated:
+            is_doubted = state.has_unanswered(now)
+            must_tell = is_isolated or is_doubted
+            if age > REACHED_SECONDS and not must_tell:
                 continue
             answer_age = None if age == math.inf else round(age, 2)
-            report = ReachedReport(*group, answer_age, is_isolated)
-            news.append((0 if is_isolated else age, report))
+            report = ReachedReport(*group, answer_age, is_isolated, is_doubted)
+            news.append((0 if must_tell else age, report))
         news.sort(key=lambda aged: aged[0])
         return tuple(report for _, report in news[:MAX_REPORTS])
 
@@ -277,9 +316,7 @@
         """Return the endpoints not to try, or None if no trial is due."""
         self._update(group, now)
         if state.is_determining(now):
-            if self.has_peers(now) and state.take_first_trial():
-                return state.failed_ids(now)
-            return None
+            return self._first_exclusions(state, now)
         interval = WITNESS_SECONDS
         if state.isolated_at is not None:
             interval = state.trial_seconds
@@ -287,13 +324,30 @@
             return None
         return set() if state.take_trial_if_due(interval, now) else None
 
+    def _first_exclusions(
+        self, state: GroupState, now: float
+    ) -> set[str] | None:
+        """Return the endpoints not to try before anything is concluded.
+
+        Trials go on while requests get no answer: one may meet an endpoint
+        that only pauses.
+        """
+        if not self.has_peers(now):
+            return None
+        is_due = (
+            state.take_trial_if_due(UNANSWERED_TRIAL_SECONDS, now)
+            if state.has_unanswered(now)
+            else state.take_first_trial()
+        )
+        return state.failed_ids(now) if is_due else None
+
     def _must_witness(
         self, group: Group, state: GroupState, now: float
     ) -> bool:
         """Return whether peers need to know if this node reaches a group."""
         if now - state.answered_at <= WITNESS_SECONDS:
             return False
-        return group in self.peer_reach.isolated_groups(now)
+        return group in self.peer_reach.doubted_groups(now)
 
     def _next_in_turn(
         self, group: Group, state: GroupState, excluded: Collection[str]
@@ -307,6 +361,8 @@
             ),
             key=lambda endpoint: endpoint.endpoint_id,
         )
+        if not candidates and state.unanswered_ids:
+            candidates = self._endpoints(group)
         if not candidates:
             return None
         later = [
@@ -321,9 +377,15 @@
     def _note_change(
         self, group: Group, *, is_isolated: bool, is_withdrawn: bool = False
     ) -> None:
-        since = self.groups[group].run_started_at
+        state = self.groups[group]
         self.changes.append(
-            IsolationChange(*group, is_isolated, since, is_withdrawn)
+            IsolationChange(
+                *group,
+                is_isolated,
+                state.run_started_at,
+                is_withdrawn,
+                state.needs_answers,
+            )
         )
 
     def _update(self, group: Group, now: float) -> None:
@@ -339,14 +401,27 @@
         # Endpoints that leave or are no longer listed are no evidence.
         listed = {one.endpoint_id for one in self._endpoints(group)}
         failed = state.failed_ids(now) & listed
-        if not failed or len(failed) < min(MIN_FAILED_ENDPOINTS, len(listed)):
-            return
-        if state.awaits_trial(len(listed) - len(failed), now):
-            return
-        if now - self.peer_reach.last_answer_at(group) <= REACHED_SECONDS:
+        required = max(1, min(MIN_FAILED_ENDPOINTS, len(listed)))
+        answered_since = math.inf
+        if len(failed - state.unanswered_ids) >= required:
+            if not state.awaits_trial(len(listed) - len(failed), now):
+                answered_since = now - REACHED_SECONDS
+        elif len(failed) >= required:
+            answered_since = self._unanswered_since(state)
+        if self.peer_reach.last_answer_at(group) >= answered_since:
             state.begin_isolation(now)
             self._note_change(group, is_isolated=True)
 
+    def _unanswered_since(self, state: GroupState) -> float:
+        """Return since when a peer must have had an answer.
+
+        Endpoints may only be slow or pause, for all nodes.  So a trial must
+        have had no answer, and a peer one after that trial began.
+        """
+        if state.failed_trial_at < state.run_started_at:
+            return math.inf
+        return state.failed_trial_at
+
     def _withdraw_if_down(
         self, group: Group, state: GroupState, now: float
     ) -> None:
@@ -385,6 +460,9 @@
             if endpoint.failure_domain == failure_domain
         ]
 
+    def _state_of(self, endpoint: Endpoint) -> GroupState:
+        return self._state(_group_of(endpoint))
+
     def _state(self, group: Group) -> GroupState:
         state = self.groups.get(group)
         if state is None:
--- a/wigeonspoke/core/tests/test_reachability.py
+++ b/wigeonspoke/core/tests/test_reachability.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from functools import partial
 
 import pytest
 
@@ -335,3 +336,111 @@
         _tell(reachability, now, age)
     else:
         assert len(reachability.due_trials(now)) <= 1
+
+
+# Each row: events as (time, kind, endpoint), and whether the node is isolated
+# at 11.0.  Endpoint a1 did not answer a request at 10.0.
+UNANSWERED = {
+    'peer after the trial began': (
+        ('a1', 'a2'),
+        [(10.1, 'trial', 'a2'), (10.8, 'tell', '')],
+        True,
+    ),
+    'peer before the trial': (
+        ('a1', 'a2'),
+        [(10.05, 'tell', ''), (10.1, 'trial', 'a2')],
+        False,
+    ),
+    'no trial': (
+        ('a1', 'a2'),
+        [(10.5, 'silent', 'a2'), (10.8, 'tell', '')],
+        False,
+    ),
+    'trial at the only one': (
+        ('a1', 'b1'),
+        [(10.1, 'trial', 'a1'), (10.8, 'tell', '')],
+        True,
+    ),
+    'one of two': (
+        ('a1', 'a2'),
+        [(10.1, 'trial', 'a1'), (10.8, 'tell', '')],
+        False,
+    ),
+    'established since': (
+        ('a1', 'a2'),
+        [(10.1, 'trial', 'a2'), (10.5, 'open', 'a2'), (10.8, 'tell', '')],
+        True,
+    ),
+    'answered since': (
+        ('a1', 'a2'),
+        [(10.1, 'trial', 'a2'), (10.5, 'connect', 'a2'), (10.8, 'tell', '')],
+        False,
+    ),
+    'answered late': (
+        ('a1', 'a2'),
+        [(10.1, 'trial', 'a2'), (10.5, 'answer', 'a1'), (10.8, 'tell', '')],
+        False,
+    ),
+}
+
+
+@pytest.mark.parametrize('case', UNANSWERED)
+def test_silence_isolates_only_beside_answers_to_peers(case):
+    """Guards against endpoints that pause being taken for out of reach."""
+    names, events, is_isolated = UNANSWERED[case]
+    reachability, endpoints = _reachability(*names)
+    assert reachability.record_unanswered(endpoints['a1'], 9.5, 10.0)
+    assert reachability.needs_answer(endpoints['a1'], 10.0)
+    for at, kind, name in events:
+        SILENCE_EVENTS[kind](reachability, endpoints.get(name), at)
+    assert reachability.is_isolated(SERVICE, 'one', 11.0) is is_isolated
+
+
+def _fail_trial(reachability, endpoint, at):
+    reachability.record_unanswered(endpoint, at, at)
+    reachability.record_failed_trial(endpoint, at)
+
+
+SILENCE_EVENTS = {
+    'tell': lambda reachability, _, at: _tell(reachability, at),
+    'connect': Reachability.record_connected,
+    'open': partial(Reachability.record_connected, is_answered=False),
+    'answer': Reachability.record_answered,
+    'silent': lambda reachability, endpoint, at: reachability.record_unanswered(
+        endpoint, at, at
+    ),
+    'trial': _fail_trial,
+}
+
+
+def test_only_answers_end_an_isolation_from_silent_endpoints():
+    reachability, endpoints = _reachability('a1', 'a2')
+    reachability.record_unanswered(endpoints['a1'], 9.5, 10.0)
+    _fail_trial(reachability, endpoints['a2'], 10.1)
+    _tell(reachability, 10.5)
+    assert reachability.is_isolated(SERVICE, 'one', 10.6)
+    for is_answered in (False, True):
+        assert reachability.needs_answer(endpoints['a1'], 10.7)
+        for name in ('a1', 'a2'):
+            reachability.record_connected(
+                endpoints[name], 10.8, is_answered=is_answered
+            )
+        found = reachability.is_isolated(SERVICE, 'one', 10.9)
+        assert found is not is_answered
+
+
+def test_a_silent_request_is_no_evidence_beside_later_answers():
+    reachability, endpoints = _reachability('a1', 'a2')
+    reachability.record_connected(endpoints['a2'], 9.6)
+    assert not reachability.record_unanswered(endpoints['a1'], 9.5, 10.0)
+    assert not reachability.due_trials(10.0)
+
+
+def test_peers_ask_where_another_node_doubts_that_it_is_reached():
+    """Guards against a group that its own domain alone uses."""
+    reachability, _ = _reachability('a1', 'b1')
+    report = ReachedReport(SERVICE, 'two', None, False, is_doubted=True)
+    reachability.merge('p1', 'p1:9', 'two', [report], 10.0)
+    trials = reachability.due_trials(10.0)
+    assert [trial.endpoint_id for trial in trials] == ['b1']
+    assert reachability.needs_answer(trials[0], 10.0)
--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -1,6 +1,7 @@
 """Handling of calls: requests with one complete response."""
 
 import http
+import math
 import time
 from collections.abc import Callable
 from functools import partial
@@ -300,16 +301,29 @@
         ReadTimeout
             The deadline has passed, or a replica tried before goes on.
         """
+        doubted_at = attempt.sent_at + self._first_attempt_seconds
         while True:
+            check_at = min(self.silent_at, doubted_at)
             try:
-                return read(self.next_check_at(self.silent_at))
+                return read(self.next_check_at(check_at))
             except ReadTimeout:
                 if self.must_abandon(attempt):
                     raise
+            doubted_at = self._doubt_if_silent(attempt, doubted_at)
             if time.monotonic() >= self.silent_at:
                 self._try_beside()
                 self.silent_at = self.context.deadline
 
+    def _doubt_if_silent(
+        self, attempt: EndpointAttempt, doubted_at: float
+    ) -> float:
+        """Record silence that is long; return when to do so otherwise."""
+        if time.monotonic() < doubted_at:
+            return doubted_at
+        for replica in self.answer_watch.endpoints:
+            self.record_no_answer(attempt, replica)
+        return math.inf
+
     def _try_beside(self) -> None:
         """Try further replicas while one is silent.
 
@@ -330,10 +344,14 @@
 
     def _find_silent_at(self, now: float) -> float:
         """Return when another replica is tried if this one does not answer."""
-        rule = self.context.rule
-        if not rule.may_repeat:
+        if not self.context.rule.may_repeat:
             return self.context.deadline
-        return now + FIRST_ATTEMPT_FACTOR * rule.target_latency_seconds
+        return now + self._first_attempt_seconds
+
+    @property
+    def _first_attempt_seconds(self) -> float:
+        """How long a replica may be silent before it is doubted."""
+        return FIRST_ATTEMPT_FACTOR * self.context.rule.target_latency_seconds
 
     def _check_request_id(
         self, markers: ResponseMarkers, replica: Endpoint
@@ -427,6 +445,7 @@
         if error.is_refused:
             self.prober.record_refused_connection(replica)
         if attempt.is_ended_by_peer:
+            self.record_no_answer(attempt, replica)
             self.answer_watch.record_broken()
         self._record_error(replica, error.error)
         if attempt.is_ended_by_peer:
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -20,11 +20,13 @@
     EngineState,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.transport import peek
+from wigeonspoke.transport import ReadTimeout, peek
 
 PROBE_TIMEOUT_SECONDS = 0.25
 PROBE_ATTEMPTS = 2
 PROBE_POLL_SECONDS = 0.005
+# An endpoint answers a health check as soon as one of its slots is free.
+ANSWER_TIMEOUT_SECONDS = 0.75
 # Time until a new connection is looked at again.
 SECOND_LOOK_SECONDS = 0.01
 MIN_PROBE_INTERVAL_SECONDS = 0.5
@@ -36,6 +38,7 @@
 # connection has ended; each may take PROBE_TIMEOUT_SECONDS.
 MAX_CONFIRMING_ENDPOINTS = 4
 DETERMINATION_POLL_SECONDS = 0.01
+DEFAULT_HEALTH_PATH = '/healthz'
 REFUSED = 'refused'
 REFUSES_CONNECTIONS = 'refuses connections'
 
@@ -148,9 +151,38 @@
                     Outcome.NOT_RUN, Reason.RESET, 'connect', endpoint.address
                 )
             )
-        self.state.reachability.record_connected(endpoint, time.monotonic())
+        self.state.reachability.record_connected(
+            endpoint, time.monotonic(), is_answered=False
+        )
         return None
 
+    def ask(self, endpoint: Endpoint) -> AttemptError | None:
+        """Ask an endpoint for its health; return why it gave no answer.
+
+        Whatever it answers, on a new connection, shows that it is reached.
+        """
+        self.state.count_event('probe', 'asked')
+        attempt = EndpointAttempt(endpoint.address)
+        asked_at = time.monotonic()
+        try:
+            attempt.connect(PROBE_TIMEOUT_SECONDS)
+        except AttemptError as error:
+            attempt.close()
+            self.state.record_unreached(endpoint)
+            return error
+        error = self._read_health(attempt, endpoint)
+        if attempt.is_unanswered:
+            self.state.record_unanswered(endpoint, asked_at)
+        else:
+            error = None
+            now = time.monotonic()
+            self.state.reachability.record_connected(
+                endpoint, attempt.connected_at
+            )
+            self.state.reachability.record_answered(endpoint, now)
+        attempt.close()
+        return error
+
     def record_replaced(self, endpoint: Endpoint) -> None:
         """Record that another endpoint answers at the address of this one."""
         if not self.state.part_watch.has_ended(endpoint):
@@ -196,7 +228,8 @@
             failure = result.failure()
         # New connections tell whether the engine can be reached.  An engine
         # that reports needs none, and each one has a cost at the engine.
-        self.try_connection(endpoint)
+        if self.try_connection(endpoint) is None:
+            self.state.record_unanswered(endpoint, asked_at)
         if failure.refuses_connections:
             self._confirm_end(endpoint, asked_at)
         self._when_determined(
@@ -205,6 +238,25 @@
             partial(self._suspect, endpoint, f'{reason}: {failure.problem}'),
         )
 
+    def _read_health(
+        self, attempt: EndpointAttempt, endpoint: Endpoint
+    ) -> AttemptError | None:
+        """Send a health check and read the head of its answer."""
+        service = self.state.routing_table.services.get(endpoint.service)
+        path = DEFAULT_HEALTH_PATH if service is None else service.health_path
+        attempt.send('GET', path, (('Host', endpoint.address),), b'')
+        try:
+            attempt.read_head(attempt.sent_at + ANSWER_TIMEOUT_SECONDS)
+        except AttemptError as error:
+            return error
+        except ReadTimeout:
+            return AttemptError(
+                StepError(
+                    Outcome.NOT_RUN, Reason.TIMEOUT, 'health', endpoint.address
+                )
+            )
+        return None
+
     def _is_known(self, endpoint: Endpoint) -> bool:
         """Return whether an end is known already, or about to be found out."""
         probe = self.probes.get(endpoint.endpoint_id)
--- a/wigeonspoke/ingress/fleet/reachability_loop.py
+++ b/wigeonspoke/ingress/fleet/reachability_loop.py
@@ -34,7 +34,11 @@
 
     def _try(self, endpoint: Endpoint) -> None:
         tried_at = time.monotonic()
-        error = self.prober.try_connection(endpoint)
+        needs_answer = self.state.reachability.needs_answer(endpoint, tried_at)
+        if needs_answer:
+            error = self.prober.ask(endpoint)
+        else:
+            error = self.prober.try_connection(endpoint)
         result = 'connected' if error is None else 'failed'
         self.state.count_event('trial-connection', result)
         self.state.log.write(
@@ -44,8 +48,13 @@
             endpoint=endpoint.endpoint_id,
             address=endpoint.address,
             result=result,
+            asked=needs_answer,
             seconds=round(time.monotonic() - tried_at, 3),
         )
+        if error is not None and needs_answer:
+            self.state.reachability.record_failed_trial(endpoint, tried_at)
+            # What peers reach meanwhile decides.
+            self.state.tell_news()
         self._report_changes()
 
     def _report_changes(self) -> None:
@@ -65,6 +74,7 @@
             service=change.service,
             domain=change.failure_domain,
             first_failure_ago=round(time.monotonic() - change.since, 3),
+            unanswered=change.is_unanswered,
         )
 
     def _report_end(self, change: IsolationChange) -> None:
--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -177,6 +177,15 @@
             raise self._error(Reason.RESET, 'answer')
         return self.body_end
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a new connection was established and has given no byte."""
+        return (
+            self.connected_at is not None
+            and not self.is_aborted
+            and not self.receiver.received_bytes
+        )
+
     def has_input(self) -> bool:
         """Return whether the endpoint has sent more than was read."""
         return self.sock is not None and bool(peek(self.sock.fd))
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -392,6 +392,16 @@
             **facts,
         )
 
+    def record_no_answer(
+        self, attempt: EndpointAttempt, endpoint: Endpoint
+    ) -> None:
+        """Record that a new connection has given no answer, if it has not.
+
+        Something on the way may establish connections and lose their data.
+        """
+        if attempt.is_unanswered:
+            self.state.record_unanswered(endpoint, attempt.connected_at)
+
     def read_markers(
         self,
         attempt: EndpointAttempt,
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -177,6 +177,14 @@
         self.reachability.record_failed(endpoint, time.monotonic())
         self.reachability_news.wake()
 
+    def record_unanswered(self, endpoint: Endpoint, sent_at: float) -> None:
+        """Record a request that got no answer on a new connection."""
+        now = time.monotonic()
+        if self.reachability.record_unanswered(endpoint, sent_at, now):
+            self.count_event('doubted', endpoint.service)
+            self.tell_news()
+        self.reachability_news.wake()
+
     def record_store_failure(self, now: float) -> None:
         """Record that a call to the store was refused or not answered."""
         self.store_failed_at = max(self.store_failed_at, now)
--- a/wigeonspoke/ingress/streams/chain_attempts.py
+++ b/wigeonspoke/ingress/streams/chain_attempts.py
@@ -114,9 +114,11 @@
         self.request_handler.prober.check_chain(chain, 'silent')
 
     def record_failure(
-        self, _attempt: EndpointAttempt, chain: Chain, failure: AttemptError
+        self, attempt: EndpointAttempt, chain: Chain, failure: AttemptError
     ) -> None:
         """Record an attempt without a valid response."""
+        if attempt.is_ended_by_peer:
+            self.request_handler.record_no_answer(attempt, chain.head)
         if failure.is_refused:
             self.request_handler.prober.record_refused_connection(chain.head)
         self._record_error(chain, failure.error)
--- a/wigeonspoke/platform/standins/replica.py
+++ b/wigeonspoke/platform/standins/replica.py
@@ -19,6 +19,7 @@
     report_headers,
 )
 
+HEALTH_PATH = '/healthz'
 POLL_SECONDS = 0.01
 HANG_SECONDS = 30.0
 # How long a request runs before the replica ends under it.
@@ -167,6 +168,10 @@
         self.server.restart()
 
     def _handle(self, request: RawRequest, connection: RawConnection) -> None:
+        if request.target == HEALTH_PATH:
+            headers = {'Instance-Id': self.endpoint_id}
+            connection.respond(http.HTTPStatus.OK, headers)
+            return
         received = record_request(request)
         self.received.append(received)
         expected = request.headers.get('expect-instance', self.endpoint_id)
