Let an odd entry of a store table cost itself alone

A node that started beside one deeply nested entry in the registry answered all its clients 503 (0 of 20 requests served); one that ran lost the other changes of the same page, and its follower failed (loop-failed).

Cause: a message nested deeper than the recursion limit raises RecursionError, which no decoder expected. The error left the loop over the rows, and the first read counted as done although it had ended halfway. Class: one writer's row taken for the whole list.

The same elsewhere: leases (the loop would fail until the row goes, so that no engine is ordered anything), rows of quarantined parts, replies of the store, gossip, relayed tables, relay heads, reports, configurations, marks, claims, heads of publications (an unreadable one failed a publication with 500), settings and the administration interface.

Change: decode_json is the one place that decodes JSON of others, and raises nothing. A follower applies each row by itself, with a log line and a metric for one that fails for whatever reason, and a read is done after its last row.

The tests cover a node that runs and one that starts; of them, those of nested entries and of an unforeseen failure fail before the change.

--- a/wigeonspoke/config/publisher.py
+++ b/wigeonspoke/config/publisher.py
@@ -17,6 +17,7 @@
 from wigeonspoke.config.generate import generate_configuration
 from wigeonspoke.config.questionnaire import Questionnaire
 from wigeonspoke.core.deployment import Configuration
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import (
     HttpPlatform,
     StoreError,
@@ -198,18 +199,18 @@
     """
     if row is None:
         return Failure(_conflict(EMPTY_HEAD))
-    stored_head = msgspec.json.decode(row.content, type=ConfigHead)
+    stored_head = decode_json(row.content, ConfigHead).value_or(EMPTY_HEAD)
     if head.history[-1] in stored_head.history:
         return Success(head)
     return Failure(_conflict(stored_head))
 
 
 def _decode_head(row: TableRow) -> Result[StoredHead, StoreError]:
-    try:
-        head = msgspec.json.decode(row.content, type=ConfigHead)
-    except msgspec.MsgspecError:
-        return Failure(StoreError(StoreProblem.UNCERTAIN, 'read-head'))
-    return Success(StoredHead(head, row.version))
+    return (
+        decode_json(row.content, ConfigHead)
+        .map(lambda head: StoredHead(head, row.version))
+        .alt(lambda _problem: _unreadable('read-head'))
+    )
 
 
 def _decode_body(
@@ -217,11 +218,14 @@
     expected: str,
 ) -> Result[Configuration, StoreError]:
     if _sha256(body) != expected:
-        return Failure(StoreError(StoreProblem.UNCERTAIN, 'read-body'))
-    try:
-        return Success(msgspec.json.decode(body, type=Configuration))
-    except msgspec.MsgspecError:
-        return Failure(StoreError(StoreProblem.UNCERTAIN, 'read-body'))
+        return Failure(_unreadable('read-body'))
+    return decode_json(body, Configuration).alt(
+        lambda _problem: _unreadable('read-body')
+    )
+
+
+def _unreadable(step: str) -> StoreError:
+    return StoreError(StoreProblem.UNCERTAIN, step)
 
 
 def _sha256(body: bytes) -> str:
--- a/wigeonspoke/config/questionnaire.py
+++ b/wigeonspoke/config/questionnaire.py
@@ -174,7 +174,7 @@
     """Parse and validate answers in TOML or JSON."""
     try:
         document = _parse(text)
-    except (tomllib.TOMLDecodeError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return Failure((AnswerError('document', str(error)),))
     if not isinstance(document, dict):
         return Failure((AnswerError('document', 'expected a table'),))
--- a/wigeonspoke/endpoints/engine_client.py
+++ b/wigeonspoke/endpoints/engine_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from wigeonspoke.core.outcomes import Outcome, Reason
 from wigeonspoke.endpoints.engine_messages import (
@@ -12,6 +12,7 @@
     EngineLoad,
     StepBatch,
 )
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.transport import HttpClient, HttpError, HttpReply
 
 STEPS_PATH = '/engine/v1/steps'
@@ -47,7 +48,7 @@
                 timeout,
                 lambda line: handle_result(_RESULT_DECODER.decode(line)),
             )
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return Failure(
                 HttpError(Outcome.UNKNOWN, Reason.CONTRACT, address),
             )
@@ -73,7 +74,6 @@
     contract_error = HttpError(Outcome.UNKNOWN, Reason.CONTRACT, peer)
     if not reply.is_ok:
         return Failure(contract_error)
-    try:
-        return Success(msgspec.json.decode(reply.body, type=message_type))
-    except msgspec.MsgspecError:
-        return Failure(contract_error)
+    return decode_json(reply.body, message_type).alt(
+        lambda _problem: contract_error
+    )
--- a/wigeonspoke/ingress/fleet/lease_loop.py
+++ b/wigeonspoke/ingress/fleet/lease_loop.py
@@ -18,6 +18,7 @@
 )
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.wake_up import WakeUp
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import (
     FeedStore,
     RowPage,
@@ -329,10 +330,7 @@
 def _decode_rows(page: RowPage) -> dict[str, VersionedLease]:
     seen: dict[str, VersionedLease] = {}
     for row in page.rows:
-        try:
-            lease = msgspec.json.decode(bytes(row.content), type=LeaseRow)
-        except msgspec.MsgspecError:
-            # A row that cannot be decoded is treated as held by no node.
-            lease = None
+        # A row that cannot be decoded is treated as held by no node.
+        lease = decode_json(bytes(row.content), LeaseRow).value_or(None)
         seen[row.key] = VersionedLease(row.version, lease)
     return seen
--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -12,7 +12,6 @@
 import random
 import time
 import uuid
-from typing import Any
 
 import eventlet
 import msgspec
@@ -34,6 +33,7 @@
 from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.state import IngressState, node_name
 from wigeonspoke.ingress.tables.table_copy import TableCopy
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.transport import HttpClient, HttpError
 
 GOSSIP_PATH = '/peers/v1/talk'
@@ -219,10 +219,8 @@
 
     def handle_request(self, body: bytes) -> bytes | None:
         """Apply a peer's update and return the reply, None if undecodable."""
-        try:
-            update = msgspec.json.decode(body, type=PeerUpdate)
-        except msgspec.MsgspecError:
-            self.state.log.write('peer-unreadable', step='talk')
+        update = self._decode(body, '')
+        if update is None:
             return None
         self.apply_update(update)
         self.last_heard_at[update.gossip.address] = time.monotonic()
@@ -297,14 +295,21 @@
             return
         if not reply.unwrap().is_ok:
             return
-        try:
-            update: Any = msgspec.json.decode(
-                reply.unwrap().body, type=PeerUpdate
+        update = self._decode(reply.unwrap().body, peer)
+        if update is not None:
+            self.apply_update(update)
+
+    def _decode(self, body: bytes, peer: str) -> PeerUpdate | None:
+        """Decode a message of a peer; its address is only known of replies."""
+        decoded = decode_json(body, PeerUpdate)
+        if not isinstance(decoded, Success):
+            self.state.log.write(
+                'peer-unreadable',
+                peer=peer,
+                step='talk',
+                problem=decoded.failure(),
             )
-        except msgspec.MsgspecError:
-            self.state.log.write('peer-unreadable', peer=peer, step='talk')
-            return
-        self.apply_update(update)
+        return decoded.value_or(None)
 
     def _handle_failure(self, peer: str, error: HttpError) -> None:
         is_certain = error.outcome is Outcome.NOT_RUN
--- a/wigeonspoke/ingress/relay/relay_head.py
+++ b/wigeonspoke/ingress/relay/relay_head.py
@@ -13,6 +13,7 @@
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.relay import PeerAnswer, RunCounts
 from wigeonspoke.ingress.protocols import ClientRequest, HeaderList
+from wigeonspoke.serialization import decode_json
 
 RELAY_PATH = '/peers/v1/relay'
 RELAY_HEADER = 'Wigeonspoke-Relay'
@@ -85,9 +86,9 @@
     try:
         if not encoded.startswith(b'{'):
             encoded = base64.b64decode(encoded, validate=True)
-        return msgspec.json.decode(encoded, type=RelayHead)
-    except (binascii.Error, msgspec.MsgspecError, UnicodeDecodeError):
+    except binascii.Error:
         return None
+    return decode_json(encoded, RelayHead).value_or(None)
 
 
 def outcome_headers(answer: PeerAnswer, reason: str) -> HeaderList:
--- a/wigeonspoke/ingress/tables/part_table.py
+++ b/wigeonspoke/ingress/tables/part_table.py
@@ -8,7 +8,7 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import eventlet
 import msgspec
@@ -22,6 +22,7 @@
 )
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.tables.table_copy import TableCopy
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import FeedStore, RowWrite, TableRow
 
 PART_TABLE = 'quarantine'
@@ -65,11 +66,8 @@
     def handle_store_return(self) -> None:
         """Do nothing: a quarantine stays in force during an outage."""
 
-    def replace_all(self, rows: tuple[TableRow, ...]) -> None:
-        """Merge every row; missing rows clear nothing."""
-        for row in rows:
-            if not row.is_removed:
-                self.apply_change(row)
+    def retain(self, keys: Collection[str]) -> None:
+        """Do nothing: missing rows clear no evidence."""
 
     def apply_change(self, row: TableRow) -> None:
         """Merge a row; its removal means that the part was served well."""
@@ -94,13 +92,13 @@
         return is_known and self.store_clock() is None
 
     def _decode(self, row: TableRow) -> PartReport | None:
-        try:
-            stored = msgspec.json.decode(bytes(row.content), type=PartRow)
-        except msgspec.MsgspecError as error:
+        decoded = decode_json(bytes(row.content), PartRow)
+        if not isinstance(decoded, Success):
             self.state.log.write(
-                'part-unreadable', part=row.key, problem=str(error)
+                'part-unreadable', part=row.key, problem=decoded.failure()
             )
             return None
+        stored = decoded.unwrap()
         return PartReport(
             row.key,
             tuple(
@@ -306,8 +304,5 @@
 
 
 def _decode_crashes(row: TableRow) -> set[str]:
-    try:
-        stored = msgspec.json.decode(bytes(row.content), type=PartRow)
-    except msgspec.MsgspecError:
-        return set()
-    return set(stored.crashes)
+    decoded = decode_json(bytes(row.content), PartRow)
+    return set(decoded.map(lambda stored: stored.crashes).value_or({}))
--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -1,6 +1,7 @@
 """Consumers of the store's tables: configuration and endpoint registry."""
 
 import time
+from collections.abc import Collection
 from typing import Protocol
 
 import eventlet
@@ -12,6 +13,8 @@
 # Registry entries that expired during a store outage are re-registered within
 # this time after it, or the endpoint is gone.
 RETENTION_SECONDS = 2.5
+# Characters of a problem that are logged; it may quote the entry.
+MAX_LOGGED_PROBLEM = 200
 
 
 class TableConsumer(Protocol):
@@ -22,11 +25,11 @@
     def handle_store_return(self) -> None:
         """Handle the return of the store after an outage."""
 
-    def replace_all(self, rows: tuple[TableRow, ...]) -> None:
-        """Replace the table by its complete rows."""
-
     def apply_change(self, row: TableRow) -> None:
-        """Apply one changed row."""
+        """Apply one row that was changed, or belongs to the complete table."""
+
+    def retain(self, keys: Collection[str]) -> None:
+        """Forget what the complete table, with these keys, does not list."""
 
 
 class ConfigurationConsumer:
@@ -42,10 +45,8 @@
     def handle_store_return(self) -> None:
         """Do nothing: the configuration stays in force during an outage."""
 
-    def replace_all(self, rows: tuple[TableRow, ...]) -> None:
-        """Apply every row of the table."""
-        for row in rows:
-            self.apply_change(row)
+    def retain(self, keys: Collection[str]) -> None:
+        """Do nothing: a configuration stays in force until a newer one."""
 
     def apply_change(self, row: TableRow) -> None:
         """Adopt a configuration newer than the one in force."""
@@ -89,13 +90,10 @@
         """Retain missing endpoints for a while after a store outage."""
         self._retain_until(time.monotonic() + RETENTION_SECONDS)
 
-    def replace_all(self, rows: tuple[TableRow, ...]) -> None:
+    def retain(self, keys: Collection[str]) -> None:
         """Apply the complete list; endpoints not listed are missing."""
-        for row in rows:
-            self.apply_change(row)
-        listed = {entry.key for entry in rows if not entry.is_removed}
         for endpoint_id in list(self.state.fleet.endpoints):
-            if endpoint_id not in listed:
+            if endpoint_id not in keys:
                 self._mark_missing(endpoint_id)
 
     def apply_change(self, row: TableRow) -> None:
@@ -105,7 +103,8 @@
             return
         decoded = self.state.wire.decode_endpoint(row.key, bytes(row.content))
         if not isinstance(decoded, Success):
-            self._drop(row.key, decoded.failure())
+            self._report_unreadable(row, decoded.failure())
+            self._drop(row.key, 'unreadable')
             return
         endpoint = decoded.unwrap()
         self.missing.discard(endpoint.endpoint_id)
@@ -124,6 +123,16 @@
                 row_version=row.version,
             )
 
+    def _report_unreadable(self, row: TableRow, problem: str) -> None:
+        """Report an entry that names no endpoint to use."""
+        self.state.count_event('entry-unreadable')
+        self.state.log.write(
+            'entry-unreadable',
+            endpoint=row.key,
+            row_version=row.version,
+            problem=problem[:MAX_LOGGED_PROBLEM],
+        )
+
     def _retain_until(self, until: float) -> None:
         if until > self.retained_until:
             self.retained_until = until
--- a/wigeonspoke/ingress/tables/table_followers.py
+++ b/wigeonspoke/ingress/tables/table_followers.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+import traceback
 
 import eventlet
 from returns.result import Success
@@ -247,17 +248,38 @@
     def _apply_changes(self, rows: tuple[TableRow, ...], version: int) -> bool:
         changes = self.copy.apply_changes(rows, version)
         for row in changes:
-            self.consumer.apply_change(row)
+            self._apply(row)
         if changes:
             self.news.wake()
         return bool(changes)
 
     def _replace(self, rows: tuple[TableRow, ...], version: int) -> None:
-        self.needs_full_read = False
         self.copy.replace(rows, version)
-        self.consumer.replace_all(rows)
+        listed = {row.key: row for row in rows if not row.is_removed}
+        for row in listed.values():
+            self._apply(row)
+        self.consumer.retain(listed.keys())
+        self.needs_full_read = False
         self.news.wake()
 
+    def _apply(self, row: TableRow) -> None:
+        """Apply a row; one that fails costs only itself.
+
+        Other programs write rows too, and what follows from an odd one cannot
+        be foreseen.  The others must reach the consumer all the same.
+        """
+        try:
+            self.consumer.apply_change(row)
+        except Exception:
+            self.state.count_event('row-failed', self.consumer.table)
+            self.state.log.write(
+                'row-failed',
+                table=self.consumer.table,
+                key=row.key,
+                row_version=row.version,
+                problem=traceback.format_exc(),
+            )
+
     def _record_return(self) -> None:
         self.is_reachable = True
         self.returned_at = time.monotonic()
--- a/wigeonspoke/ingress/tables/table_relay.py
+++ b/wigeonspoke/ingress/tables/table_relay.py
@@ -19,6 +19,7 @@
 from wigeonspoke.ingress.relay.relay_head import RELAY_PATH
 from wigeonspoke.ingress.tables.table_copy import RelayedTable, TableCopy
 from wigeonspoke.ingress.wake_up import WakeUp
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.transport import HttpClient
 
 TABLES_PATH = '/peers/v1/tables/'
@@ -173,11 +174,16 @@
 ) -> Reply | None:
     if body is None:
         return None
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError:
-        log.write('peer-unreadable', peer=peer, step='table', table=table)
-        return None
+    decoded = decode_json(body, kind)
+    if not isinstance(decoded, Success):
+        log.write(
+            'peer-unreadable',
+            peer=peer,
+            step='table',
+            table=table,
+            problem=decoded.failure(),
+        )
+    return decoded.value_or(None)
 
 
 def _parse_number(text: str, otherwise: int) -> int:
--- a/wigeonspoke/node/claim_store.py
+++ b/wigeonspoke/node/claim_store.py
@@ -12,6 +12,7 @@
     KeptReply,
 )
 from wigeonspoke.core.events import ClaimAnswered
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import (
     StoreError,
     StoreProblem,
@@ -140,7 +141,4 @@
 
 
 def _decode(row: TableRow) -> ClaimRow | None:
-    try:
-        return msgspec.json.decode(row.content, type=ClaimRow)
-    except msgspec.MsgspecError:
-        return None
+    return decode_json(row.content, ClaimRow).value_or(None)
--- a/wigeonspoke/node/config_sync.py
+++ b/wigeonspoke/node/config_sync.py
@@ -1,13 +1,13 @@
 """Fetches configurations from the store and from peers."""
 
 import eventlet
-import msgspec
 from returns.result import Result, Success
 
 from wigeonspoke.config import ConfigStore
 from wigeonspoke.core.deployment import Configuration
 from wigeonspoke.core.events import ConfigurationAdopted
 from wigeonspoke.node.runtime import Runtime
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.transport import HttpClient
 
 POLL_SECONDS = 0.5
@@ -62,13 +62,7 @@
         http_reply = reply.unwrap()
         if not http_reply.is_ok:
             return
-        try:
-            configuration = msgspec.json.decode(
-                http_reply.body, type=Configuration
-            )
-        except msgspec.MsgspecError:
-            return
-        self.runtime.dispatch(ConfigurationAdopted(configuration))
+        self._adopt(decode_json(http_reply.body, Configuration))
 
     def _adopt(self, body: Result) -> None:
         if isinstance(body, Success):
--- a/wigeonspoke/node/gossip.py
+++ b/wigeonspoke/node/gossip.py
@@ -24,6 +24,7 @@
 from wigeonspoke.node.config_sync import ConfigSync
 from wigeonspoke.node.runtime import Runtime
 from wigeonspoke.observe import HybridTime
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import HostEntry, HostList
 from wigeonspoke.transport import HttpClient, HttpError
 
@@ -161,11 +162,9 @@
         http_reply = reply.unwrap()
         if not http_reply.is_ok:
             return
-        try:
-            answer = msgspec.json.decode(http_reply.body, type=TimedMessage)
-        except msgspec.MsgspecError:
-            return
-        self.receive(answer)
+        answer = decode_json(http_reply.body, TimedMessage)
+        if isinstance(answer, Success):
+            self.receive(answer.unwrap())
 
     def _record_failure(self, peer: str, error: HttpError) -> None:
         unreachable = error.outcome is Outcome.NOT_RUN
--- a/wigeonspoke/node/mark_sync.py
+++ b/wigeonspoke/node/mark_sync.py
@@ -12,6 +12,7 @@
 from wigeonspoke.core.events import MarksReceived
 from wigeonspoke.core.membership import EndpointMark, MarkState
 from wigeonspoke.node.runtime import Runtime
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import Table, TableRow
 
 MARKS_TABLE = 'marks'
@@ -77,7 +78,4 @@
 
 
 def _decode(row: TableRow) -> EndpointMark | None:
-    try:
-        return msgspec.json.decode(row.content, type=EndpointMark)
-    except msgspec.MsgspecError:
-        return None
+    return decode_json(row.content, EndpointMark).value_or(None)
--- a/wigeonspoke/platform/records.py
+++ b/wigeonspoke/platform/records.py
@@ -5,7 +5,7 @@
 field names of the JSON objects.
 """
 
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -28,14 +28,13 @@
 )
 from wigeonspoke.ingress.protocols import EngineState
 from wigeonspoke.platform.speeds import decode_speeds
+from wigeonspoke.serialization import decode_json
 
 MILLISECONDS_PER_SECOND = 1000
 CONFIGURATION_KEY = 'config'
 # Engines answer 400 to a request with more parts.
 MAX_CHAIN_PARTS = 32
 
-WireType = TypeVar('WireType')
-
 _REQUEST_KINDS = {
     'safe': RequestKind.SAFE,
     'unsafe': RequestKind.UNSAFE,
@@ -159,7 +158,7 @@
     body: bytes,
 ) -> Result[RoutingConfiguration, str]:
     """Decode a stored configuration; a failure describes the problem."""
-    decoded = _decode(body, _WireConfiguration)
+    decoded = decode_json(body, _WireConfiguration)
     if not isinstance(decoded, Success):
         return decoded
     wire = decoded.unwrap()
@@ -186,7 +185,7 @@
     entry that cannot be decoded, or whose state or address is invalid, is a
     failure.
     """
-    decoded = _decode(body, _WireServer)
+    decoded = decode_json(body, _WireServer)
     if not isinstance(decoded, Success):
         return decoded
     wire = decoded.unwrap()
@@ -211,7 +210,7 @@
 
 def decode_report(body: bytes) -> Result[EngineState, str]:
     """Decode an engine's state report; a failure describes the problem."""
-    decoded = _decode(body, _WireReport)
+    decoded = decode_json(body, _WireReport)
     if not isinstance(decoded, Success):
         return decoded
     wire = decoded.unwrap()
@@ -227,13 +226,6 @@
     )
 
 
-def _decode(body: bytes, wire_type: type[WireType]) -> Result[WireType, str]:
-    try:
-        return Success(msgspec.json.decode(body, type=wire_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(str(error))
-
-
 def _convert_rule(wire: _WireRoute) -> Rule:
     targets = tuple(
         Target(target.service, target.weight) for target in wire.backends
--- a/wigeonspoke/platform/settings.py
+++ b/wigeonspoke/platform/settings.py
@@ -70,7 +70,7 @@
     """Decode the settings file; unknown fields are ignored."""
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
         return Failure((f'not TOML: {error}',))
     errors = _validate(document)
     if errors:
--- a/wigeonspoke/platform/speeds.py
+++ b/wigeonspoke/platform/speeds.py
@@ -7,8 +7,10 @@
 from typing import Annotated
 
 import msgspec
+from returns.result import Success
 
 from wigeonspoke.core.fleet import EngineSpeeds
+from wigeonspoke.serialization import decode_json
 
 MILLISECONDS_PER_SECOND = 1000
 TOKENS_PER_CONTEXT_UNIT = 1000
@@ -60,13 +62,12 @@
 
     These are the services with a step time and a reading rate.
     """
-    try:
-        wire = msgspec.json.decode(body, type=_WireConfiguration)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    decoded = decode_json(body, _WireConfiguration)
+    if not isinstance(decoded, Success):
         return {}
     return {
         service.name: _convert_speeds(service.engine)
-        for service in wire.services
+        for service in decoded.unwrap().services
         if service.engine
         and service.engine.step_ms
         and service.engine.read_per_s
--- a/wigeonspoke/platform/store_client.py
+++ b/wigeonspoke/platform/store_client.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from wigeonspoke.core.outcomes import Outcome
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import (
     RowPage,
     RowWrite,
@@ -177,10 +178,9 @@
     if not reply.is_ok:
         problem = _PROBLEMS.get(reply.status, StoreProblem.UNCERTAIN)
         return Failure(StoreError(problem, step))
-    try:
-        return Success(msgspec.json.decode(reply.body, type=_WirePage))
-    except msgspec.MsgspecError:
-        return Failure(StoreError(StoreProblem.UNCERTAIN, step))
+    return decode_json(reply.body, _WirePage).alt(
+        lambda _problem: StoreError(StoreProblem.UNCERTAIN, step)
+    )
 
 
 def _convert_rows(page: _WirePage) -> list[TableRow]:
--- /dev/null
+++ b/wigeonspoke/platform/tests/test_odd_entries.py
@@ -0,0 +1,112 @@
+"""Odd entries of another writer among those of the endpoints."""
+
+import msgspec
+import pytest
+
+from wigeonspoke.platform.tests.harness import (
+    send_request,
+    start_node,
+    stop_node,
+)
+from wigeonspoke.platform.wire_format import PlatformFormat
+
+REPLICA = {
+    'service': 'ledger',
+    'address': '127.0.0.1:1',
+    'zone': 'one',
+    'state': 'ready',
+    'born': 7,
+    'slots': 1,
+}
+REQUESTS = 6
+
+
+def _entry(base=REPLICA, **fields):
+    return msgspec.json.encode({**base, **fields})
+
+
+def _nested(depth: int) -> bytes:
+    deep = b'[' * depth + b']' * depth
+    return b'%s, "note": %s}' % (_entry()[:-1], deep)
+
+
+ENTRIES = {
+    'nested 2,000 deep': _nested(2000),
+    'nested 100,000 deep': _nested(100_000),
+    'not JSON': b'\xff{',
+    'empty': b'',
+}
+
+
+@pytest.fixture(params=[False, True], ids=['runs', 'starts'])
+def leave_entry(request, placed_harness):
+    """Yield what leaves an entry, at a node that runs or that starts then.
+
+    It returns the node, which knows the other endpoints.
+    """
+    started = []
+
+    def leave(content: bytes, key: str = 'odd'):
+        placed_harness.store.put_bytes('servers', key, content)
+        node = placed_harness.node
+        if request.param:
+            node = start_node(placed_harness, 'late', failure_domain='one')
+            started.append(node)
+        placed_harness.wait_until(lambda: len(node.state.fleet.endpoints) >= 8)
+        return node
+
+    yield leave
+    for node in started:
+        stop_node(node)
+
+
+def _count_served(harness, node) -> int:
+    statuses = [
+        send_request(harness, 'GET', '/read/x', f'id{number}', node=node)[0]
+        for number in range(REQUESTS)
+    ]
+    return statuses.count(200)
+
+
+def _wait_until_gone(harness, node, endpoint_id: str) -> None:
+    harness.store.remove('servers', endpoint_id)
+    harness.wait_until(
+        lambda: endpoint_id not in node.state.fleet.endpoints, 4.0
+    )
+
+
+# One odd entry made a node that started serve nobody, and one that ran miss
+# the other changes that came with it.
+@pytest.mark.parametrize('name', ENTRIES)
+def test_an_odd_entry_costs_itself_alone(placed_harness, leave_entry, name):
+    node = leave_entry(ENTRIES[name])
+    counters = node.state.counters
+    placed_harness.wait_until(lambda: counters['entry-unreadable', ''])
+    assert 'odd' not in node.state.fleet.endpoints
+    assert _count_served(placed_harness, node) == REQUESTS
+    _wait_until_gone(
+        placed_harness, node, placed_harness.engines[5].endpoint_id
+    )
+    assert not counters['loop-failed', '']
+
+
+# A consumer may fail for a reason that nobody has foreseen.
+def test_an_entry_that_fails_unforeseen_costs_itself_alone(
+    placed_harness, leave_entry, monkeypatch
+):
+    decode = PlatformFormat.decode_endpoint
+
+    def decode_or_fail(wire, endpoint_id, content):
+        if endpoint_id == 'odd':
+            raise KeyError('unforeseen')
+        return decode(wire, endpoint_id, content)
+
+    monkeypatch.setattr(PlatformFormat, 'decode_endpoint', decode_or_fail)
+    node = leave_entry(_entry())
+    counters = node.state.counters
+    placed_harness.wait_until(lambda: counters['row-failed', 'servers'])
+    assert _count_served(placed_harness, node) == REQUESTS
+    _wait_until_gone(
+        placed_harness, node, placed_harness.engines[5].endpoint_id
+    )
+    assert not counters['loop-failed', '']
--- a/wigeonspoke/store/http_platform.py
+++ b/wigeonspoke/store/http_platform.py
@@ -4,10 +4,10 @@
 from functools import partial
 from urllib.parse import quote
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from wigeonspoke.core.outcomes import Outcome
+from wigeonspoke.serialization import decode_json
 from wigeonspoke.store.protocols import (
     HostEntry,
     StoreError,
@@ -134,12 +134,11 @@
     problem = _PROBLEMS.get(reply.status, StoreProblem.UNCERTAIN)
     row = None
     if problem is StoreProblem.CONFLICT:
-        row = msgspec.json.decode(reply.body, type=TableRow | None)
+        row = decode_json(reply.body, TableRow | None).value_or(None)
     return Failure(StoreError(problem, step, row))
 
 
 def _decode(row_type: type, step: str, reply: HttpReply) -> Result:
-    try:
-        return Success(msgspec.json.decode(reply.body, type=row_type))
-    except msgspec.MsgspecError:
-        return Failure(StoreError(StoreProblem.UNCERTAIN, step))
+    return decode_json(reply.body, row_type).alt(
+        lambda _problem: StoreError(StoreProblem.UNCERTAIN, step)
+    )
--- a/wigeonspoke/webapp/json_app.py
+++ b/wigeonspoke/webapp/json_app.py
@@ -119,7 +119,11 @@
             'invalid_field',
             str(error),
         ) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise ApiError(
             http.HTTPStatus.BAD_REQUEST,
             'bad_request',
