Take no endpoint from an entry with numbers out of range

A node that started beside an entry of a plain service with port 99999, or with one of 5,000 digits, answered all calls 500 (0 of 20 served). Port 0, ports in other digits, addresses with line breaks, negative or huge slots, layers and starts were taken for endpoints. An entry with a later start under the id of a real endpoint hid the real one from then on.

Cause: an address was any text with digits after a colon, numbers had no range, and connect expected only OSError: OverflowError and ValueError left the attempt, and the request. Class: one writer's row taken at its word.

Change: an address is an IPv4 address and a port; slots, layers and starts have ranges; an attempt at an address that is none counts as not connected. A chain takes no layers beyond the model.

What remains: an entry with a start before the year 2100 under a real id hides the endpoint until it starts again. A clock of the node's own would tell, but a wrong one would refuse all endpoints.

--- a/wigeonspoke/core/chains/paths.py
+++ b/wigeonspoke/core/chains/paths.py
@@ -128,7 +128,9 @@
     engines accept, the chain with the fewest hops is returned instead.
     """
     engines_with_layers = [
-        engine for engine in engines if engine.layers is not None
+        engine
+        for engine in engines
+        if engine.layers is not None and engine.layers.end <= profile.layers
     ]
     engine_costs = costs or SearchCosts()
     for hop_cost in (HOP_COST, DOMINANT_HOP_COST):
--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -222,7 +222,8 @@
         self.sock.settimeout(max(MIN_CONNECT_SECONDS, seconds))
         try:
             self.sock.connect((host, int(port)))
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # An address that is none is an endpoint that is not reached.
             raise self._error(Reason.CONNECT, 'connect') from error
         self.connected_at = time.monotonic()
         self.sock.setblocking(True)
--- a/wigeonspoke/platform/records.py
+++ b/wigeonspoke/platform/records.py
@@ -5,7 +5,8 @@
 field names of the JSON objects.
 """
 
-from typing import Any
+from ipaddress import IPv4Address
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -28,12 +29,19 @@
 )
 from wigeonspoke.ingress.protocols import EngineState
 from wigeonspoke.platform.speeds import decode_speeds
-from wigeonspoke.serialization import decode_json
+from wigeonspoke.serialization import Count, decode_json, parse_count
 
 MILLISECONDS_PER_SECOND = 1000
+MAX_PORT = 65535
 CONFIGURATION_KEY = 'config'
 # Engines answer 400 to a request with more parts.
 MAX_CHAIN_PARTS = 32
+# Entries and reports with greater numbers than these come from no endpoint.
+MAX_LAYERS = 10000
+MAX_SLOTS = 1000000
+# The beginning of the year 2100.  An entry of a later start would be taken for
+# newer than all real ones with its id.
+MAX_BORN_MILLISECONDS = 4102444800000
 
 _REQUEST_KINDS = {
     'safe': RequestKind.SAFE,
@@ -120,9 +128,15 @@
     tenants: tuple[_WireTenant, ...] | None = None
 
 
+_Layer = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+_Born = Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MILLISECONDS)]
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _WireLayers(msgspec.Struct, rename={'first': 'from', 'end': 'to'}):
-    first: int
-    end: int
+    first: _Layer
+    end: _Layer
 
 
 class _WireLoadedModel(msgspec.Struct):
@@ -135,21 +149,21 @@
     address: str
     zone: str
     state: str
-    born: int = 0
-    slots: int = 1
+    born: _Born = 0
+    slots: _Slots = 1
     kind: str = ''
     models: tuple[_WireLoadedModel, ...] = ()
     layers: _WireLayers | None = None
 
 
 class _WireReport(msgspec.Struct):
-    born: int = 0
+    born: _Born = 0
     # Counts accepted orders here, but heartbeats in a registry entry.
-    sequence: int = 0
+    sequence: Count = 0
     busy: bool = False
-    pace: float = 1
-    kv_used: float = msgspec.field(default=0, name='kv-used')
-    kv_total: float = msgspec.field(default=0, name='kv-total')
+    pace: _Amount = 1
+    kv_used: _Amount = msgspec.field(default=0, name='kv-used')
+    kv_total: _Amount = msgspec.field(default=0, name='kv-total')
     models: tuple[_WireLoadedModel, ...] = ()
     layers: _WireLayers | None = None
 
@@ -304,4 +318,9 @@
 
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(':')
-    return bool(host) and port.isdecimal()
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    number = parse_count(port)
+    return number is not None and 0 < number <= MAX_PORT
--- a/wigeonspoke/platform/tests/test_odd_entries.py
+++ b/wigeonspoke/platform/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Odd entries of another writer among those of the endpoints."""
 
+import eventlet
 import msgspec
 import pytest
 
@@ -18,6 +19,13 @@
     'born': 7,
     'slots': 1,
 }
+ENGINE = {
+    **REPLICA,
+    'service': 'drafting',
+    'kind': 'small',
+    'layers': {'from': 0, 'to': 20},
+}
+MANY_DIGITS = '9' * 5000
 REQUESTS = 6
 
 
@@ -35,6 +43,28 @@
     'nested 100,000 deep': _nested(100_000),
     'not JSON': b'\xff{',
     'empty': b'',
+    'born 10**30': _entry(born=10**30),
+    'born of 4,000 digits': _entry().replace(
+        b'"born":7', b'"born":' + b'9' * 4000
+    ),
+    'born 1e400': _entry().replace(b'"born":7', b'"born":1e400'),
+    'slots 10**30': _entry(slots=10**30),
+    'slots -5': _entry(slots=-5),
+    'port 99999': _entry(address='127.0.0.1:99999'),
+    'port 0': _entry(address='127.0.0.1:0'),
+    'port of 5,000 digits': _entry(address=f'127.0.0.1:{MANY_DIGITS}'),
+    'port in other digits': _entry(address='127.0.0.1:\u0661\u0662'),
+    'line break in address': _entry(address='127.0.0.1\r\nX: y:80'),
+    'no address': _entry(address=''),
+    'engine, port 99999': _entry(ENGINE, address='127.0.0.1:99999'),
+    'engine, layers to 10**18': _entry(
+        ENGINE, layers={'from': 0, 'to': 10**18}
+    ),
+    'engine, layers from -10**18': _entry(
+        ENGINE, layers={'from': -(10**18), 'to': 20}
+    ),
+    'engine, slots 10**30': _entry(ENGINE, slots=10**30),
+    'engine, born 10**30': _entry(ENGINE, born=10**30),
 }
 
 
@@ -110,3 +140,31 @@
         placed_harness, node, placed_harness.engines[5].endpoint_id
     )
     assert not counters['loop-failed', '']
+
+
+# An entry with a later start hid the endpoint until that time.
+@pytest.mark.parametrize('born', [10**30, 10**15])
+def test_an_odd_entry_under_a_real_id_ends_with_the_next_real_one(
+    placed_harness, born
+):
+    replica = placed_harness.replicas[0]
+    endpoints = placed_harness.node.state.fleet.endpoints
+    real = endpoints[replica.endpoint_id]
+    odd = _entry(born=born, service='ledger', address='127.0.0.1:9')
+    placed_harness.store.put_bytes('servers', replica.endpoint_id, odd)
+    placed_harness.wait_until(lambda: replica.endpoint_id not in endpoints, 4.0)
+    entry = replica.registry_entry()
+    placed_harness.store.put('servers', replica.endpoint_id, entry)
+    placed_harness.wait_until(lambda: replica.endpoint_id in endpoints, 4.0)
+    assert endpoints[replica.endpoint_id] == real
+
+
+def test_layers_beyond_the_model_make_no_chain(placed_harness):
+    whole = _entry(ENGINE, layers={'from': 0, 'to': 41})
+    placed_harness.store.put_bytes('servers', 'odd', whole)
+    node = placed_harness.node
+    placed_harness.wait_until(lambda: 'odd' in node.state.fleet.endpoints)
+    eventlet.sleep(0)
+    ids = [chain.endpoint_ids for chain in placed_harness.chains()]
+    assert len(ids) == 2
+    assert 'odd' not in frozenset().union(*ids)
