Answer clients whatever number they send

A client that sent Deadline-Ms with 400 or more digits got 500, for calls and for streams, and one with Last-Event-Id of 5,000 digits got 500 for a stream.

Cause: the texts were converted as they came. Python refuses to convert some thousand digits, and a quotient of 400 digits is no float. The ids of events and the counts in the answers of peers were converted in the same way.

Change: parse_count converts whole numbers of any length, with an upper limit. A deadline beyond it is longer than any time-out; an event with such an id has a text for an id; a stream cannot be resumed after such a number (400).

--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -18,7 +18,9 @@
     begin_response,
 )
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.streams.event_splitter import parse_event_number
 from wigeonspoke.ingress.streams.stream_handler import StreamHandler
+from wigeonspoke.serialization import parse_count
 from wigeonspoke.transport import RequestError, read_request_body
 
 StartResponse = Callable[..., Any]
@@ -119,6 +121,14 @@
                 'no-account',
                 start_response,
             )
+        is_stream = rule.kind is RequestKind.STREAM
+        if is_stream and not _has_valid_position(request):
+            return self._reject(
+                request,
+                http.HTTPStatus.BAD_REQUEST,
+                'last-event-id',
+                start_response,
+            )
         context = self._context(request, rule, account, arrived_at)
         return self._serve(context, environ, start_response)
 
@@ -201,3 +211,13 @@
             version=self.state.routing_table.version,
             path=request.path,
         )
+
+
+def _has_valid_position(request: ClientRequest) -> bool:
+    """Return whether a stream can be resumed where a client wants it to be.
+
+    A number that is too long is the id of no event.
+    """
+    last_event_id = request.last_event_id
+    is_number = parse_count(last_event_id) is not None
+    return not is_number or parse_event_number(last_event_id) is not None
--- a/wigeonspoke/ingress/relay/relay_head.py
+++ b/wigeonspoke/ingress/relay/relay_head.py
@@ -13,7 +13,7 @@
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.relay import PeerAnswer, RunCounts
 from wigeonspoke.ingress.protocols import ClientRequest, HeaderList
-from wigeonspoke.serialization import decode_json
+from wigeonspoke.serialization import decode_json, parse_count
 
 RELAY_PATH = '/peers/v1/relay'
 RELAY_HEADER = 'Wigeonspoke-Relay'
@@ -109,13 +109,14 @@
     """
     header_values = {name.lower(): text for name, text in headers}
     reason = header_values.get(REASON_HEADER.lower(), '')
-    counts = header_values.get(COUNTS_HEADER.lower(), '').split(',')
+    texts = header_values.get(COUNTS_HEADER.lower(), '').split(',')
+    counts = tuple(map(parse_count, texts))
     outcome_text = header_values.get(OUTCOME_HEADER.lower(), '')
-    if not all(map(str.isdecimal, counts)) or len(counts) != 2:
+    if None in counts or len(counts) != 2:
         return None, reason
     if outcome_text not in set(Outcome):
         return None, reason
-    after = RunCounts(*map(int, counts))
+    after = RunCounts(*counts)
     return PeerAnswer(Outcome(outcome_text), after), reason
 
 
--- a/wigeonspoke/ingress/streams/event_cursor.py
+++ b/wigeonspoke/ingress/streams/event_cursor.py
@@ -1,6 +1,9 @@
 """Position of a client in an event stream."""
 
-from wigeonspoke.ingress.streams.event_splitter import StreamEvent
+from wigeonspoke.ingress.streams.event_splitter import (
+    StreamEvent,
+    parse_event_number,
+)
 from wigeonspoke.transport import BodyEnd
 
 
@@ -14,9 +17,7 @@
     __slots__ = ('has_begun_event', 'has_position', 'last_number')
 
     def __init__(self, resumed_after: str) -> None:
-        self.last_number: int | None = None
-        if resumed_after.isdecimal():
-            self.last_number = int(resumed_after)
+        self.last_number = parse_event_number(resumed_after)
         # Whether the client has any event, from this request or before it.
         self.has_position = bool(resumed_after)
         # Whether an attempt broke off inside the event after the last one.
--- a/wigeonspoke/ingress/streams/event_splitter.py
+++ b/wigeonspoke/ingress/streams/event_splitter.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from wigeonspoke.serialization import MAX_COUNT, parse_count
+
 # Largest event, and so the most that is held of an incomplete one.
 MAX_EVENT_BYTES = 1048576
 # Bytes of an event's end that may have come with an earlier part.
@@ -68,4 +70,16 @@
 
 def _number(raw: bytes) -> int | None:
     matched = _EVENT_ID.search(raw)
-    return int(matched[1]) if matched else None
+    return parse_event_number(matched[1].decode()) if matched else None
+
+
+def parse_event_number(text: str) -> int | None:
+    """Return the id of an event if it is a number, else None.
+
+    One that is too long counts as a text: its neighbours cannot be told apart.
+
+    >>> parse_event_number('12'), parse_event_number('9' * 5000)
+    (12, None)
+    """
+    number = parse_count(text)
+    return None if number == MAX_COUNT else number
--- a/wigeonspoke/platform/headers.py
+++ b/wigeonspoke/platform/headers.py
@@ -11,6 +11,7 @@
     ResponseMarkers,
 )
 from wigeonspoke.ingress.requests.responses import HOP_BY_HOP_HEADERS
+from wigeonspoke.serialization import parse_count
 from wigeonspoke.transport import parse_decimal, parse_retry_after
 
 MILLISECONDS_PER_SECOND = 1000
@@ -40,9 +41,8 @@
 # some of them, so that both length and number are limited.
 MAX_PART_ID_LENGTH = 32
 MAX_SHARED_PARTS = 16
-# Greater counts of tokens are ignored: no model reads so many, and Python
-# refuses to convert numbers of some thousand digits.
-MAX_COUNT_DIGITS = 8
+# Greater counts of tokens are ignored: no model reads so many.
+MAX_TOKENS = 99999999
 
 # Headers that are not copied from a client's request to an endpoint:
 # hop-by-hop headers, those that the node sets itself, and ``Expect``, which
@@ -180,9 +180,10 @@
 
 
 def _parse_milliseconds(header_value: str) -> float | None:
-    if not header_value.isdecimal():
+    milliseconds = parse_count(header_value)
+    if milliseconds is None:
         return None
-    return int(header_value) / MILLISECONDS_PER_SECOND
+    return milliseconds / MILLISECONDS_PER_SECOND
 
 
 def _parse_shared_parts(header_value: str) -> tuple[str, ...]:
@@ -218,10 +219,8 @@
 
 
 def _parse_count(text: str) -> int:
-    digits = text.strip()
-    if not digits.isdecimal() or len(digits) > MAX_COUNT_DIGITS:
-        return 0
-    return int(digits)
+    count = parse_count(text.strip())
+    return 0 if count is None or count > MAX_TOKENS else count
 
 
 def _parse_prompt_parts(header_value: str) -> tuple[PromptPart, ...]:
--- a/wigeonspoke/platform/standins/engine.py
+++ b/wigeonspoke/platform/standins/engine.py
@@ -27,6 +27,7 @@
 STALL_SECONDS = 2.0
 POLL_SECONDS = 0.01
 EVENT_INTERVAL_SECONDS = 0.01
+EVENT_FORMAT = 'id: {number}\ndata: {token}\n\n'
 HANG_SECONDS = 60.0
 
 
@@ -297,7 +298,8 @@
             goes_on = self._wait_for_hops(received, hops, connection)
             if not goes_on or self._ends_under(received, number - first):
                 return
-            event = f'id: {number}\ndata: {self._format_token(number)}\n\n'
+            token = self._format_token(number)
+            event = EVENT_FORMAT.format(number=number, token=token)
             if number == self.breaks_off_at_event:
                 event = event[: self.broken_event_bytes]
                 self._write_part(event.encode(), connection)
