Believe a refusal only if it is that of the request

Clients were told 503, not run, for calls and streams that a replica was running.

Cause: a refusal without a request id, or with status 421, counted for whatever request its connection was in use for; streams believed even one that names another request. A faulty replica that writes an earlier refusal once more on a kept connection is taken at its word. Class: the next bytes of a connection taken for the answer of a request. Requests that must not be repeated have new connections and were not affected there; one that names another request was not believed.

The same elsewhere: what a response says of backoff, limit and leaving was recorded whoever it was for; the outcome of a relayed request did not name it; the answer to an order on a kept connection could be an earlier one (a refused fence gives up a lease).

Change: a refusal counts if it names the request, or as the first response on a new connection. Others end the attempt as of unknown outcome and are logged (other-answer). A peer's outcome names its request. Each order has a connection of its own.

--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -284,7 +284,6 @@
         head = read(attempt.read_head)
         headers = decode_headers(head)
         markers = self.read_markers(attempt, replica, head.status_code, headers)
-        self._check_request_id(markers, replica)
         read_part = partial(read, attempt.read_body_part)
         body = collect_body(read_part, attempt.peer)
         return EndpointResponse(head.status_code, headers, body), markers
@@ -353,19 +352,6 @@
         """How long a replica may be silent before it is doubted."""
         return FIRST_ATTEMPT_FACTOR * self.context.rule.target_latency_seconds
 
-    def _check_request_id(
-        self, markers: ResponseMarkers, replica: Endpoint
-    ) -> None:
-        """Reject a response that belongs to another request.
-
-        A refusal without a request id is accepted, because it is the first
-        response on the attempt's own connection.
-        """
-        if markers.not_executed and not markers.request_id:
-            return
-        if markers.request_id != self.context.request.request_id:
-            raise AttemptError(invalid_response_error(replica.address))
-
     def _classify_response(
         self,
         replica: Endpoint,
--- a/wigeonspoke/ingress/relay/peer_attempts.py
+++ b/wigeonspoke/ingress/relay/peer_attempts.py
@@ -156,7 +156,8 @@
         What endpoints tell of themselves is recorded at the peer, which tells
         it to all nodes.
         """
-        answer, reason = read_outcome(headers)
+        request_id = self.request_handler.context.request.request_id
+        answer, reason = read_outcome(headers, request_id)
         if answer is None:
             raise AttemptError(invalid_response_error(chain.peer.address))
         if reason == LAST_TRY:
--- a/wigeonspoke/ingress/relay/relay_app.py
+++ b/wigeonspoke/ingress/relay/relay_app.py
@@ -73,12 +73,16 @@
         """Serve one request of a peer."""
         arrived_at = time.monotonic()
         sender = environ['REMOTE_ADDR']
+        head = decode_head(_find_header(environ))
         if sender not in self._sender_hosts():
             self.state.log.write('relay-forbidden', sender=sender)
             return self._reject(
-                environ, start_response, http.HTTPStatus.FORBIDDEN, 'forbidden'
+                environ,
+                start_response,
+                http.HTTPStatus.FORBIDDEN,
+                'forbidden',
+                '' if head is None else head.request_id,
             )
-        head = decode_head(_find_header(environ))
         if head is None:
             self.state.log.write('relay-unreadable', sender=sender)
             return self._reject(
@@ -203,7 +207,7 @@
         counts = RunCounts(head.arrivals, head.executions)
         answer = PeerAnswer(Outcome.NOT_RUN, counts)
         response = NodeResponse(http.HTTPStatus.SERVICE_UNAVAILABLE, reason)
-        added = outcome_headers(answer, reason)
+        added = outcome_headers(answer, reason, head.request_id)
         return iter((begin_response(response, added, start_response),))
 
     def _reject(
@@ -212,12 +216,13 @@
         start_response: StartResponse,
         status: http.HTTPStatus,
         reason: str,
+        request_id: str = '',
     ) -> Iterator[bytes]:
         """Answer a request that does not come from a node, or is malformed."""
         environ['wigeonspoke.end_connection']()
         self.state.count_event('relay-refused', reason)
         answer = PeerAnswer(Outcome.NOT_RUN, RunCounts())
-        added = outcome_headers(answer, reason)
+        added = outcome_headers(answer, reason, request_id)
         response = NodeResponse(status, reason)
         return iter((begin_response(response, added, start_response),))
 
@@ -247,7 +252,9 @@
             if request_handler.is_last_try
             else request_handler.outcome_reason
         )
-        added = outcome_headers(answer, reason)
+        added = outcome_headers(
+            answer, reason, request_handler.context.request.request_id
+        )
         return self.start_response(
             status, [*without_node_headers(headers), *added]
         )
--- a/wigeonspoke/ingress/relay/relay_head.py
+++ b/wigeonspoke/ingress/relay/relay_head.py
@@ -18,6 +18,8 @@
 RELAY_PATH = '/peers/v1/relay'
 RELAY_HEADER = 'Wigeonspoke-Relay'
 OUTCOME_HEADER = 'Wigeonspoke-Outcome'
+# The request that the outcome is about.
+REQUEST_HEADER = 'Wigeonspoke-Request'
 REASON_HEADER = 'Wigeonspoke-Reason'
 # How often the request has reached an endpoint and may have run, by all nodes.
 COUNTS_HEADER = 'Wigeonspoke-Counts'
@@ -91,21 +93,26 @@
     return decode_json(encoded, RelayHead).value_or(None)
 
 
-def outcome_headers(answer: PeerAnswer, reason: str) -> HeaderList:
+def outcome_headers(
+    answer: PeerAnswer, reason: str, request_id: str
+) -> HeaderList:
     """Return the headers that a peer adds to a response."""
     after = answer.after
     return (
         (OUTCOME_HEADER, str(answer.outcome)),
+        (REQUEST_HEADER, request_id),
         (REASON_HEADER, reason),
         (COUNTS_HEADER, f'{after.arrivals},{after.executions}'),
     )
 
 
-def read_outcome(headers: HeaderList) -> tuple[PeerAnswer | None, str]:
+def read_outcome(
+    headers: HeaderList, request_id: str
+) -> tuple[PeerAnswer | None, str]:
     """Return a peer's account of a request and the reason that it names.
 
     The account is None if the response has no valid one, as that of a program
-    which is no node.
+    which is no node, or one of another request.
     """
     header_values = {name.lower(): text for name, text in headers}
     reason = header_values.get(REASON_HEADER.lower(), '')
@@ -114,6 +121,8 @@
     outcome_text = header_values.get(OUTCOME_HEADER.lower(), '')
     if None in counts or len(counts) != 2:
         return None, reason
+    if header_values.get(REQUEST_HEADER.lower(), '') != request_id:
+        return None, reason
     if outcome_text not in set(Outcome):
         return None, reason
     after = RunCounts(*counts)
--- a/wigeonspoke/ingress/requests/endpoint_reports.py
+++ b/wigeonspoke/ingress/requests/endpoint_reports.py
@@ -46,6 +46,18 @@
             reachability.record_connected(endpoint, attempt.connected_at)
         reachability.record_answered(endpoint, time.monotonic())
         markers = self.state.wire.read_response_markers(status, headers)
+        if not self.is_own_answer(attempt, markers):
+            # What an earlier response says may no longer be true.
+            self.state.count_event('other-answer', str(status))
+            self.note(
+                'other-answer',
+                peer=endpoint.address,
+                status=status,
+                answer_to=markers.request_id[:MAX_LOGGED_TEXT],
+                not_executed=markers.not_executed,
+                is_new_connection=attempt.connected_at is not None,
+            )
+            return markers
         self._record_limit(endpoint, markers)
         # A response of another run says nothing about the expected one.
         is_other_run = (
@@ -57,6 +69,19 @@
             self._record_backoff(attempt, endpoint, markers)
         return markers
 
+    def is_own_answer(
+        self, attempt: EndpointAttempt, markers: ResponseMarkers
+    ) -> bool:
+        """Return whether a response answers this request.
+
+        It names the request.  A refusal without a name counts only as the
+        first response on a new connection, where no other one was due: on a
+        connection in use again, an endpoint may repeat an earlier one.
+        """
+        if markers.request_id:
+            return markers.request_id == self.request_id
+        return markers.not_executed and attempt.connected_at is not None
+
     def _record_limit(
         self, endpoint: Endpoint, markers: ResponseMarkers
     ) -> None:
@@ -68,7 +93,7 @@
         limit = markers.requests_per_second
         if limit is not None:
             self.state.count_event('limit-named')
-        elif markers.request_id != self.request_id:
+        elif not markers.request_id:
             return
         now = time.monotonic()
         if self.state.limits.record_answer(endpoint.start_id, limit, now):
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -409,11 +409,20 @@
         status: int,
         headers: HeaderList,
     ) -> ResponseMarkers:
-        """Read the markers of an endpoint's response, and act on them."""
+        """Read the markers of an endpoint's response, and act on them.
+
+        Raises
+        ------
+        AttemptError
+            The response belongs to another request, so that this one may run.
+        """
         reports = EndpointReports(
             self.state, self.context.request.request_id, self.note
         )
-        return reports.read_markers(attempt, endpoint, status, headers)
+        markers = reports.read_markers(attempt, endpoint, status, headers)
+        if not reports.is_own_answer(attempt, markers):
+            raise AttemptError(invalid_response_error(endpoint.address))
+        return markers
 
     def retry_after(
         self,
--- a/wigeonspoke/ingress/tests/test_relay_head.py
+++ b/wigeonspoke/ingress/tests/test_relay_head.py
@@ -49,7 +49,10 @@
 def test_an_outcome_is_read_as_it_was_written():
     """Guards against counts that are lost, and runs beyond the limit."""
     answer = PeerAnswer(Outcome.UNKNOWN, RunCounts(3, 2))
-    assert read_outcome(outcome_headers(answer, 'why')) == (answer, 'why')
+    assert read_outcome(outcome_headers(answer, 'why', 'id1'), 'id1') == (
+        answer,
+        'why',
+    )
 
 
 @pytest.mark.parametrize(
@@ -61,5 +64,6 @@
     headers = (
         ('Wigeonspoke-Outcome', outcome),
         ('Wigeonspoke-Counts', counts),
+        ('Wigeonspoke-Request', 'id1'),
     )
-    assert read_outcome(headers)[0] is None
+    assert read_outcome(headers, 'id1')[0] is None
--- a/wigeonspoke/platform/engine_control.py
+++ b/wigeonspoke/platform/engine_control.py
@@ -76,7 +76,8 @@
         """Order an engine to load a range of layers.
 
         ``orders`` is sent as the precondition: the engine accepts the order
-        only if it has accepted exactly that many orders before.
+        only if it has accepted exactly that many orders before.  Answers do
+        not name their order, so that each order has a connection of its own.
         """
         body = msgspec.json.encode(
             {
@@ -88,11 +89,13 @@
                 'precondition': orders,
             },
         )
-        result = self.client.post(
+        result = self.client.send(
             placement.endpoint.address,
+            'POST',
             '/v1/order',
             body,
             timeout,
+            fresh_connection=True,
         )
         if not isinstance(result, Success):
             return Failure(_describe_error(result.failure()))
--- a/wigeonspoke/platform/tests/test_decoders.py
+++ b/wigeonspoke/platform/tests/test_decoders.py
@@ -73,7 +73,8 @@
             (
                 ('Wigeonspoke-Outcome', 'not-run'),
                 ('Wigeonspoke-Counts', counts),
-            )
+            ),
+            'id1',
         )
 
 
