Pass on no event without a number once a stream has numbers

Clients found the text of an error, or its whole head, in the middle of a stream that had begun, and the stream then ended as if it were complete.

Cause: an event without an id counted as the next one. A chain that answers the rest of a stream with status 200 and an error in it, or writes a second head into a body that ends with its connection, was so passed on. Class: bytes of one run taken for the continuation of another. Errors with a status of their own, in any framing and in several packets, were kept apart before, at the node and through a peer.

Change: in a stream that may be resumed, an event without a number after numbered ones ends the attempt, unless it is a comment. The stream goes on at another chain, or its response is broken off.

--- a/wigeonspoke/ingress/streams/event_cursor.py
+++ b/wigeonspoke/ingress/streams/event_cursor.py
@@ -12,11 +12,23 @@
 
     ``last_number`` is None as long as no event had a numeric id; the stream
     cannot be resumed at another chain then.
+
+    ``needs_numbers`` is whether each event must have a number once one had it.
+    In a stream that may be resumed, one without a number has no place: it is
+    an error of the chain, or stands between the parts of two runs.
     """
 
-    __slots__ = ('has_begun_event', 'has_position', 'last_number')
+    __slots__ = (
+        'has_begun_event',
+        'has_position',
+        'last_number',
+        'needs_numbers',
+    )
 
-    def __init__(self, resumed_after: str) -> None:
+    def __init__(
+        self, resumed_after: str, *, needs_numbers: bool = False
+    ) -> None:
+        self.needs_numbers = needs_numbers
         self.last_number = parse_event_number(resumed_after)
         # Whether the client has any event, from this request or before it.
         self.has_position = bool(resumed_after)
@@ -34,9 +46,14 @@
         return '' if self.last_number is None else str(self.last_number)
 
     def take_new(self, events: list[StreamEvent]) -> list[bytes] | None:
-        """Return the events new to the client, or None if one is missing."""
+        """Return the events new to the client.
+
+        It is None if one is missing, or has no place in the stream.
+        """
         new_events: list[bytes] = []
         for event in events:
+            if self._has_no_place(event):
+                return None
             distance = self._distance(event)
             if distance > 1:
                 return None
@@ -56,6 +73,11 @@
             return False
         return self.has_position or body_end is not BodyEnd.CLOSE
 
+    def _has_no_place(self, event: StreamEvent) -> bool:
+        if not self.needs_numbers or not self.is_numbered:
+            return False
+        return event.number is None and not event.is_comment
+
     def _distance(self, event: StreamEvent) -> int:
         """Return the distance from the last event, 1 if unknown."""
         if event.number is None or self.last_number is None:
--- a/wigeonspoke/ingress/streams/event_splitter.py
+++ b/wigeonspoke/ingress/streams/event_splitter.py
@@ -21,6 +21,13 @@
     raw: bytes
     number: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has only comments, which keep a connection open."""
+        return all(
+            line.startswith(b':') for line in self.raw.splitlines() if line
+        )
+
 
 class EventTooLarge(Exception):
     """An event is larger than ``MAX_EVENT_BYTES``."""
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -104,7 +104,10 @@
     ) -> None:
         super().__init__(state, context, prober, claim_trial)
         self.chain_choice = ChainChoice(state, context, self.service)
-        self.cursor = EventCursor(context.request.last_event_id)
+        self.cursor = EventCursor(
+            context.request.last_event_id,
+            needs_numbers=context.rule.may_repeat,
+        )
         self.response_started = False
         self.chain_monitor = ChainMonitor(state, context.rule)
         self.chains_in_use: dict[EndpointAttempt, Chain] = {}
--- a/wigeonspoke/ingress/tests/test_event_cursor.py
+++ b/wigeonspoke/ingress/tests/test_event_cursor.py
@@ -85,3 +85,22 @@
     splitter = EventSplitter()
     splitter.feed(received)
     assert splitter.is_inside_event is is_inside_event
+
+
+@pytest.mark.parametrize(
+    ('raw', 'needs_numbers', 'is_taken'),
+    [
+        (b'data: error\n\n', True, False),
+        (b'data: error\n\n', False, True),
+        (b': still here\n\n', True, True),
+        (b'id: 5\ndata: a\n\n', True, True),
+    ],
+)
+def test_an_event_without_a_number_has_no_place_between_numbered_ones(
+    raw, needs_numbers, is_taken
+):
+    """Guards against the text of an error in the middle of a stream."""
+    cursor = EventCursor('4', needs_numbers=needs_numbers)
+    taken = cursor.take_new(EventSplitter().feed(raw))
+    expected = [raw] if is_taken else None
+    assert taken == expected
