Ask a peer whether an endpoint that refuses connections has ended

A node whose connections were refused on the way recorded the end of the only replica of a domain, and told all nodes, although the replica served the others.

Cause: where a group has one endpoint, the refusal and a connection to another endpoint of the service had to suffice, since the end must be known before other requests reach replicas. Class: a belief about an endpoint from evidence about the path to it.

Ruled out: to wait until isolation is determined, which comes up to 2.5 s late for a request that ends replicas.

Change: the node asks one peer, if possible of another failure domain, which connects to the endpoint at once. It is taken for ended if that peer is refused too, and not if the peer is accepted; without an answer as before.

--- a/wigeonspoke/core/reachability/peer_reach.py
+++ b/wigeonspoke/core/reachability/peer_reach.py
@@ -112,6 +112,28 @@
         """Return how many peers may be chosen for a service."""
         return len(self._usable(service, now, ()))
 
+    def choose_witness(
+        self, group: Group, now: float, draw: float
+    ) -> RelayPeer | None:
+        """Choose a peer to ask about an endpoint, by a number from 0 to 1.
+
+        Peers of other failure domains come first, since one of this node's
+        own may be cut off with it, and those that reached the group lately.
+        """
+        heard = [
+            peer
+            for peer in self.peers.values()
+            if now - peer.heard_at <= REACHED_SECONDS and not peer.is_stopping
+        ]
+        remote = [
+            peer
+            for peer in heard
+            if peer.relay_peer.failure_domain != self.failure_domain
+        ]
+        candidates = remote or heard
+        reaching = [peer for peer in candidates if _reaches(peer, group, now)]
+        return self._draw(reaching or candidates, draw)
+
     def doubted_groups(self, now: float) -> set[Group]:
         """Return the groups that some peer does not reach, or may not reach."""
         doubted: set[Group] = set()
--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -173,6 +173,13 @@
         """
         return self.peer_reach.choose(service, now, excluded, draw)
 
+    def choose_witness(
+        self, endpoint: Endpoint, now: float, draw: float
+    ) -> RelayPeer | None:
+        """Choose a peer that may see whether an endpoint has ended."""
+        group = _group_of(endpoint)
+        return self.peer_reach.choose_witness(group, now, draw)
+
     def count_peers(self, service: str, now: float) -> int:
         """Return how many peers reach a service, as far as is known."""
         return self.peer_reach.count_reaching(service, now)
--- a/wigeonspoke/core/tests/test_reachability.py
+++ b/wigeonspoke/core/tests/test_reachability.py
@@ -444,3 +444,25 @@
     trials = reachability.due_trials(10.0)
     assert [trial.endpoint_id for trial in trials] == ['b1']
     assert reachability.needs_answer(trials[0], 10.0)
+
+
+@pytest.mark.parametrize(
+    ('peers', 'expected'),
+    [
+        ({'p1': {}, 'p2': {'domain': 'two'}}, 'p2'),
+        ({'p1': {}}, 'p1'),
+        ({'p1': {'domain': 'two', 'age': 4}, 'p2': {'domain': 'two'}}, 'p2'),
+        ({'p1': {'domain': 'two', 'age': 4}, 'p2': {}}, 'p1'),
+        ({'p1': {'domain': 'two', 'is_stopping': True}}, None),
+        ({}, None),
+    ],
+)
+def test_a_witness_is_of_another_domain_and_has_reached_the_group(
+    peers, expected
+):
+    """Guards against a witness that is cut off with the node that asks."""
+    reachability, endpoints = _reachability('a1')
+    for name, options in peers.items():
+        _tell(reachability, 10.0, peer=name, **options)
+    witness = reachability.choose_witness(endpoints['a1'], 10.0, 0.5)
+    assert (witness and witness.name) == expected
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -10,6 +10,10 @@
 from wigeonspoke.core.chains import Chain
 from wigeonspoke.core.fleet import Endpoint
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
+from wigeonspoke.ingress.peers.connection_witness import (
+    ConnectionWitness,
+    Sight,
+)
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
@@ -46,7 +50,14 @@
 class Prober:
     """Probes the engines of failing chains, and suspected engines again."""
 
-    __slots__ = ('control', 'probed_at', 'probes', 'state', 'undetermined')
+    __slots__ = (
+        'control',
+        'probed_at',
+        'probes',
+        'state',
+        'undetermined',
+        'witness',
+    )
 
     def __init__(self, state: IngressState, control: EngineControl) -> None:
         self.state = state
@@ -57,6 +68,8 @@
         # What is done once it is known that an endpoint is not merely out of
         # reach: kind of action and start id.
         self.undetermined: set[tuple[str, str]] = set()
+        # Peers that look at an endpoint which refuses connections, if any.
+        self.witness: ConnectionWitness | None = None
 
     def check_chain(
         self,
@@ -183,6 +196,13 @@
         attempt.close()
         return error
 
+    def look(self, endpoint: Endpoint) -> Sight:
+        """Connect to an endpoint for a peer; return what is seen."""
+        error = self.try_connection(endpoint)
+        if error is None:
+            return Sight.ACCEPTS
+        return Sight.REFUSES if error.is_refused else Sight.UNCLEAR
+
     def record_replaced(self, endpoint: Endpoint) -> None:
         """Record that another endpoint answers at the address of this one."""
         if not self.state.part_watch.has_ended(endpoint):
@@ -285,6 +305,23 @@
     def _confirm_end(self, endpoint: Endpoint, refused_at: float) -> None:
         """Record the end of an endpoint that has refused a connection.
 
+        The refusal may come from the way there, so that a peer looks, too: one
+        of another failure domain that is refused confirms the end, and one
+        that connects disproves it.
+        """
+        testimony = None if self.witness is None else self.witness.ask(endpoint)
+        if testimony is None or testimony.sight is Sight.UNCLEAR:
+            self._confirm_alone(endpoint, refused_at)
+        elif testimony.sight is Sight.ACCEPTS:
+            self.state.count_event('failure-ignored', 'witness')
+        elif not testimony.is_remote:
+            self._confirm_alone(endpoint, refused_at)
+        elif not self.state.part_watch.has_ended(endpoint):
+            self._record_end(endpoint, REFUSES_CONNECTIONS)
+
+    def _confirm_alone(self, endpoint: Endpoint, refused_at: float) -> None:
+        """Record the end of an endpoint without a peer's help.
+
         This node may be what lost its connectivity, so that the refusal only
         counts if it can connect to another endpoint of the service after it.
         The only endpoint of a failure domain cannot be told from a lost group
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -20,6 +20,7 @@
     PartConsumer,
     PartPublisher,
 )
+from wigeonspoke.ingress.peers.connection_witness import ConnectionWitness
 from wigeonspoke.ingress.peers.peer_gossip import PeerGossip
 from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.fleet.placement_loop import PlacementLoop
@@ -89,6 +90,7 @@
         'relay_app',
         'state',
         'tables',
+        'witness',
     )
 
     def __init__(
@@ -103,6 +105,8 @@
     ) -> None:
         self.state = IngressState(settings, wire, log)
         self.prober = Prober(self.state, control)
+        self.witness = ConnectionWitness(self.state, client, self.prober.look)
+        self.prober.witness = self.witness
         self.lease_loop = LeaseLoop(self.state, store)
         self.placement_loop = PlacementLoop(
             self.state, self.lease_loop, control
@@ -195,7 +199,12 @@
         )
         self.peers = self._listen(
             'peers',
-            PeerApp(self.tables, self.gossip.handle_request, self.relay_app),
+            PeerApp(
+                self.tables,
+                self.gossip.handle_request,
+                self.relay_app,
+                self.witness.handle_question,
+            ),
             settings.peers,
             PEER_CONNECTIONS,
         )
--- a/wigeonspoke/ingress/tables/table_relay.py
+++ b/wigeonspoke/ingress/tables/table_relay.py
@@ -16,6 +16,7 @@
 from returns.result import Success
 
 from wigeonspoke.decisions import DecisionLog
+from wigeonspoke.ingress.peers.connection_witness import CONNECT_PATH
 from wigeonspoke.ingress.relay.relay_head import RELAY_PATH
 from wigeonspoke.ingress.tables.table_copy import RelayedTable, TableCopy
 from wigeonspoke.ingress.wake_up import WakeUp
@@ -62,18 +63,21 @@
     """WSGI application for peers: tables, gossip and relayed requests.
 
     ``handle_gossip`` takes the body of a gossip request and returns the body
-    of the response, or None for status 404.  ``serve_relayed`` is the
+    of the response, or None for status 404, and so does ``handle_question``
+    with that of a question about an endpoint.  ``serve_relayed`` is the
     application for the requests of clients that a peer sends on.
     """
 
-    __slots__ = ('handle_gossip', 'serve_relayed', 'tables')
+    __slots__ = ('handle_gossip', 'handle_question', 'serve_relayed', 'tables')
 
     def __init__(
         self,
         tables: Mapping[str, FollowedTable],
         handle_gossip: Callable[[bytes], bytes | None],
         serve_relayed: Callable[..., Iterable[bytes]],
+        handle_question: Callable[[bytes], bytes | None],
     ) -> None:
+        self.handle_question = handle_question
         self.tables = tables
         self.serve_relayed = serve_relayed
         self.handle_gossip = handle_gossip
@@ -98,9 +102,11 @@
         return [body or b'']
 
     def _respond(self, environ: dict[str, Any]) -> bytes | None:
-        if environ['REQUEST_METHOD'] == 'POST':
-            return self.handle_gossip(environ['wsgi.input'].read())
         path = environ['PATH_INFO']
+        if environ['REQUEST_METHOD'] == 'POST':
+            is_question = path == CONNECT_PATH
+            handle = self.handle_question if is_question else self.handle_gossip
+            return handle(environ['wsgi.input'].read())
         query = dict(parse_qsl(environ.get('QUERY_STRING', '')))
         table = self.tables.get(path.rpartition('/')[-1])
         if table is None:
--- a/wigeonspoke/platform/tests/test_decoders.py
+++ b/wigeonspoke/platform/tests/test_decoders.py
@@ -8,6 +8,10 @@
 from wigeonspoke.config.questionnaire import read_answers
 from wigeonspoke.core.leases import LeaseRow
 from wigeonspoke.ingress.fleet.lease_loop import _decode_rows
+from wigeonspoke.ingress.peers.connection_witness import (
+    ConnectAnswer,
+    ConnectQuestion,
+)
 from wigeonspoke.ingress.peers.peer_gossip import PeerUpdate
 from wigeonspoke.ingress.relay.relay_head import decode_head, read_outcome
 from wigeonspoke.ingress.streams.event_cursor import EventCursor
@@ -93,6 +97,8 @@
     'part row': lambda content: decode_json(content, PartRow),
     'gossip': lambda content: decode_json(content, PeerUpdate),
     'relayed table': lambda content: decode_json(content, RelayedTable),
+    'question': lambda content: decode_json(content, ConnectQuestion),
+    'sight': lambda content: decode_json(content, ConnectAnswer),
     'watcher': lambda content: decode_json(content, WatcherAnswer),
     'relay head': lambda content: decode_head(_text(content)),
     'relay outcome': _read_outcome,
