--- a/wigeonspoke/ingress/requests/endpoint_reports.py
+++ b/wigeonspoke/ingress/requests/endpoint_reports.py
@@ -78,9 +78,9 @@
         first response on a new connection, where no other one was due: on a
         connection in use again, an endpoint may repeat an earlier one.
         """
-        if markers.request_id:
-            return markers.request_id == self.request_id
-        return markers.not_executed and attempt.connected_at is not None
+        if markers.not_executed and not markers.request_id:
+            return attempt.connected_at is not None
+        return markers.request_id == self.request_id
 
     def _record_limit(
         self, endpoint: Endpoint, markers: ResponseMarkers
--- a/wigeonspoke/platform/tests/test_earlier_refusals.py
+++ b/wigeonspoke/platform/tests/test_earlier_refusals.py
@@ -10,7 +10,7 @@
 from wigeonspoke.platform.engine_control import PlatformEngineControl
 from wigeonspoke.platform.standins import EngineStandin, ReplicaStandin
 from wigeonspoke.platform.standins.raw_server import RawServer
-from wigeonspoke.platform.tests.harness import send_request
+from wigeonspoke.platform.tests.harness import Client, send_request
 from wigeonspoke.platform.tests.stream_requests import (
     ALL_EVENTS,
     event_ids,
@@ -110,6 +110,17 @@
             assert event_ids(body) == ALL_EVENTS
 
 
+# A client may send no id, and the answer then names none.
+def test_an_answer_without_a_name_is_that_of_a_request_without_one(harness):
+    client = Client(harness)
+    client.send_raw(
+        b'GET /read/x HTTP/1.1\r\nHost: shop.example\r\n'
+        b'Credential: key-of-acme\r\n\r\n'
+    )
+    assert client.read_response()[0] == 200
+    client.close()
+
+
 # Another request's refusal on a new connection is not believed either.
 def test_a_refusal_that_names_another_request_is_no_promise(harness):
     def handle(request, connection):
