--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -148,11 +148,8 @@
         close it, as may an endpoint that is just ending.
         """
         attempt = EndpointAttempt(endpoint.address)
-        try:
-            attempt.connect(PROBE_TIMEOUT_SECONDS)
-        except AttemptError as error:
-            attempt.close()
-            self.state.record_unreached(endpoint)
+        error = self._open(attempt, endpoint)
+        if error is not None:
             return error
         eventlet.sleep(SECOND_LOOK_SECONDS)
         is_open = peek(attempt.sock.fd) is None
@@ -177,11 +174,8 @@
         self.state.count_event('probe', 'asked')
         attempt = EndpointAttempt(endpoint.address)
         asked_at = time.monotonic()
-        try:
-            attempt.connect(PROBE_TIMEOUT_SECONDS)
-        except AttemptError as error:
-            attempt.close()
-            self.state.record_unreached(endpoint)
+        error = self._open(attempt, endpoint)
+        if error is not None:
             return error
         error = self._read_health(attempt, endpoint)
         if attempt.is_unanswered:
@@ -258,6 +252,18 @@
             partial(self._suspect, endpoint, f'{reason}: {failure.problem}'),
         )
 
+    def _open(
+        self, attempt: EndpointAttempt, endpoint: Endpoint
+    ) -> AttemptError | None:
+        """Open the connection of a probe; return why it failed."""
+        try:
+            attempt.connect(PROBE_TIMEOUT_SECONDS)
+        except AttemptError as error:
+            attempt.close()
+            self.state.record_unreached(endpoint)
+            return error
+        return None
+
     def _read_health(
         self, attempt: EndpointAttempt, endpoint: Endpoint
     ) -> AttemptError | None:
