--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -92,7 +92,7 @@
         response = self._try_reached()
         while (
             response is None
-            and self.must_try_peers()
+            and self.begin_last_resort()
             and not self.has_earlier_input()
         ):
             chain = self.peer_attempts.reserve(time.monotonic())
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -200,12 +200,13 @@
             may_repeat=self.may_repeat(),
         )
 
-    def must_try_peers(self) -> bool:
-        """Return whether peers are the last way to serve the request.
+    def begin_last_resort(self) -> bool:
+        """Turn to peers as the last way to serve the request, if they may.
 
-        No connection to an endpoint was established for it, so that it has
-        run nowhere.  Other requests or trials may have reached the endpoints,
-        or it may not be known yet that this node does not.
+        Return whether they may.  No connection to an endpoint was established
+        for it, so that it has run nowhere.  Other requests or trials may have
+        reached the endpoints, or it may not be known yet that this node does
+        not.
         """
         context = self.context
         if not context.attempts or context.arrivals or self.relay.is_relayed:
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -156,7 +156,7 @@
             chain = self._reserve_chain()
             if chain is not None:
                 return chain
-        if self.must_try_peers():
+        if self.begin_last_resort():
             return self.peer_attempts.reserve(time.monotonic())
         return None
 
