Test a node that starts while it is cut off from all endpoints

It has no history and no gossip yet. All four kinds of cuts pass, also without a change of the code: three seconds after it is ready, its clients are served through peers.

--- a/wigeonspoke/platform/tests/test_relay.py
+++ b/wigeonspoke/platform/tests/test_relay.py
@@ -112,6 +112,26 @@
     expect_no_second_run(placed_harness)
 
 
+@pytest.mark.parametrize('cut', list(Cut))
+def test_a_node_that_starts_while_it_is_cut_off_serves_through_peers(
+    placed_harness, isolation, six_nodes, cut
+):
+    """Guards against evidence that only a node with a past has."""
+    deployment, traffic = six_nodes
+    isolation.cut = cut
+    isolation.names = {'late'}
+    late = start_node(placed_harness, 'late', failure_domain='one')
+    deployment.nodes.append(late)
+    placed_harness.wait_until(lambda: late.is_ready)
+    others = {_name(node) for node in deployment.nodes} - {'late'}
+    late_traffic = Traffic(placed_harness, [late])
+    late_traffic.results = traffic.results
+    late_traffic.number = 100_000
+    _measure(traffic, {'late'}, others)
+    late_traffic.stop()
+    expect_no_second_run(placed_harness)
+
+
 @pytest.mark.parametrize('fault', ['stops', 'killed', 'silent'])
 def test_another_peer_takes_over_from_one_that_fails(
     placed_harness, isolation, six_nodes, fault
