Compute once which groups peers doubt, and tell a probe's result plainly

- The union of the groups that peers doubt was computed again for each group in each round of trials, over all peers.
It is computed once a round.
- The result of a health check was built as an error and then replaced.
- A client's position was parsed twice.
- A doc comment had lost its line breaks.

Checked: formatter, linter, the tests of reachability, decoders, headers, isolated nodes, and the twelve cases of nodes that are cut off (the last one in a run of its own).

--- a/wigeonspoke/core/reachability/group.py
+++ b/wigeonspoke/core/reachability/group.py
@@ -46,12 +46,13 @@
     the way may establish connections.  Only an answer refutes them, and only
     answered trials end an isolation that follows from them (``needs_answers``).
     ``failed_trial_at`` is when the last trial began that had no answer.
-    ``run_started_at`` is the first
-    failure of the current run of failures, and of the current or the last
-    isolation.  ``isolated_at`` is when the isolation began, None without one,
-    and ``recovered_at`` when the last one ended and the recovery began.
-    ``last_tried`` is the endpoint id of the last trial, and ``successes``
-    are the endpoint ids and times of successful ones during the isolation.
+
+    ``run_started_at`` is the first failure of the current run of failures, and
+    of the current or the last isolation.  ``isolated_at`` is when the isolation
+    began, None without one, and ``recovered_at`` when the last one ended and
+    the recovery began.  ``last_tried`` is the endpoint id of the last trial,
+    and ``successes`` are the endpoint ids and times of successful ones during
+    the isolation.
     """
 
     __slots__ = (
--- a/wigeonspoke/core/reachability/peer_reach.py
+++ b/wigeonspoke/core/reachability/peer_reach.py
@@ -28,7 +28,11 @@
 
 
 class _Peer(msgspec.Struct):
-    """The last message of a peer; ``answered_at`` is on this node's clock."""
+    """The last message of a peer; ``answered_at`` is on this node's clock.
+
+    ``doubted`` holds the groups that it may not reach, with those in
+    ``isolated``.
+    """
 
     relay_peer: RelayPeer
     heard_at: float
@@ -69,7 +73,7 @@
                 answered_at[group] = now - max(0, report.answer_age)
             if report.is_isolated:
                 isolated.add(group)
-            if report.is_doubted:
+            if report.is_isolated or report.is_doubted:
                 doubted.add(group)
         self.peers.pop(relay_peer.name, None)
         self.peers[relay_peer.name] = _Peer(
@@ -139,7 +143,7 @@
         doubted: set[Group] = set()
         for peer in self.peers.values():
             if now - peer.heard_at <= REACHED_SECONDS:
-                doubted |= peer.isolated | peer.doubted
+                doubted |= peer.doubted
         return doubted
 
     def choose(
--- a/wigeonspoke/core/reachability/reachability.py
+++ b/wigeonspoke/core/reachability/reachability.py
@@ -151,12 +151,15 @@
 
     def due_trials(self, now: float) -> tuple[Endpoint, ...]:
         """Return the endpoints to connect to now, as trials."""
-        for group in self.peer_reach.doubted_groups(now):
+        doubted = self.peer_reach.doubted_groups(now)
+        for group in doubted:
             if self._endpoints(group):
                 self._state(group)
         trials: list[Endpoint] = []
         for due_group, state in tuple(self.groups.items()):
-            excluded = self._due_exclusions(due_group, state, now)
+            excluded = self._due_exclusions(
+                due_group, state, now, is_doubted=due_group in doubted
+            )
             if excluded is None:
                 continue
             trial = self._next_in_turn(due_group, state, excluded)
@@ -318,16 +321,20 @@
         return not self.others_of_service(endpoint)
 
     def _due_exclusions(
-        self, group: Group, state: GroupState, now: float
+        self, group: Group, state: GroupState, now: float, *, is_doubted: bool
     ) -> set[str] | None:
-        """Return the endpoints not to try, or None if no trial is due."""
+        """Return the endpoints not to try, or None if no trial is due.
+
+        ``is_doubted`` is whether peers need to know if this node reaches the
+        group.
+        """
         self._update(group, now)
         if state.is_determining(now):
             return self._first_exclusions(state, now)
         interval = WITNESS_SECONDS
         if state.isolated_at is not None:
             interval = state.trial_seconds
-        elif not self._must_witness(group, state, now):
+        elif not is_doubted or now - state.answered_at <= WITNESS_SECONDS:
             return None
         return set() if state.take_trial_if_due(interval, now) else None
 
@@ -348,14 +355,6 @@
         )
         return state.failed_ids(now) if is_due else None
 
-    def _must_witness(
-        self, group: Group, state: GroupState, now: float
-    ) -> bool:
-        """Return whether peers need to know if this node reaches a group."""
-        if now - state.answered_at <= WITNESS_SECONDS:
-            return False
-        return group in self.peer_reach.doubted_groups(now)
-
     def _next_in_turn(
         self, group: Group, state: GroupState, excluded: Collection[str]
     ) -> Endpoint | None:
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
 
 import eventlet
@@ -177,18 +178,19 @@
         error = self._open(attempt, endpoint)
         if error is not None:
             return error
-        error = self._read_health(attempt, endpoint)
+        self._read_health(attempt, endpoint)
+        attempt.close()
         if attempt.is_unanswered:
             self.state.record_unanswered(endpoint, asked_at)
-        else:
-            error = None
-            now = time.monotonic()
-            self.state.reachability.record_connected(
-                endpoint, attempt.connected_at
+            return AttemptError(
+                StepError(
+                    Outcome.NOT_RUN, Reason.TIMEOUT, 'health', endpoint.address
+                )
             )
-            self.state.reachability.record_answered(endpoint, now)
-        attempt.close()
-        return error
+        reachability = self.state.reachability
+        reachability.record_connected(endpoint, attempt.connected_at)
+        reachability.record_answered(endpoint, time.monotonic())
+        return None
 
     def look(self, endpoint: Endpoint) -> Sight:
         """Connect to an endpoint for a peer; return what is seen."""
@@ -266,22 +268,13 @@
 
     def _read_health(
         self, attempt: EndpointAttempt, endpoint: Endpoint
-    ) -> AttemptError | None:
-        """Send a health check and read the head of its answer."""
+    ) -> None:
+        """Send a health check, and wait for the head of its answer."""
         service = self.state.routing_table.services.get(endpoint.service)
         path = DEFAULT_HEALTH_PATH if service is None else service.health_path
         attempt.send('GET', path, (('Host', endpoint.address),), b'')
-        try:
+        with suppress(AttemptError, ReadTimeout):
             attempt.read_head(attempt.sent_at + ANSWER_TIMEOUT_SECONDS)
-        except AttemptError as error:
-            return error
-        except ReadTimeout:
-            return AttemptError(
-                StepError(
-                    Outcome.NOT_RUN, Reason.TIMEOUT, 'health', endpoint.address
-                )
-            )
-        return None
 
     def _is_known(self, endpoint: Endpoint) -> bool:
         """Return whether an end is known already, or about to be found out."""
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -18,9 +18,8 @@
     begin_response,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.ingress.streams.event_splitter import parse_event_number
 from wigeonspoke.ingress.streams.stream_handler import StreamHandler
-from wigeonspoke.serialization import parse_count
+from wigeonspoke.serialization import MAX_COUNT, parse_count
 from wigeonspoke.transport import RequestError, read_request_body
 
 StartResponse = Callable[..., Any]
@@ -218,6 +217,4 @@
 
     A number that is too long is the id of no event.
     """
-    last_event_id = request.last_event_id
-    is_number = parse_count(last_event_id) is not None
-    return not is_number or parse_event_number(last_event_id) is not None
+    return parse_count(request.last_event_id) != MAX_COUNT
