Log where a change came from, and why a missing endpoint is kept

The hypotheses could not be told apart: an entry that went missing had no line until its endpoint was dropped, and configuration-adopted did not tell how the version arrived, nor how long peers had known it.

endpoint-missing tells for how long the endpoint is used nevertheless and how long ago the store failed. configuration-adopted and endpoint name their source and known_seconds, and leaving-relayed the request that passed on a mark of leaving which a peer read. Counters go with them.

--- a/wigeonspoke/ingress/peers/peer_versions.py
+++ b/wigeonspoke/ingress/peers/peer_versions.py
@@ -40,6 +40,18 @@
         heard = self.newest.get(name)
         return heard is not None and heard.version > known
 
+    def known_seconds(
+        self, name: str, version: int, now: float
+    ) -> float | None:
+        """Return how long ago a peer first told of the newest change.
+
+        It is None unless ``version`` is that change.
+        """
+        heard = self.newest.get(name)
+        if heard is None or heard.version != version:
+            return None
+        return now - heard.since
+
     def find_newer_peer(
         self, name: str, known: int, heard_before: float
     ) -> str:
--- a/wigeonspoke/ingress/relay/peer_attempts.py
+++ b/wigeonspoke/ingress/relay/peer_attempts.py
@@ -163,6 +163,11 @@
         if reason == LAST_TRY:
             self.request_handler.has_tried = True
         markers = self.state.wire.read_response_markers(status, headers)
+        if markers.is_leaving:
+            self.state.count_event('leaving-relayed')
+            self.request_handler.note(
+                'leaving-relayed', to=chain.peer.name, peer=chain.peer.address
+            )
         if answer.outcome in {Outcome.NOT_RUN, Outcome.UNKNOWN}:
             self._record_unserved(attempt, chain, answer, reason, markers)
             return None
--- a/wigeonspoke/ingress/tables/part_table.py
+++ b/wigeonspoke/ingress/tables/part_table.py
@@ -22,6 +22,7 @@
 )
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.tables.table_copy import TableCopy
+from wigeonspoke.ingress.tables.table_source import TableSource
 from wigeonspoke.serialization import decode_json
 from wigeonspoke.store import FeedStore, RowWrite, TableRow
 
@@ -66,10 +67,10 @@
     def handle_store_return(self) -> None:
         """Do nothing: a quarantine stays in force during an outage."""
 
-    def retain(self, keys: Collection[str]) -> None:
+    def retain(self, keys: Collection[str], source: TableSource) -> None:
         """Do nothing: missing rows clear no evidence."""
 
-    def apply_change(self, row: TableRow) -> None:
+    def apply_change(self, row: TableRow, source: TableSource) -> None:
         """Merge a row; its removal means that the part was served well."""
         if row.key.endswith(f'/{TRIAL_SLOT}'):
             return
--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -1,5 +1,6 @@
 """Consumers of the store's tables: configuration and endpoint registry."""
 
+import math
 import time
 from collections.abc import Collection
 from typing import Protocol
@@ -8,6 +9,7 @@
 from returns.result import Success
 
 from wigeonspoke.ingress.state import IngressState
+from wigeonspoke.ingress.tables.table_source import TableSource
 from wigeonspoke.store import TableRow
 
 # Registry entries that expired during a store outage are re-registered within
@@ -25,10 +27,10 @@
     def handle_store_return(self) -> None:
         """Handle the return of the store after an outage."""
 
-    def apply_change(self, row: TableRow) -> None:
+    def apply_change(self, row: TableRow, source: TableSource) -> None:
         """Apply one row that was changed, or belongs to the complete table."""
 
-    def retain(self, keys: Collection[str]) -> None:
+    def retain(self, keys: Collection[str], source: TableSource) -> None:
         """Forget what the complete table, with these keys, does not list."""
 
 
@@ -45,10 +47,10 @@
     def handle_store_return(self) -> None:
         """Do nothing: the configuration stays in force during an outage."""
 
-    def retain(self, keys: Collection[str]) -> None:
+    def retain(self, keys: Collection[str], source: TableSource) -> None:
         """Do nothing: a configuration stays in force until a newer one."""
 
-    def apply_change(self, row: TableRow) -> None:
+    def apply_change(self, row: TableRow, source: TableSource) -> None:
         """Adopt a configuration newer than the one in force."""
         if row.key != self.key or row.is_removed:
             return
@@ -62,12 +64,14 @@
             return
         configuration = decoded.unwrap()
         if self.state.routing_table.adopt(configuration):
-            self.state.count_event('configuration-adopted')
+            self.state.count_event('configuration-adopted', source.kind)
             self.state.log.write(
                 'configuration-adopted',
                 version=configuration.version,
+                row_version=row.version,
                 rules=len(configuration.rules),
                 accounts=len(configuration.accounts),
+                **source.describe(),
             )
 
 
@@ -90,16 +94,16 @@
         """Retain missing endpoints for a while after a store outage."""
         self._retain_until(time.monotonic() + RETENTION_SECONDS)
 
-    def retain(self, keys: Collection[str]) -> None:
+    def retain(self, keys: Collection[str], source: TableSource) -> None:
         """Apply the complete list; endpoints not listed are missing."""
         for endpoint_id in list(self.state.fleet.endpoints):
             if endpoint_id not in keys:
-                self._mark_missing(endpoint_id)
+                self._mark_missing(endpoint_id, source)
 
-    def apply_change(self, row: TableRow) -> None:
+    def apply_change(self, row: TableRow, source: TableSource) -> None:
         """Apply an entry; one that cannot be decoded drops its endpoint."""
         if row.is_removed:
-            self._mark_missing(row.key)
+            self._mark_missing(row.key, source)
             return
         decoded = self.state.wire.decode_endpoint(row.key, bytes(row.content))
         if not isinstance(decoded, Success):
@@ -121,6 +125,7 @@
                 leaving=endpoint.is_leaving,
                 layers=endpoint.layers.describe() if endpoint.layers else '',
                 row_version=row.version,
+                **source.describe(),
             )
 
     def _report_unreadable(self, row: TableRow, problem: str) -> None:
@@ -139,12 +144,21 @@
             wait_seconds = until - time.monotonic()
             eventlet.spawn_after(wait_seconds, self._drop_missing)
 
-    def _mark_missing(self, endpoint_id: str) -> None:
+    def _mark_missing(self, endpoint_id: str, source: TableSource) -> None:
         # A failed call of any component counts: the store may only just
         # have returned.
         self._retain_until(self.state.store_failed_at + RETENTION_SECONDS)
-        if time.monotonic() < self.retained_until:
+        now = time.monotonic()
+        if now < self.retained_until:
             self.missing.add(endpoint_id)
+            self.state.count_event('endpoint-missing', source.kind)
+            self.state.log.write(
+                'endpoint-missing',
+                endpoint=endpoint_id,
+                kept_seconds=round(self.retained_until - now, 3),
+                store_failed_ago=_describe_age(self.state.store_failed_at, now),
+                **source.describe(),
+            )
             return
         self._drop(endpoint_id, 'removed')
 
@@ -158,8 +172,14 @@
     def _drop(self, endpoint_id: str, reason: str) -> None:
         if self.state.fleet.drop(endpoint_id) is not None:
             self.state.queues.wake()
+            self.state.count_event('endpoint-gone', reason)
             self.state.log.write(
                 'endpoint-gone',
                 endpoint=endpoint_id,
                 reason=reason,
             )
+
+
+def _describe_age(at: float, now: float) -> float | None:
+    """Return for the log how long ago a time was, None if it never was."""
+    return None if at == -math.inf else round(now - at, 3)
--- a/wigeonspoke/ingress/tables/table_followers.py
+++ b/wigeonspoke/ingress/tables/table_followers.py
@@ -19,6 +19,7 @@
     STORE_GRACE_SECONDS,
     fetch_table,
 )
+from wigeonspoke.ingress.tables.table_source import TableSource
 from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.store import (
     FeedStore,
@@ -171,14 +172,14 @@
             self.fresh_until = -math.inf
             self.turned_stale.wake()
 
-    def adopt(self, relayed: RelayedTable) -> None:
+    def adopt(self, relayed: RelayedTable, peer: str) -> None:
         """Adopt what a peer has read, a complete table or its changes."""
         rows = decode_rows(relayed)
         if relayed.is_complete:
             if relayed.version > self.copy.known_version:
-                self._replace(rows, relayed.version)
+                self._replace(rows, relayed.version, peer)
             return
-        self._apply_changes(rows, relayed.version)
+        self._apply_changes(rows, relayed.version, peer)
 
     @property
     def _shortest_backoff(self) -> float:
@@ -245,31 +246,44 @@
             self.consecutive_change_pages + 1 if has_changes else 0
         )
 
-    def _apply_changes(self, rows: tuple[TableRow, ...], version: int) -> bool:
+    def _apply_changes(
+        self, rows: tuple[TableRow, ...], version: int, peer: str = ''
+    ) -> bool:
         changes = self.copy.apply_changes(rows, version)
+        source = self._source(peer)
         for row in changes:
-            self._apply(row)
+            self._apply(row, source)
         if changes:
             self.news.wake()
         return bool(changes)
 
-    def _replace(self, rows: tuple[TableRow, ...], version: int) -> None:
+    def _replace(
+        self, rows: tuple[TableRow, ...], version: int, peer: str = ''
+    ) -> None:
         self.copy.replace(rows, version)
+        source = self._source(peer)
         listed = {row.key: row for row in rows if not row.is_removed}
         for row in listed.values():
-            self._apply(row)
-        self.consumer.retain(listed.keys())
+            self._apply(row, source)
+        self.consumer.retain(listed.keys(), source)
         self.needs_full_read = False
         self.news.wake()
 
-    def _apply(self, row: TableRow) -> None:
+    def _source(self, peer: str) -> TableSource:
+        """Return the source of rows that the copy holds by now."""
+        known_seconds = self.peer_versions.known_seconds(
+            self.consumer.table, self.copy.newest_change, time.monotonic()
+        )
+        return TableSource(peer, known_seconds)
+
+    def _apply(self, row: TableRow, source: TableSource) -> None:
         """Apply a row; one that fails costs only itself.
 
         Other programs write rows too, and what follows from an odd one cannot
         be foreseen.  The others must reach the consumer all the same.
         """
         try:
-            self.consumer.apply_change(row)
+            self.consumer.apply_change(row, source)
         except Exception:
             self.state.count_event('row-failed', self.consumer.table)
             self.state.log.write(
@@ -310,7 +324,7 @@
         )
         # The peer may have read the registry while entries were missing.
         self.consumer.handle_store_return()
-        self.adopt(relayed)
+        self.adopt(relayed, peer)
         return True
 
     def _handle_error(self, error: StoreError) -> None:
--- a/wigeonspoke/ingress/tables/table_subscription.py
+++ b/wigeonspoke/ingress/tables/table_subscription.py
@@ -108,7 +108,7 @@
         if answer is None:
             self.avoided_until[watcher] = now + AVOID_SILENT_SECONDS
             return
-        self._apply(answer)
+        self._apply(answer, watcher)
         if not answer.reads_store:
             self.avoided_until[watcher] = now + AVOID_SECONDS
             return
@@ -122,11 +122,11 @@
                 version=follower.copy.known_version,
             )
 
-    def _apply(self, answer: WatcherAnswer) -> None:
+    def _apply(self, answer: WatcherAnswer, watcher: str) -> None:
         outage_age = answer.seconds_since_outage
         if outage_age is not None and outage_age < RETENTION_SECONDS:
             # Entries may be missing that will come back.
             self.state.record_store_failure(time.monotonic() - outage_age)
             self.follower.consumer.handle_store_return()
         if answer.table is not None:
-            self.follower.adopt(answer.table)
+            self.follower.adopt(answer.table, watcher)
--- a/wigeonspoke/platform/tests/test_part_rows.py
+++ b/wigeonspoke/platform/tests/test_part_rows.py
@@ -4,6 +4,7 @@
 import pytest
 
 from wigeonspoke.ingress.tables.part_table import PartConsumer, PartRow
+from wigeonspoke.ingress.tables.table_source import TableSource
 from wigeonspoke.store import TableRow
 
 PART = 'drafting/part'
@@ -14,7 +15,9 @@
 def _apply_row(harness, store_seconds: float | None) -> None:
     consumer = PartConsumer(harness.node.state, lambda: store_seconds)
     content = msgspec.json.encode(PartRow(CRASHES))
-    consumer.apply_change(TableRow(PART, 1, msgspec.Raw(content)))
+    consumer.apply_change(
+        TableRow(PART, 1, msgspec.Raw(content)), TableSource()
+    )
 
 
 def _is_quarantined(harness) -> bool:
@@ -35,6 +38,6 @@
     assert _is_quarantined(harness)
     consumer = PartConsumer(harness.node.state, lambda: STORE_SECONDS)
     removed = TableRow(PART, 2, msgspec.Raw(b''), is_removed=True)
-    consumer.apply_change(removed)
+    consumer.apply_change(removed, TableSource())
     _apply_row(harness, store_seconds)
     assert not _is_quarantined(harness)
