--- a/wigeonspoke/platform/tests/isolation.py
+++ b/wigeonspoke/platform/tests/isolation.py
@@ -30,6 +30,8 @@
 # All nodes, clients and endpoints share one process.
 REQUEST_INTERVAL_SECONDS = 0.4
 POLL_SECONDS = 0.02
+# Traffic before a cut, after which nodes know what they reach.
+TRAFFIC_SECONDS = 1.5
 
 
 @enum.unique
@@ -64,6 +66,7 @@
     def __init__(
         self, monkeypatch: pytest.MonkeyPatch, harness: Harness
     ) -> None:
+        self.harness = harness
         self.names: set[str] = set()
         self.cut = Cut.HANG
         self.breaks_open = True
@@ -275,6 +278,23 @@
     harness.wait_until(partial(is_isolated, node, service))
 
 
+def isolate_beside_traffic(
+    isolation: Isolation, nodes: list[IngressNode], services: tuple[str, ...]
+) -> IngressNode:
+    """Cut the first node from the endpoints; return it once it knows.
+
+    Before, all nodes get requests, so that each knows that it reaches them.
+    """
+    node = nodes[0]
+    traffic = Traffic(isolation.harness, nodes)
+    eventlet.sleep(TRAFFIC_SECONDS)
+    isolation.names = {node.state.settings.name}
+    for service in services:
+        wait_until_isolated(isolation.harness, node, service)
+    traffic.stop()
+    return node
+
+
 def is_isolated(node: IngressNode, service: str) -> bool:
     """Return whether a node knows that it does not reach a service."""
     now = time.monotonic()
