Record the leaving of a run whose answer came through a peer

What callers saw: a node told its client that an endpoint leaves, and sent requests to that endpoint over 2 s later.

Cause: a node that is cut off from endpoints passed on the answer which a peer had got, and noted nothing: it depended on the gossip of the peer, of which at most 16 reports go in a message and which is forgotten after 30 s. A peer's account now names the runs that said they leave, and the node records them as if they had told it. The head of a relayed request names those that the node knows, so that the peer does not send it there either.

Ruled out: answers of 421 from another run are not passed on, and answers of another request are no answer.

--- a/wigeonspoke/core/fleet/leaving.py
+++ b/wigeonspoke/core/fleet/leaving.py
@@ -4,11 +4,13 @@
 that the store does not reach.  What the run itself said goes before what the
 registry lists, and holds until the run ends.
 
-A node that has heard it from the run itself never forgets it.  What a peer
-tells is a hint, which ends unless the run goes on saying so to some node.
+A node that has heard it from the run itself, or in an answer that a peer got
+for it, never forgets it.  What a peer tells otherwise is a hint, which ends
+unless the run goes on saying so to some node.
 """
 
 import math
+from collections.abc import Collection
 
 import msgspec
 
@@ -57,6 +59,13 @@
         """Return whether a run is known to leave."""
         return start_id in self.told_at
 
+    def newest_told(self, start_ids: Collection[str]) -> tuple[str, ...]:
+        """Return those of some runs that told this node, the newest of them."""
+        told = sorted(
+            self.own.intersection(start_ids), key=self.told_at.__getitem__
+        )
+        return tuple(told[-MAX_REPORTS:])
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Forget old hints; return their runs."""
         oldest = now - HINT_SECONDS
--- a/wigeonspoke/core/fleet/registry.py
+++ b/wigeonspoke/core/fleet/registry.py
@@ -69,9 +69,9 @@
             return
         self.put(msgspec.structs.replace(known, layers=layers))
 
-    def record_leaving(self, endpoint: Endpoint, now: float) -> bool:
+    def record_leaving(self, start_id: str, now: float) -> bool:
         """Record that a run reported its leaving; return whether it is news."""
-        is_news = self.leaving.record_answer(endpoint.start_id, now)
+        is_news = self.leaving.record_answer(start_id, now)
         self.revision += is_news
         return is_news
 
@@ -91,6 +91,20 @@
         """Return whether an endpoint leaves, by the registry or its answers."""
         return endpoint.is_leaving or self.leaving.is_leaving(endpoint.start_id)
 
+    def told_leaving(self, service: str) -> tuple[str, ...]:
+        """Return the runs of a service whose answers told this node they leave.
+
+        They are the newest, at most as many as a message names.
+        """
+        if not self.leaving.own:
+            return ()
+        start_ids = {
+            endpoint.start_id
+            for endpoint in self.endpoints.values()
+            if endpoint.service == service
+        }
+        return self.leaving.newest_told(start_ids)
+
     def of_service(self, service: str) -> tuple[Endpoint, ...]:
         """Return the endpoints of a service that do not leave."""
         return self._list(service).staying
--- a/wigeonspoke/core/tests/test_availability.py
+++ b/wigeonspoke/core/tests/test_availability.py
@@ -34,7 +34,7 @@
 
 
 def _leave(availability: EndpointAvailability) -> None:
-    availability.fleet.record_leaving(REPLICA, STARTED)
+    availability.fleet.record_leaving(REPLICA.start_id, STARTED)
 
 
 def _name_backoff(availability: EndpointAvailability) -> None:
@@ -104,8 +104,8 @@
     told, heard = Fleet(), Fleet()
     for fleet in (told, heard):
         fleet.put(REPLICA)
-    assert told.record_leaving(REPLICA, STARTED)
-    assert not told.record_leaving(REPLICA, STARTED + 1)
+    assert told.record_leaving(REPLICA.start_id, STARTED)
+    assert not told.record_leaving(REPLICA.start_id, STARTED + 1)
     reports = told.leaving.reports(STARTED + 5)
     assert reports == (LeavingReport(REPLICA.start_id, 4.0),)
     report = reports[0]
@@ -123,7 +123,7 @@
     fleet = Fleet()
     for born in range(9000):
         run = msgspec.structs.replace(REPLICA, born=born)
-        fleet.record_leaving(run, STARTED)
+        fleet.record_leaving(run.start_id, STARTED)
     assert len(fleet.leaving.reports(STARTED)) == 16
     assert len(fleet.leaving.told_at) <= 4096
     assert len(fleet.leaving.own) <= 4096
@@ -281,7 +281,7 @@
 
     def leave(self) -> None:
         """Let the run say that it leaves."""
-        self.availability.fleet.record_leaving(REPLICA, self.now)
+        self.availability.fleet.record_leaving(REPLICA.start_id, self.now)
 
     def _take_open(self) -> float:
         return self.open_sends.pop(self.rng.randrange(len(self.open_sends)))
--- a/wigeonspoke/core/tests/test_chain_times.py
+++ b/wigeonspoke/core/tests/test_chain_times.py
@@ -393,7 +393,7 @@
 
 
 def _leave(selector, chain) -> None:
-    selector.fleet.record_leaving(chain.head, 0)
+    selector.fleet.record_leaving(chain.head.start_id, 0)
 
 
 def _back_off(selector, chain) -> None:
--- a/wigeonspoke/ingress/fleet/placement_loop.py
+++ b/wigeonspoke/ingress/fleet/placement_loop.py
@@ -146,7 +146,7 @@
             controller.record_refused(placement)
             return
         if engine_state.is_leaving:
-            self.state.record_leaving(placement.endpoint, 'report')
+            self.state.record_leaving(placement.endpoint.start_id, 'report')
             controller.record_refused(placement)
             return
         if engine_state.is_busy:
@@ -184,7 +184,7 @@
         reply: OrderReply,
     ) -> None:
         if reply.is_leaving:
-            self.state.record_leaving(placement.endpoint, 'order')
+            self.state.record_leaving(placement.endpoint.start_id, 'order')
         if reply.is_fenced_off:
             self.leases.record_fenced_off(keeper)
         if not reply.is_accepted:
--- a/wigeonspoke/ingress/fleet/prober.py
+++ b/wigeonspoke/ingress/fleet/prober.py
@@ -425,7 +425,7 @@
             return
         self.state.part_watch.record_engine_alive(endpoint, asked_at)
         if engine_state.is_leaving:
-            self.state.record_leaving(endpoint, 'report')
+            self.state.record_leaving(endpoint.start_id, 'report')
         if reason == REFUSED and self._refuses_work(endpoint, engine_state):
             self._suspect(
                 endpoint, 'health check refuses new work', refuses=True
@@ -449,7 +449,7 @@
             PROBE_TIMEOUT_SECONDS,
         )
         if reply.is_leaving:
-            self.state.record_leaving(endpoint, 'health check')
+            self.state.record_leaving(endpoint.start_id, 'health check')
         return not reply.accepts_work
 
     def _mark_healthy(
--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -249,7 +249,8 @@
         )
         has_news = any([limits.merge(one, now) for one in update.limits])
         has_news = self._apply_part_news(update, now) or has_news
-        has_news = self._apply_leaving(update, now) or has_news
+        source = node_name(instance_id)
+        has_news = self.state.merge_leaving(update.leaving, source) or has_news
         if has_news and not self.state.hears_all_peers:
             self.tell_news()
         for name, changed in update.tables.items():
@@ -276,15 +277,6 @@
         merged = [part_watch.merge(report, source) for report in update.parts]
         return any(merged)
 
-    def _apply_leaving(self, update: PeerUpdate, now: float) -> bool:
-        source = node_name(update.gossip.report.node)
-        has_news = False
-        for report in update.leaving:
-            if self.state.fleet.merge_leaving(report, now):
-                self.state.log_leaving(report.start_id, source, report.age)
-                has_news = True
-        return has_news
-
     def _exchange_with(self, peer: str) -> None:
         body = msgspec.json.encode(self.build_update(peer))
         reply = self.client.post(
--- a/wigeonspoke/ingress/relay/peer_attempts.py
+++ b/wigeonspoke/ingress/relay/peer_attempts.py
@@ -25,6 +25,7 @@
     RELAY_PATH,
     RelayHead,
     encode_head,
+    read_leaving,
     read_outcome,
 )
 from wigeonspoke.ingress.requests.endpoint_attempt import (
@@ -154,7 +155,8 @@
         """Read the head of a response, None if the peer has no answer.
 
         What endpoints tell of themselves is recorded at the peer, which tells
-        it to all nodes.
+        it to all nodes.  This node passes on an answer that says leaving, so
+        that it records that itself, too.
         """
         request_id = self.request_handler.context.request.request_id
         answer, reason = read_outcome(headers, request_id)
@@ -163,11 +165,7 @@
         if reason == LAST_TRY:
             self.request_handler.has_tried = True
         markers = self.state.wire.read_response_markers(status, headers)
-        if markers.is_leaving:
-            self.state.count_event('leaving-relayed')
-            self.request_handler.note(
-                'leaving-relayed', to=chain.peer.name, peer=chain.peer.address
-            )
+        self._record_leaving(chain, headers, markers)
         if answer.outcome in {Outcome.NOT_RUN, Outcome.UNKNOWN}:
             self._record_unserved(attempt, chain, answer, reason, markers)
             return None
@@ -238,8 +236,26 @@
             last_event_id=request_handler.last_event_id,
             tokens=request.tokens,
             shared_parts=request.shared_parts,
+            leaving=self.state.fleet.told_leaving(request_handler.service),
         )
 
+    def _record_leaving(
+        self, chain: PeerChain, headers: HeaderList, markers: ResponseMarkers
+    ) -> None:
+        """Record the runs that told the peer in their answers they leave."""
+        runs = read_leaving(headers)
+        if not markers.is_leaving and not runs:
+            return
+        self.state.count_event('leaving-relayed')
+        self.request_handler.note(
+            'leaving-relayed',
+            to=chain.peer.name,
+            peer=chain.peer.address,
+            endpoints=runs,
+        )
+        for start_id in runs:
+            self.state.record_leaving(start_id, f'relay {chain.peer.name}')
+
     def _record_unserved(
         self,
         attempt: EndpointAttempt,
--- a/wigeonspoke/ingress/relay/relay_app.py
+++ b/wigeonspoke/ingress/relay/relay_app.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wigeonspoke.core.fleet import LeavingReport
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.relay import PeerAnswer, RunCounts
 from wigeonspoke.core.routing import RequestKind, Rule
@@ -141,6 +142,10 @@
         except (RequestError, OSError):
             yield from self._refuse(environ, start_response, head, 'body')
             return
+        self.state.merge_leaving(
+            tuple(LeavingReport(start_id, 0) for start_id in head.leaving),
+            head.node,
+        )
         context = self._make_context(head, request, arrived_at)
         context.disconnect_monitor = DisconnectMonitor(environ)
         try:
@@ -253,7 +258,10 @@
             else request_handler.outcome_reason
         )
         added = outcome_headers(
-            answer, reason, request_handler.context.request.request_id
+            answer,
+            reason,
+            request_handler.context.request.request_id,
+            request_handler.leaving_runs,
         )
         return self.start_response(
             status, [*without_node_headers(headers), *added]
--- a/wigeonspoke/ingress/relay/relay_head.py
+++ b/wigeonspoke/ingress/relay/relay_head.py
@@ -7,6 +7,7 @@
 import base64
 import binascii
 from collections.abc import Iterable
+from typing import TypeVar
 
 import msgspec
 
@@ -23,11 +24,18 @@
 REASON_HEADER = 'Wigeonspoke-Reason'
 # How often the request has reached an endpoint and may have run, by all nodes.
 COUNTS_HEADER = 'Wigeonspoke-Counts'
+# The runs of endpoints that said in their answers to the request that they
+# leave, as a JSON list of start ids.
+LEAVING_HEADER = 'Wigeonspoke-Leaving'
 # Begins the names of all headers between nodes.
 NODE_PREFIX = 'wigeonspoke-'
 # The reason of an answer after which the request must not be sent on: it may
 # have ended its endpoint, or was the trial of a quarantined key.
 LAST_TRY = 'last-try'
+# Other values are JSON in base64.
+JSON_BEGINNINGS = (b'{', b'[')
+
+Message = TypeVar('Message')
 
 
 class RelayHead(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -37,6 +45,8 @@
     ``arrivals`` and ``executions`` count how often the request has reached an
     endpoint and may have run, and ``execution_limit`` is how often it may have
     run in all when the peer has ended.  ``node`` is the sending node.
+    ``leaving`` are the start ids of runs of the service that leave, as far as
+    their answers have told the sending node.
     """
 
     node: str
@@ -56,6 +66,7 @@
     last_event_id: str = ''
     tokens: int = 0
     shared_parts: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
 
     def to_request(self) -> ClientRequest:
         """Return the client's request without its body and its key."""
@@ -76,34 +87,35 @@
 
 def encode_head(head: RelayHead) -> str:
     """Return the value of the header, in base64 if it is not plain ASCII."""
-    encoded = msgspec.json.encode(head)
-    if encoded.isascii() and b'\x7f' not in encoded:
-        return encoded.decode()
-    return base64.b64encode(encoded).decode()
+    return _encode_value(head)
 
 
 def decode_head(header_value: str) -> RelayHead | None:
     """Decode the value of the header, None if it is not valid."""
-    encoded = header_value.encode('latin-1', 'replace')
-    try:
-        if not encoded.startswith(b'{'):
-            encoded = base64.b64decode(encoded, validate=True)
-    except binascii.Error:
-        return None
-    return decode_json(encoded, RelayHead).value_or(None)
+    return _decode_value(header_value, RelayHead)
 
 
 def outcome_headers(
-    answer: PeerAnswer, reason: str, request_id: str
+    answer: PeerAnswer,
+    reason: str,
+    request_id: str,
+    leaving: Iterable[str] = (),
 ) -> HeaderList:
-    """Return the headers that a peer adds to a response."""
+    """Return the headers that a peer adds to a response.
+
+    ``leaving`` are the start ids of the runs that said they leave.
+    """
     after = answer.after
-    return (
+    headers = (
         (OUTCOME_HEADER, str(answer.outcome)),
         (REQUEST_HEADER, request_id),
         (REASON_HEADER, reason),
         (COUNTS_HEADER, f'{after.arrivals},{after.executions}'),
     )
+    runs = tuple(leaving)
+    if runs:
+        return (*headers, (LEAVING_HEADER, _encode_value(runs)))
+    return headers
 
 
 def read_outcome(
@@ -129,6 +141,14 @@
     return PeerAnswer(Outcome(outcome_text), after), reason
 
 
+def read_leaving(headers: HeaderList) -> tuple[str, ...]:
+    """Return the start ids of the runs that a peer was told leave."""
+    for name, text in headers:
+        if name.lower() == LEAVING_HEADER.lower():
+            return _decode_value(text, tuple[str, ...]) or ()
+    return ()
+
+
 def without_node_headers(
     headers: Iterable[tuple[str, str]],
 ) -> HeaderList:
@@ -138,3 +158,22 @@
         for name, text in headers
         if not name.lower().startswith(NODE_PREFIX)
     )
+
+
+def _encode_value(message: object) -> str:
+    """Return a message as the value of a header, which is plain ASCII."""
+    encoded = msgspec.json.encode(message)
+    if encoded.isascii() and b'\x7f' not in encoded:
+        return encoded.decode()
+    return base64.b64encode(encoded).decode()
+
+
+def _decode_value(header_value: str, kind: type[Message]) -> Message | None:
+    """Decode the value of a header, None if it is not valid."""
+    encoded = header_value.encode('latin-1', 'replace')
+    try:
+        if not encoded.startswith(JSON_BEGINNINGS):
+            encoded = base64.b64decode(encoded, validate=True)
+    except binascii.Error:
+        return None
+    return decode_json(encoded, kind).value_or(None)
--- a/wigeonspoke/ingress/requests/endpoint_reports.py
+++ b/wigeonspoke/ingress/requests/endpoint_reports.py
@@ -106,7 +106,7 @@
         if not markers.is_leaving:
             return
         self.state.count_event('leaving-named')
-        if self.state.record_leaving(endpoint, f'answer {status}'):
+        if self.state.record_leaving(endpoint.start_id, f'answer {status}'):
             self.note('turned-from', endpoint=endpoint.start_id)
 
     def _record_backoff(
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -89,6 +89,7 @@
         'has_ended_endpoint',
         'has_tried',
         'last_error',
+        'leaving_runs',
         'open_attempts',
         'prober',
         'refusal',
@@ -112,6 +113,8 @@
         self.open_attempts: list[EndpointAttempt] = []
         # Why the request is not sent to any endpoint, None if it may be.
         self.refusal: Refusal | None = None
+        # The runs that said in their answers to the request that they leave.
+        self.leaving_runs: set[str] = set()
         # Whether the request may be what ended the endpoint it was sent to.
         self.has_ended_endpoint = False
         # Whether the trial of the whole request has reached an endpoint.
@@ -423,6 +426,8 @@
         markers = reports.read_markers(attempt, endpoint, status, headers)
         if not reports.is_own_answer(attempt, markers):
             raise AttemptError(invalid_response_error(endpoint.address))
+        if markers.is_leaving and self.state.fleet.is_leaving(endpoint):
+            self.leaving_runs.add(endpoint.start_id)
         return markers
 
     def retry_after(
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from wigeonspoke.core.admission import RankReservation
 from wigeonspoke.core.availability import EndpointAvailability
@@ -13,7 +13,7 @@
     ChainSelector,
     SuspectRegistry,
 )
-from wigeonspoke.core.fleet import Endpoint, Fleet
+from wigeonspoke.core.fleet import Endpoint, Fleet, LeavingReport
 from wigeonspoke.core.forwarding import ReplicaSelector, RetryWindowBudget
 from wigeonspoke.core.leases import LeaseRow, VersionedLease
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
@@ -154,23 +154,28 @@
         service_budget.node_share = 1 / self.node_count
         return service_budget
 
-    def record_leaving(self, endpoint: Endpoint, source: str) -> bool:
+    def record_leaving(self, start_id: str, source: str) -> bool:
         """Record that a run reported its leaving; return whether it is news."""
-        if not self.fleet.record_leaving(endpoint, time.monotonic()):
+        if not self.fleet.record_leaving(start_id, time.monotonic()):
             return False
-        self.log_leaving(endpoint.start_id, source, 0)
+        self._log_leaving(start_id, source, 0)
         self.tell_news()
         return True
 
-    def log_leaving(self, start_id: str, source: str, age: float) -> None:
-        """Write to the log that a run leaves, and who said it when."""
-        self.log.write(
-            'endpoint-leaving',
-            endpoint=start_id,
-            source=source,
-            told_ago=age,
-            revision=self.fleet.revision,
-        )
+    def merge_leaving(
+        self, reports: Iterable[LeavingReport], source: str
+    ) -> bool:
+        """Merge a peer's reports of runs that leave.
+
+        Return whether any is news.
+        """
+        now = time.monotonic()
+        has_news = False
+        for report in reports:
+            if self.fleet.merge_leaving(report, now):
+                self._log_leaving(report.start_id, source, report.age)
+                has_news = True
+        return has_news
 
     def record_unreached(self, endpoint: Endpoint) -> None:
         """Record that a connection to an endpoint was not established."""
@@ -282,6 +287,16 @@
             node_name(instance_id) for instance_id in self.peers.departures
         }
 
+    def _log_leaving(self, start_id: str, source: str, age: float) -> None:
+        """Write to the log that a run leaves, and who said it when."""
+        self.log.write(
+            'endpoint-leaving',
+            endpoint=start_id,
+            source=source,
+            told_ago=age,
+            revision=self.fleet.revision,
+        )
+
 
 def _ignore() -> None:
     """Do nothing until the gossip is connected."""
--- a/wigeonspoke/platform/tests/test_calls_after_relayed_leaving.py
+++ b/wigeonspoke/platform/tests/test_calls_after_relayed_leaving.py
@@ -10,7 +10,7 @@
 import eventlet
 import pytest
 
-from wigeonspoke.core.fleet import Fleet, leaving
+from wigeonspoke.core.fleet import LeavingRuns, leaving
 from wigeonspoke.platform.tests.deployment import Deployment
 from wigeonspoke.platform.tests.harness import send_request
 from wigeonspoke.platform.tests.isolation import (
@@ -57,7 +57,7 @@
     deployment.wait_until_served()
     cut = isolate_beside_traffic(isolation, deployment.nodes, (service,))
     if gossip == 'lost':
-        monkeypatch.setattr(Fleet, 'merge_leaving', lambda *_: False)
+        monkeypatch.setattr(LeavingRuns, 'reports', lambda *_: ())
     if gossip == 'old':
         monkeypatch.setattr(leaving, 'HINT_SECONDS', SHORT_HINT_SECONDS)
     endpoints = (*harness.replicas, *harness.engines)
--- a/wigeonspoke/platform/tests/test_explain.py
+++ b/wigeonspoke/platform/tests/test_explain.py
@@ -120,7 +120,7 @@
         ),
         (
             lambda state, chain, now: state.fleet.record_leaving(
-                chain.head, now
+                chain.head.start_id, now
             ),
             'leaving',
             True,
