Drop a removed endpoint at once unless the store was away

What callers saw: calls reached an endpoint 2.5 to 9 s after it had been removed from the registry, with a drain time of 2 s.

Cause: entries that lapse in an outage are kept for 2.5 s, and any table told by a peer and any refused call counted as an outage. Each also moved the one time on until which all missing endpoints were kept, so that beside steady changes a removed endpoint was never dropped.

Now an outage is two failures in a row without an answer, or an answer that is overdue by half a second. The node that reads the table from the store decides by what it has met, and tells its peers for how long each missing entry may be back; a node that has just started does not vouch for entries that it never knew. Each missing endpoint has a time of its own, which later news only shortens.

One test is replaced: entries missing from a peer's table were expected to be kept for 1.2 s although the peer itself had dropped them in calm, which is the fault. The peer has seen an outage now, and the assertions are the same.

--- a/wigeonspoke/ingress/fleet/lease_loop.py
+++ b/wigeonspoke/ingress/fleet/lease_loop.py
@@ -249,6 +249,7 @@
         self._process_page(page.unwrap())
 
     def _process_page(self, page: RowPage) -> None:
+        self.state.store_outages.record_answer(time.monotonic())
         self.lease_rows = _decode_rows(page)
         self.store_clock_offset = page.store_seconds - lease_clock()
         self._update_nodes(page.store_seconds)
@@ -286,6 +287,7 @@
         write = RowWrite(keeper.domain, msgspec.json.encode(row), expected)
         written = self.store.write_rows(LEASE_TABLE, (write,))
         if isinstance(written, Success):
+            self.state.store_outages.record_answer(time.monotonic())
             is_new = not keeper.is_held
             keeper.record_written(written.unwrap(), sent_at)
             self.lease_rows[keeper.domain] = VersionedLease(
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -1,6 +1,5 @@
 """State of an ingress node, shared by its components."""
 
-import math
 import random
 import time
 from collections import Counter
@@ -13,7 +12,12 @@
     ChainSelector,
     SuspectRegistry,
 )
-from wigeonspoke.core.fleet import Endpoint, Fleet, LeavingReport
+from wigeonspoke.core.fleet import (
+    Endpoint,
+    Fleet,
+    LeavingReport,
+    StoreOutages,
+)
 from wigeonspoke.core.forwarding import ReplicaSelector, RetryWindowBudget
 from wigeonspoke.core.leases import LeaseRow, VersionedLease
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
@@ -71,7 +75,7 @@
         'routing_table',
         'settings',
         'started_at',
-        'store_failed_at',
+        'store_outages',
         'suspects',
         'tell_news',
         'wire',
@@ -89,7 +93,7 @@
         self.started_at = time.monotonic()
         # Number of nodes with a current registration in the store.
         self.registered_node_count = ASSUMED_NODE_COUNT
-        self.store_failed_at = -math.inf
+        self.store_outages = StoreOutages()
         self.peers = PeerRegistry()
         # Whether each gossip round reaches every node.
         self.hears_all_peers = True
@@ -190,9 +194,19 @@
             self.tell_news()
         self.reachability_news.wake()
 
-    def record_store_failure(self, now: float) -> None:
-        """Record that a call to the store was refused or not answered."""
-        self.store_failed_at = max(self.store_failed_at, now)
+    def record_store_failure(
+        self, now: float, silent_seconds: float = 0
+    ) -> None:
+        """Record that a call to the store was refused or not answered.
+
+        ``silent_seconds`` is how long ago its answer was due.
+        """
+        self.store_outages.record_failure(now, silent_seconds)
+
+    @property
+    def store_failed_at(self) -> float:
+        """When a call to the store last failed, on the monotonic clock."""
+        return self.store_outages.failed_at
 
     @property
     def node_count(self) -> int:
--- a/wigeonspoke/ingress/tables/part_table.py
+++ b/wigeonspoke/ingress/tables/part_table.py
@@ -64,8 +64,9 @@
         self.store_clock = store_clock
         self.table = PART_TABLE
 
-    def handle_store_return(self) -> None:
-        """Do nothing: a quarantine stays in force during an outage."""
+    def kept_seconds(self) -> dict[str, float]:
+        """Return nothing: a quarantine does not lapse in an outage."""
+        return {}
 
     def retain(self, keys: Collection[str], source: TableSource) -> None:
         """Do nothing: missing rows clear no evidence."""
--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -2,19 +2,17 @@
 
 import math
 import time
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import Protocol
 
 import eventlet
 from returns.result import Success
 
+from wigeonspoke.core.fleet import MissingEntries
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.tables.table_source import TableSource
 from wigeonspoke.store import TableRow
 
-# Registry entries that expired during a store outage are re-registered within
-# this time after it, or the endpoint is gone.
-RETENTION_SECONDS = 2.5
 # Characters of a problem that are logged; it may quote the entry.
 MAX_LOGGED_PROBLEM = 200
 
@@ -24,8 +22,8 @@
 
     table: str
 
-    def handle_store_return(self) -> None:
-        """Handle the return of the store after an outage."""
+    def kept_seconds(self) -> Mapping[str, float]:
+        """Return for how long each missing row may still be back."""
 
     def apply_change(self, row: TableRow, source: TableSource) -> None:
         """Apply one row that was changed, or belongs to the complete table."""
@@ -44,8 +42,9 @@
         self.table = table
         self.key = key
 
-    def handle_store_return(self) -> None:
-        """Do nothing: the configuration stays in force during an outage."""
+    def kept_seconds(self) -> Mapping[str, float]:
+        """Return nothing: a configuration does not lapse in an outage."""
+        return {}
 
     def retain(self, keys: Collection[str], source: TableSource) -> None:
         """Do nothing: a configuration stays in force until a newer one."""
@@ -79,20 +78,22 @@
     """Keeps the fleet in step with the endpoint registry.
 
     Entries expire during a store outage, and live endpoints register again
-    shortly after it.  Missing endpoints are therefore retained for that time.
+    shortly after it.  Endpoints whose entries are missing after an outage are
+    therefore kept for that time; others are dropped at once.
     """
 
-    __slots__ = ('missing', 'retained_until', 'state', 'table')
+    __slots__ = ('due_at', 'missing', 'state', 'table')
 
     def __init__(self, state: IngressState, table: str) -> None:
         self.state = state
         self.table = table
-        self.missing: set[str] = set()
-        self.retained_until = 0
+        self.missing = MissingEntries()
+        # When missing endpoints are dropped next.
+        self.due_at = math.inf
 
-    def handle_store_return(self) -> None:
-        """Retain missing endpoints for a while after a store outage."""
-        self._retain_until(time.monotonic() + RETENTION_SECONDS)
+    def kept_seconds(self) -> Mapping[str, float]:
+        """Return for how long each missing endpoint is still kept."""
+        return self.missing.remaining(time.monotonic())
 
     def retain(self, keys: Collection[str], source: TableSource) -> None:
         """Apply the complete list; endpoints not listed are missing."""
@@ -138,38 +139,53 @@
             problem=problem[:MAX_LOGGED_PROBLEM],
         )
 
-    def _retain_until(self, until: float) -> None:
-        if until > self.retained_until:
-            self.retained_until = until
-            wait_seconds = until - time.monotonic()
-            eventlet.spawn_after(wait_seconds, self._drop_missing)
-
     def _mark_missing(self, endpoint_id: str, source: TableSource) -> None:
-        # A failed call of any component counts: the store may only just
-        # have returned.
-        self._retain_until(self.state.store_failed_at + RETENTION_SECONDS)
+        """Drop an endpoint, or keep it while its entry may be back."""
         now = time.monotonic()
-        if now < self.retained_until:
-            self.missing.add(endpoint_id)
-            self.state.count_event('endpoint-missing', source.kind)
-            self.state.log.write(
-                'endpoint-missing',
-                endpoint=endpoint_id,
-                kept_seconds=round(self.retained_until - now, 3),
-                store_failed_ago=_describe_age(self.state.store_failed_at, now),
-                **source.describe(),
-            )
+        seconds = self._retention_seconds(endpoint_id, source, now)
+        if not seconds:
+            self._drop(endpoint_id, 'removed')
             return
-        self._drop(endpoint_id, 'removed')
+        self.missing.keep(endpoint_id, now + seconds)
+        self._schedule_drop()
+        outages = self.state.store_outages
+        self.state.count_event('endpoint-missing', source.kind)
+        self.state.log.write(
+            'endpoint-missing',
+            endpoint=endpoint_id,
+            kept_seconds=round(seconds, 3),
+            store_away_ago=_describe_age(outages.seconds_since(now)),
+            **source.describe(),
+        )
+
+    def _retention_seconds(
+        self, endpoint_id: str, source: TableSource, now: float
+    ) -> float:
+        """Return for how long an entry that is missing may be back.
+
+        A peer that has read the store knows whether it was away; what this
+        node knows of the store counts only for what it reads itself.
+        """
+        if source.retention is not None:
+            return source.retention.seconds(endpoint_id)
+        return self.state.store_outages.retention_seconds(now)
+
+    def _schedule_drop(self) -> None:
+        """Drop the next endpoint when its time is over."""
+        due_at = self.missing.next_due_at
+        if due_at < self.due_at:
+            self.due_at = due_at
+            wait_seconds = max(0, due_at - time.monotonic())
+            eventlet.spawn_after(wait_seconds, self._drop_missing)
 
     def _drop_missing(self) -> None:
-        if time.monotonic() < self.retained_until:
-            return
-        for endpoint_id in self.missing:
+        for endpoint_id in self.missing.take_due(time.monotonic()):
             self._drop(endpoint_id, 'not registered again after store outage')
-        self.missing.clear()
+        self.due_at = math.inf
+        self._schedule_drop()
 
     def _drop(self, endpoint_id: str, reason: str) -> None:
+        self.missing.discard(endpoint_id)
         if self.state.fleet.drop(endpoint_id) is not None:
             self.state.queues.wake()
             self.state.count_event('endpoint-gone', reason)
@@ -180,6 +196,6 @@
             )
 
 
-def _describe_age(at: float, now: float) -> float | None:
-    """Return for the log how long ago a time was, None if it never was."""
-    return None if at == -math.inf else round(now - at, 3)
+def _describe_age(seconds: float) -> float | None:
+    """Return a time for the log, None if it is infinite."""
+    return None if seconds == math.inf else round(seconds, 3)
--- a/wigeonspoke/ingress/tables/table_copy.py
+++ b/wigeonspoke/ingress/tables/table_copy.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from wigeonspoke.ingress.tables.table_source import Retention
 from wigeonspoke.store import TableRow
 
 # Changed rows remembered to tell peers; one that knows less gets the whole
@@ -25,13 +26,15 @@
 class RelayedTable(msgspec.Struct, frozen=True):
     """A table, or its changes since a version that a peer knows.
 
-    ``age`` is the seconds since the node read it.
+    ``age`` is the seconds since the node read it.  ``retention`` is what it
+    knows of missing entries; nodes of earlier builds do not tell it.
     """
 
     version: int
     age: float
     rows: tuple[RelayedRow, ...]
     is_complete: bool = True
+    retention: Retention | None = None
 
 
 class TableCopy:
--- a/wigeonspoke/ingress/tables/table_followers.py
+++ b/wigeonspoke/ingress/tables/table_followers.py
@@ -5,8 +5,10 @@
 import traceback
 
 import eventlet
+import msgspec
 from returns.result import Success
 
+from wigeonspoke.core.fleet import RETENTION_SECONDS
 from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.tables.table_consumers import TableConsumer
@@ -19,7 +21,7 @@
     STORE_GRACE_SECONDS,
     fetch_table,
 )
-from wigeonspoke.ingress.tables.table_source import TableSource
+from wigeonspoke.ingress.tables.table_source import Retention, TableSource
 from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.store import (
     FeedStore,
@@ -74,10 +76,10 @@
         'needs_full_read',
         'news',
         'peer_versions',
-        'returned_at',
         'state',
         'store',
         'turned_stale',
+        'vouches_from',
         'watches_closely',
     )
 
@@ -101,8 +103,9 @@
         self.is_reachable = True
         self.needs_full_read = True
         self.lost_at = 0
-        # When the store last returned after an outage.
-        self.returned_at = -math.inf
+        # From when on this node vouches for entries that it does not know: an
+        # outage before it read the table would be noticed by then.
+        self.vouches_from = math.inf
         self.consecutive_change_pages = 0
         # Until when a watcher keeps the copy current, without the store.
         self.fresh_until = -math.inf
@@ -157,8 +160,18 @@
     @property
     def seconds_since_outage(self) -> float:
         """How long ago the store was away, as far as this node knows."""
-        last = max(self.returned_at, self.state.store_failed_at)
-        return time.monotonic() - last
+        return self.state.store_outages.seconds_since(time.monotonic())
+
+    def snapshot_after(self, known: int) -> RelayedTable | None:
+        """Return what a peer that knows a version lacks, None if nothing."""
+        snapshot = self.copy.snapshot_after(known)
+        if snapshot is None:
+            return None
+        other_seconds = max(0, self.vouches_from - time.monotonic())
+        retention = Retention(
+            dict(self.consumer.kept_seconds()), round(other_seconds, 3)
+        )
+        return msgspec.structs.replace(snapshot, retention=retention)
 
     def mark_fresh(self, seconds: float) -> None:
         """Record that a watcher keeps the copy current for some seconds."""
@@ -175,11 +188,10 @@
     def adopt(self, relayed: RelayedTable, peer: str) -> None:
         """Adopt what a peer has read, a complete table or its changes."""
         rows = decode_rows(relayed)
-        if relayed.is_complete:
-            if relayed.version > self.copy.known_version:
-                self._replace(rows, relayed.version, peer)
-            return
-        self._apply_changes(rows, relayed.version, peer)
+        if not relayed.is_complete:
+            self._apply_changes(rows, relayed.version, peer, relayed.retention)
+        elif relayed.version > self.copy.known_version:
+            self._replace(rows, relayed.version, peer, relayed.retention)
 
     @property
     def _shortest_backoff(self) -> float:
@@ -203,17 +215,19 @@
         return min(MAX_BATCH_SECONDS, seconds)
 
     def _follow_once(self) -> bool:
+        sent_at = time.monotonic()
+        wait_seconds = 0
         if self.needs_full_read:
             page = self.store.read_table(self.consumer.table)
         else:
+            wait_seconds = self._wait_seconds
             page = self.store.follow(
-                self.consumer.table,
-                self.copy.version,
-                self._wait_seconds,
+                self.consumer.table, self.copy.version, wait_seconds
             )
         if not isinstance(page, Success):
-            self._handle_error(page.failure())
+            self._handle_error(page.failure(), sent_at + wait_seconds)
             return False
+        self.state.store_outages.record_answer(time.monotonic())
         self._process_page(page.unwrap())
         return True
 
@@ -247,10 +261,14 @@
         )
 
     def _apply_changes(
-        self, rows: tuple[TableRow, ...], version: int, peer: str = ''
+        self,
+        rows: tuple[TableRow, ...],
+        version: int,
+        peer: str = '',
+        retention: Retention | None = None,
     ) -> bool:
         changes = self.copy.apply_changes(rows, version)
-        source = self._source(peer)
+        source = self._source(peer, retention)
         for row in changes:
             self._apply(row, source)
         if changes:
@@ -258,10 +276,19 @@
         return bool(changes)
 
     def _replace(
-        self, rows: tuple[TableRow, ...], version: int, peer: str = ''
+        self,
+        rows: tuple[TableRow, ...],
+        version: int,
+        peer: str = '',
+        retention: Retention | None = None,
     ) -> None:
+        if self.vouches_from == math.inf:
+            unknown_seconds = (
+                RETENTION_SECONDS if retention is None else retention.other
+            )
+            self.vouches_from = time.monotonic() + unknown_seconds
         self.copy.replace(rows, version)
-        source = self._source(peer)
+        source = self._source(peer, retention)
         listed = {row.key: row for row in rows if not row.is_removed}
         for row in listed.values():
             self._apply(row, source)
@@ -269,12 +296,12 @@
         self.needs_full_read = False
         self.news.wake()
 
-    def _source(self, peer: str) -> TableSource:
+    def _source(self, peer: str, retention: Retention | None) -> TableSource:
         """Return the source of rows that the copy holds by now."""
         known_seconds = self.peer_versions.known_seconds(
             self.consumer.table, self.copy.newest_change, time.monotonic()
         )
-        return TableSource(peer, known_seconds)
+        return TableSource(peer, known_seconds, retention)
 
     def _apply(self, row: TableRow, source: TableSource) -> None:
         """Apply a row; one that fails costs only itself.
@@ -296,9 +323,7 @@
 
     def _record_return(self) -> None:
         self.is_reachable = True
-        self.returned_at = time.monotonic()
         self._log_store_return()
-        self.consumer.handle_store_return()
 
     def _fetch_from_peer(self, peer: str) -> bool:
         """Adopt a peer's newer table; return whether the peer sent one."""
@@ -322,16 +347,16 @@
             known=known,
             age_seconds=round(relayed.age, 3),
         )
-        # The peer may have read the registry while entries were missing.
-        self.consumer.handle_store_return()
         self.adopt(relayed, peer)
         return True
 
-    def _handle_error(self, error: StoreError) -> None:
+    def _handle_error(self, error: StoreError, due_at: float) -> None:
+        """Handle an error of a call whose answer was due at a time."""
         if error.problem is StoreProblem.EXPIRED:
             self.needs_full_read = True
             return
-        self.state.record_store_failure(time.monotonic())
+        now = time.monotonic()
+        self.state.record_store_failure(now, max(0, now - due_at))
         if self.is_reachable:
             self.is_reachable = False
             self.lost_at = time.monotonic()
--- a/wigeonspoke/ingress/tables/table_relay.py
+++ b/wigeonspoke/ingress/tables/table_relay.py
@@ -45,6 +45,9 @@
     reads_store: bool
     seconds_since_outage: float
 
+    def snapshot_after(self, known: int) -> RelayedTable | None:
+        """Return what a peer that knows a version lacks, None if nothing."""
+
 
 class WatcherAnswer(msgspec.Struct, frozen=True):
     """A watcher's answer to a node that follows a table through it.
@@ -115,7 +118,7 @@
         if path.startswith(CHANGES_PATH):
             wait_seconds = _parse_number(query.get('wait', ''), 0)
             return self._wait_for_changes(table, known, wait_seconds)
-        snapshot = table.copy.snapshot_after(known)
+        snapshot = table.snapshot_after(known)
         return None if snapshot is None else msgspec.json.encode(snapshot)
 
     def _wait_for_changes(
@@ -129,7 +132,7 @@
         answer = WatcherAnswer(
             table.reads_store,
             None if outage_age == math.inf else round(outage_age, 3),
-            table.copy.snapshot_after(known),
+            table.snapshot_after(known),
         )
         return msgspec.json.encode(answer)
 
--- a/wigeonspoke/ingress/tables/table_subscription.py
+++ b/wigeonspoke/ingress/tables/table_subscription.py
@@ -7,7 +7,6 @@
 from wigeonspoke.core.membership import GossipState, choose_watchers
 from wigeonspoke.core.rendezvous import rank_names
 from wigeonspoke.ingress.state import IngressState, node_name
-from wigeonspoke.ingress.tables.table_consumers import RETENTION_SECONDS
 from wigeonspoke.ingress.tables.table_followers import TableFollower
 from wigeonspoke.ingress.tables.table_relay import WatcherAnswer, fetch_changes
 from wigeonspoke.transport import HttpClient
@@ -123,10 +122,13 @@
             )
 
     def _apply(self, answer: WatcherAnswer, watcher: str) -> None:
+        if answer.table is None:
+            return
         outage_age = answer.seconds_since_outage
-        if outage_age is not None and outage_age < RETENTION_SECONDS:
-            # Entries may be missing that will come back.
-            self.state.record_store_failure(time.monotonic() - outage_age)
-            self.follower.consumer.handle_store_return()
-        if answer.table is not None:
-            self.follower.adopt(answer.table, watcher)
+        if answer.table.retention is None and outage_age is not None:
+            # A watcher of an earlier build does not tell which entries may
+            # come back.
+            self.state.store_outages.record_return(
+                time.monotonic() - outage_age
+            )
+        self.follower.adopt(answer.table, watcher)
--- a/wigeonspoke/platform/tests/test_calls_to_removed_endpoints.py
+++ b/wigeonspoke/platform/tests/test_calls_to_removed_endpoints.py
@@ -24,6 +24,8 @@
 # The target: no call later than this after the removal.
 DRAIN_SECONDS = 2.0
 WATCHED_SECONDS = DRAIN_SECONDS + 1.5
+# Live endpoints are listed again this long after the store's return.
+RETURN_SECONDS = 2.0
 # Evidence of the start is no longer of account after this.
 SETTLE_SECONDS = 3.0
 CALL_INTERVAL_SECONDS = 0.05
@@ -150,16 +152,12 @@
     eventlet.sleep(1.0)
     harness.store.remove('servers', replica.endpoint_id)
     harness.store.fault = StoreFault.NONE
-    harness.wait_until(
-        lambda: 'r-one' not in second_node.tables['servers'].copy.rows
-    )
-    until = time.monotonic() + 0.8
+    until = time.monotonic() + RETURN_SECONDS
     while time.monotonic() < until:
         for node in nodes:
             assert 'r-one' in node.state.fleet.endpoints
         eventlet.sleep(0.05)
     for node in nodes:
         harness.wait_until(
-            lambda node=node: 'r-one' not in node.state.fleet.endpoints,
-            seconds=2.5,
+            lambda node=node: 'r-one' not in node.state.fleet.endpoints
         )
--- a/wigeonspoke/platform/tests/test_table_relay.py
+++ b/wigeonspoke/platform/tests/test_table_relay.py
@@ -98,11 +98,14 @@
 ):
     harness.wait_until(lambda: node_without_store.is_ready)
     entries = [endpoint.registry_entry() for endpoint in harness.replicas]
+    harness.store.fault = StoreFault.UNAVAILABLE
+    harness.wait_until(lambda: not harness.node.tables['servers'].is_reachable)
+    eventlet.sleep(0.3)
     for replica in harness.replicas:
         harness.store.remove('servers', replica.endpoint_id)
-    harness.wait_until(
-        lambda: 'r-one' not in harness.node.state.fleet.endpoints
-    )
+    harness.store.fault = StoreFault.NONE
+    told = node_without_store.tables['servers'].copy
+    harness.wait_until(lambda: 'r-one' not in told.rows)
     eventlet.sleep(1.2)
     assert 'r-one' in node_without_store.state.fleet.endpoints
     for replica, entry in zip(harness.replicas, entries, strict=True):
