Believe the answer of a peer of an earlier build

What callers saw: while hosts are replaced one after the other, a host that is cut off from all endpoints and relays to a peer of the earlier build answered 502 to calls, unsafe calls and streams alike, though all of them had run.

An account without a name counts now: each relayed request has a connection of its own, on which no other answer is due. One that names another request is still none.

Evidence: test_peers_of_the_earlier_build, 502 at its first request on the commit before; now 30 of 30 served, each run once.

--- a/wigeonspoke/ingress/relay/relay_head.py
+++ b/wigeonspoke/ingress/relay/relay_head.py
@@ -124,7 +124,9 @@
     """Return a peer's account of a request and the reason that it names.
 
     The account is None if the response has no valid one, as that of a program
-    which is no node, or one of another request.
+    which is no node, or one of another request.  A peer of an earlier build
+    names no request.  Its account counts, too: a relayed request has a new
+    connection, on which no other answer is due.
     """
     header_values = {name.lower(): text for name, text in headers}
     reason = header_values.get(REASON_HEADER.lower(), '')
@@ -133,7 +135,7 @@
     outcome_text = header_values.get(OUTCOME_HEADER.lower(), '')
     if None in counts or len(counts) != 2:
         return None, reason
-    if header_values.get(REQUEST_HEADER.lower(), '') != request_id:
+    if header_values.get(REQUEST_HEADER.lower(), request_id) != request_id:
         return None, reason
     if outcome_text not in set(Outcome):
         return None, reason
