Answer every request that was read before a node ends

What callers saw: in a planned stop, calls that came late were taken and passed on, ran, and lost their connections without an answer when the process ended, among them calls that may not be repeated.

Cause: the stop waited for open requests up to the time limit less 0.5 s and then ended, whatever was open; what came late was taken like any other.

Half a second before the limit, the time of all open requests ends now: a call that may have run gets 504, a stream its visible end, a relayed request its outcome. A request that comes during the stop is refused as not run if its response cannot be complete by then, by what the last responses of its rule took. Deadlines of requests that are taken end with the stop as well.

--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -85,6 +85,8 @@
         response = self._try_replicas()
         self.end_trial()
         self.response = response or self.fallback or self._node_response()
+        if isinstance(self.response, EndpointResponse):
+            self.record_complete_response()
         return self.response
 
     def _try_replicas(self) -> EndpointResponse | None:
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -11,7 +11,10 @@
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
 from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import ClientRequest
-from wigeonspoke.ingress.requests.request_handler import RequestContext
+from wigeonspoke.ingress.requests.request_handler import (
+    RequestContext,
+    RequestHandler,
+)
 from wigeonspoke.ingress.requests.responses import (
     EndpointResponse,
     NodeResponse,
@@ -25,19 +28,29 @@
 StartResponse = Callable[..., Any]
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 1.0
+# The answer to a request that comes too late in a stop.  Its client returns on
+# a new connection, which reaches another node.
+STOPPING = NodeResponse(
+    http.HTTPStatus.SERVICE_UNAVAILABLE, 'stopping', retry_after=0.1
+)
 
 
 class FrontApp:
-    """Admits a request, runs it and returns the response."""
+    """Admits a request, runs it and returns the response.
+
+    ``open_handlers`` are those of the requests that have no final answer yet.
+    """
 
-    __slots__ = ('claim_trial', 'prober', 'state')
+    __slots__ = ('claim_trial', 'open_handlers', 'prober', 'state')
 
     def __init__(
         self,
         state: IngressState,
         prober: Prober,
         claim_trial: ClaimTrial,
+        open_handlers: set[RequestHandler],
     ) -> None:
+        self.open_handlers = open_handlers
         self.state = state
         self.prober = prober
         self.claim_trial = claim_trial
@@ -128,9 +141,18 @@
                 'last-event-id',
                 start_response,
             )
+        if not self._may_take(rule):
+            return self._respond(request, STOPPING, start_response)
         context = self._context(request, rule, account, arrived_at)
         return self._serve(context, environ, start_response)
 
+    def _may_take(self, rule: Rule) -> bool:
+        """Return whether a request can be answered before the node ends."""
+        expected_seconds = self.state.response_times.expected(
+            rule.name, rule.target_latency_seconds
+        )
+        return self.state.shutdown.may_take(time.monotonic(), expected_seconds)
+
     def _context(
         self,
         request: ClientRequest,
@@ -148,7 +170,9 @@
             rule=rule,
             account='' if account is None else account.name,
             arrived_at=arrived_at,
-            deadline=arrived_at + remaining_seconds,
+            deadline=min(
+                arrived_at + remaining_seconds, self.state.shutdown.answer_at
+            ),
         )
 
     def _serve(
@@ -158,20 +182,22 @@
         start_response: StartResponse,
     ) -> Iterator[bytes]:
         context.disconnect_monitor = DisconnectMonitor(environ)
+        is_stream = context.rule.kind is RequestKind.STREAM
+        handler_type = StreamHandler if is_stream else CallHandler
+        request_handler = handler_type(
+            self.state, context, self.prober, self.claim_trial
+        )
+        self.open_handlers.add(request_handler)
         try:
-            if context.rule.kind is RequestKind.STREAM:
-                stream_handler = StreamHandler(
-                    self.state, context, self.prober, self.claim_trial
-                )
-                yield from stream_handler.serve(start_response)
+            if isinstance(request_handler, StreamHandler):
+                yield from request_handler.serve(start_response)
             else:
-                response = CallHandler(
-                    self.state, context, self.prober, self.claim_trial
-                ).serve()
+                response = request_handler.serve()
                 yield from self._respond(
                     context.request, response, start_response
                 )
         finally:
+            self.open_handlers.discard(request_handler)
             context.disconnect_monitor.stop()
 
     def _reject(
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -9,10 +9,12 @@
 
 import eventlet
 
+from wigeonspoke.core.forwarding import Shutdown
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.explain import EXPLAIN_PATH, ExplainApp
 from wigeonspoke.ingress.fleet.chain_reporter import ChainReporter
 from wigeonspoke.ingress.requests.connection_reporter import ConnectionReporter
+from wigeonspoke.ingress.requests.request_handler import RequestHandler
 from wigeonspoke.ingress.front_app import FrontApp
 from wigeonspoke.ingress.fleet.lease_loop import LeaseLoop
 from wigeonspoke.ingress.metrics_page import render_counters
@@ -47,8 +49,6 @@
 # The load balancer removes a node after two failed readiness checks, one
 # second apart.
 READINESS_DRAIN_SECONDS = 2.6
-# Time left of the shutdown limit when remaining requests are cut off.
-EXIT_MARGIN_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.05
 LIMITS_POLL_SECONDS = 0.5
 LOOP_RESTART_SECONDS = 0.5
@@ -82,6 +82,7 @@
         'lease_loop',
         'loops',
         'metrics',
+        'open_handlers',
         'part_publisher',
         'peers',
         'placement_loop',
@@ -143,11 +144,14 @@
         self.part_publisher = PartPublisher(
             self.state, store, part_follower.copy, store_clock
         )
+        # The requests that have no final answer yet.
+        self.open_handlers: set[RequestHandler] = set()
         self.relay_app = RelayApp(
             self.state,
             self.prober,
             self.part_publisher.claim_trial,
             self._peer_addresses,
+            self.open_handlers,
         )
         self.tables = {
             follower.consumer.table: follower for follower in followers
@@ -190,7 +194,12 @@
         settings = self.state.settings
         self.front = self._listen(
             'front',
-            FrontApp(self.state, self.prober, self.part_publisher.claim_trial),
+            FrontApp(
+                self.state,
+                self.prober,
+                self.part_publisher.claim_trial,
+                self.open_handlers,
+            ),
             settings.front,
             FRONT_CONNECTIONS,
         )
@@ -229,10 +238,12 @@
         """Shut down gracefully.
 
         Readiness fails first, until the load balancer has removed the node.
-        Then the listener closes, and open requests are completed up to the
-        time limit.
+        Then the listener closes, and open requests are completed.  Those that
+        are still open shortly before the time limit get a final answer.
         """
-        stopping_since = time.monotonic()
+        self.state.shutdown = Shutdown.begin(
+            time.monotonic(), self.state.settings.stop_seconds
+        )
         self.is_stopping = True
         self.state.is_stopping = True
         self.state.tell_news()
@@ -241,18 +252,12 @@
         self.relay_app.is_stopping = True
         eventlet.sleep(READINESS_DRAIN_SECONDS)
         self.front.close()
-        end_at = (
-            stopping_since
-            + self.state.settings.stop_seconds
-            - EXIT_MARGIN_SECONDS
+        self._wait_for_requests(self.state.shutdown.answer_at)
+        expired = self._expire_requests()
+        self._wait_for_requests(self.state.shutdown.end_at)
+        self.state.log.write(
+            'stopped', active=self.front.active, expired=expired
         )
-        while time.monotonic() < end_at:
-            self.front.close_idle()
-            relayed = self.state.relay_traffic.in_progress
-            if not self.front.open_connections and not relayed:
-                break
-            eventlet.sleep(DRAIN_POLL_SECONDS)
-        self.state.log.write('stopped', active=self.front.active)
 
     def apply(self, settings: IngressSettings) -> tuple[str, ...]:
         """Apply changed settings; return the names of those changed.
@@ -282,6 +287,25 @@
             and bool(state.fleet.endpoints)
         )
 
+    def _wait_for_requests(self, until: float) -> None:
+        """Wait until no request is open, or until a time."""
+        while time.monotonic() < until:
+            self.front.close_idle()
+            relayed = self.state.relay_traffic.in_progress
+            if not self.front.open_connections and not relayed:
+                return
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+
+    def _expire_requests(self) -> int:
+        """End the time for all open requests; return their number."""
+        now = time.monotonic()
+        expired = tuple(self.open_handlers)
+        for request_handler in expired:
+            request_handler.note('stop-expired')
+            request_handler.expire(now)
+        self.state.queues.wake()
+        return len(expired)
+
     def _peer_addresses(self) -> set[str]:
         """Return the addresses of the nodes of the system.
 
--- a/wigeonspoke/ingress/relay/relay_app.py
+++ b/wigeonspoke/ingress/relay/relay_app.py
@@ -43,12 +43,14 @@
     """Runs a request of another node's client as one of this node's own.
 
     ``peer_addresses`` returns the addresses of the nodes of the system, from
-    which alone requests are accepted.
+    which alone requests are accepted.  ``open_handlers`` are those of the
+    requests that have no final answer yet.
     """
 
     __slots__ = (
         'claim_trial',
         'is_stopping',
+        'open_handlers',
         'peer_addresses',
         'prober',
         'state',
@@ -60,7 +62,9 @@
         prober: Prober,
         claim_trial: ClaimTrial,
         peer_addresses: Callable[[], set[str]],
+        open_handlers: set[RequestHandler],
     ) -> None:
+        self.open_handlers = open_handlers
         self.state = state
         self.prober = prober
         self.claim_trial = claim_trial
@@ -167,7 +171,7 @@
             ),
             account=head.account,
             arrived_at=arrived_at,
-            deadline=arrived_at + timeout,
+            deadline=min(arrived_at + timeout, self.state.shutdown.answer_at),
             arrivals=head.arrivals,
             possible_executions=head.executions,
             service=head.service,
@@ -185,11 +189,14 @@
         self.state.count_event('relay-accepted', context.relayed_from)
         request_handler.note('relay-accepted', service=context.service)
         start = _OutcomeWriter(request_handler, start_response)
-        if isinstance(request_handler, StreamHandler):
-            yield from request_handler.serve(start)
-        else:
-            response = request_handler.serve()
-            yield begin_response(response, (), start)
+        self.open_handlers.add(request_handler)
+        try:
+            if isinstance(request_handler, StreamHandler):
+                yield from request_handler.serve(start)
+            else:
+                yield begin_response(request_handler.serve(), (), start)
+        finally:
+            self.open_handlers.discard(request_handler)
         request_handler.note('relay-done', outcome=request_handler.outcome)
 
     def _refuse(
--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -77,6 +77,7 @@
         'connected_at',
         'is_aborted',
         'is_ended_by_peer',
+        'is_expired',
         'keep_alive_seconds',
         'may_have_executed',
         'parser',
@@ -112,6 +113,8 @@
         self.sent_at = math.inf
         self.may_have_executed = False
         self.is_aborted = False
+        # Whether the time for the request was cut short.
+        self.is_expired = False
         # Whether the peer was seen to end the connection.
         self.is_ended_by_peer = False
 
@@ -190,14 +193,15 @@
         """Return whether the endpoint has sent more than was read."""
         return self.sock is not None and bool(peek(self.sock.fd))
 
+    def expire(self) -> None:
+        """End the time for the request: reads are timed out from now on."""
+        self.is_expired = True
+        self._shut_down()
+
     def abort(self) -> None:
         """Shut the connection down, which also cancels the request."""
         self.is_aborted = True
-        if self.sock is not None:
-            # Only shut down here: the reader may be waiting on the socket and
-            # closes it in ``close``.
-            with suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
+        self._shut_down()
 
     def close(self) -> None:
         """Return a reusable connection to the pool, or close it."""
@@ -210,6 +214,13 @@
             self.sender.kill()
         self.sock.close()
 
+    def _shut_down(self) -> None:
+        if self.sock is not None:
+            # Only shut down here: the reader may be waiting on the socket and
+            # closes it in ``close``.
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
     def _open_connection(self, seconds: float) -> None:
         host, _, port = self.peer.rpartition(':')
         self.sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -300,11 +311,19 @@
         except ResponseTooLarge as error:
             raise self._error(Reason.TOO_LARGE, 'answer') from error
         except OSError as error:
+            self._check_time()
             self.is_ended_by_peer = not self.is_aborted
             raise self._error(Reason.RESET, 'answer') from error
+        if not received:
+            self._check_time()
         self.is_ended_by_peer = not received and not self.is_aborted
         return received
 
+    def _check_time(self) -> None:
+        """Raise if the connection ended because the time was cut short."""
+        if self.is_expired:
+            raise ReadTimeout
+
     def _send_all(self, payload: bytes) -> None:
         # An endpoint may respond before it has read the body and then reset
         # the connection; its response can still be read.
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -478,6 +478,18 @@
             **facts,
         )
 
+    def expire(self, now: float) -> None:
+        """End the time for the request, so that it gets its final answer."""
+        self.context.deadline = min(self.context.deadline, now)
+        for attempt in self.open_attempts:
+            attempt.expire()
+
+    def record_complete_response(self) -> None:
+        """Record how long a complete response has taken."""
+        context = self.context
+        seconds = time.monotonic() - context.arrived_at
+        self.state.response_times.record(context.rule.name, seconds)
+
     def _urgency(self) -> int | None:
         """Return the urgency to tell engines, None if ranks don't differ."""
         ranks = self.state.routing_table.ranks
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -18,7 +18,12 @@
     LeavingReport,
     StoreOutages,
 )
-from wigeonspoke.core.forwarding import ReplicaSelector, RetryWindowBudget
+from wigeonspoke.core.forwarding import (
+    ReplicaSelector,
+    ResponseTimes,
+    RetryWindowBudget,
+    Shutdown,
+)
 from wigeonspoke.core.leases import LeaseRow, VersionedLease
 from wigeonspoke.core.limits import NamedLimits, SenderRegistry
 from wigeonspoke.core.membership import PeerRegistry
@@ -71,9 +76,11 @@
         'released_peer_leases',
         'replicas',
         'reservations',
+        'response_times',
         'rng',
         'routing_table',
         'settings',
+        'shutdown',
         'started_at',
         'store_outages',
         'suspects',
@@ -109,6 +116,8 @@
         self.released_peer_leases: dict[str, VersionedLease] = {}
         # Whether this node stops, so that peers relay no requests to it.
         self.is_stopping = False
+        self.shutdown = Shutdown()
+        self.response_times = ResponseTimes()
         # Instance ids of peers that hold a lease.
         self.lease_holding_peers: set[str] = set()
         self.routing_table = RoutingTable()
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -133,7 +133,9 @@
         finally:
             if not is_complete:
                 self.end_trial()
-        if not is_complete:
+        if is_complete:
+            self.record_complete_response()
+        else:
             yield from self._finish_unserved()
 
     def may_repeat(self) -> bool:
