Take no reply whose head ends early for a whole one

What callers saw, at another operator: a 200 with an empty body, framed as whole, after a replica had stopped in the middle of its head.

Cause here: the HTTP library under our client takes the end of the connection for the end of the head. A reply that lost its last headers, the length among them, had an empty body and was complete. That concerns services behind the node that drives each step, whose callers would get it, and here health checks, reports, orders, the store and peers' tables. Each line of a head must end now, or the reply is broken off.

Ruled out: requests that clients sent to an ingress node. Their answers are read by another parser; an answer cut at each byte, with a head before it, and ended by a close, a half close or a reset is no answer, on the code before, too. The same reader serves calls, streams and answers through a peer.

Evidence: test_a_reply_whose_head_ends_early_is_not_complete fails before.

--- a/wigeonspoke/ingress/tests/test_endpoint_attempt.py
+++ b/wigeonspoke/ingress/tests/test_endpoint_attempt.py
@@ -1,5 +1,6 @@
 """Attempts whose response is broken off."""
 
+import socket
 import time
 
 import eventlet
@@ -10,7 +11,7 @@
     AttemptError,
     EndpointAttempt,
 )
-from wigeonspoke.platform.standins.raw_server import RawConnection
+from wigeonspoke.platform.standins.raw_server import RawConnection, RawServer
 
 RECEIVE_BYTES = 1000
 # More than the buffers of both sockets hold.
@@ -61,3 +62,43 @@
     with pytest.raises(AttemptError, match='connection-lost'):
         read_body(attempt, deadline)
     attempt.close()
+
+
+WHOLE_RESPONSE = (
+    b'HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n'
+    b'HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nResponse-Signature: s1.2\r\n'
+    b'Content-Length: 4\r\n\r\nbody'
+)
+
+
+def _close(connection: RawConnection) -> None:
+    connection.sock.close()
+
+
+def _close_sending_side(connection: RawConnection) -> None:
+    connection.sock.shutdown(socket.SHUT_WR)
+
+
+# A response that stopped in the middle of its head reached a caller as whole.
+@pytest.mark.parametrize(
+    'end', [_close, _close_sending_side, RawConnection.reset]
+)
+def test_a_response_that_ends_early_is_not_complete(end):
+    server = RawServer(lambda _request, _connection: None)
+    whole_size = len(WHOLE_RESPONSE)
+    for size in range(whole_size):
+
+        def respond(_request, connection, size=size):
+            connection.write(WHOLE_RESPONSE[:size])
+            end(connection)
+
+        server.handle = respond
+        attempt = EndpointAttempt(server.address)
+        attempt.connect(DEADLINE_SECONDS)
+        attempt.send('GET', '/x', (('Host', 'x'),), b'')
+        deadline = time.monotonic() + DEADLINE_SECONDS
+        with pytest.raises(AttemptError):
+            attempt.read_head(deadline)
+            read_body(attempt, deadline)
+        attempt.close()
+    server.close()
--- a/wigeonspoke/transport/http_connection.py
+++ b/wigeonspoke/transport/http_connection.py
@@ -4,6 +4,7 @@
 import io
 import time
 from http.client import HTTPException, HTTPResponse
+from typing import BinaryIO
 
 import urllib3
 from eventlet.greenio import GreenSocket
@@ -41,17 +42,45 @@
         return io.BytesIO(received).readinto(buffer)
 
 
+class _HeadReader:
+    """Reads the lines of a head, and raises if it ends early.
+
+    The library takes the end of a connection for that of the head.
+    """
+
+    __slots__ = ('reader',)
+
+    def __init__(self, reader: BinaryIO) -> None:
+        self.reader = reader
+
+    def readline(self, limit: int) -> bytes:
+        """Read a line of at most ``limit`` bytes."""
+        line = self.reader.readline(limit)
+        if len(line) < limit and not line.endswith(b'\n'):
+            raise HTTPException('the head ends early')
+        return line
+
+    def close(self) -> None:
+        """Close the input."""
+        self.reader.close()
+
+
 class _FinalResponse(HTTPResponse):
     """Passes over informational responses."""
 
     def begin(self) -> None:
         """Read the head of the response."""
-        super().begin()
-        for _ in range(MAX_INFORMATIONAL_HEADS):
-            if self.status >= http.HTTPStatus.OK:
-                return
-            self.headers = None
+        reader = self.fp
+        self.fp = _HeadReader(reader)
+        try:
             super().begin()
+            for _ in range(MAX_INFORMATIONAL_HEADS):
+                if self.status >= http.HTTPStatus.OK:
+                    return
+                self.headers = None
+                super().begin()
+        finally:
+            self.fp = reader
         raise HTTPException('informational responses')
 
 
--- a/wigeonspoke/transport/tests/test_broken_replies.py
+++ b/wigeonspoke/transport/tests/test_broken_replies.py
@@ -54,6 +54,29 @@
         assert result.failure().reason is Reason.RESET
 
 
+WHOLE_HEAD = (
+    b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nInstance-Id: r-one\r\n'
+    b'Content-Type: application/json\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+# The HTTP library takes the end of the connection for the end of the head, so
+# that a reply without its last headers had an empty body, and was complete.
+@pytest.mark.parametrize('server', [(b'', False)], indirect=True)
+def test_a_reply_whose_head_ends_early_is_not_complete(server):
+    client = HttpClient()
+    for size in range(len(WHOLE_HEAD) + 1):
+
+        def respond(_request, connection, size=size):
+            connection.write(WHOLE_HEAD[:size])
+            connection.sock.close()
+
+        server.handle = respond
+        is_whole = size == len(WHOLE_HEAD)
+        result = client.get(server.address, '/')
+        assert isinstance(result, Success) is is_whole, WHOLE_HEAD[:size]
+
+
 @pytest.mark.parametrize(
     ('server', 'is_complete'),
     [
