Reset the connection of a request that is given up

What callers may see: a request that was cancelled, or that went elsewhere, reaches its endpoint up to 3 s later, once a cut of the network heals; the endpoint may have left by then.

Cause: such an attempt was shut down in the regular way, after which the kernel goes on sending what it holds, until TCP_USER_TIMEOUT. A reset drops it.

Evidence: test_a_request_given_up_does_not_arrive_later; on the code before, an endpoint that had not read receives the request and a regular end. Not shown in a network that loses packets.

--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -29,6 +29,7 @@
     ResponseTooLarge,
     find_body_end,
     peek,
+    reset_on_close,
 )
 
 # A payload of this size fits the peer's receive window and is sent inline;
@@ -212,6 +213,10 @@
             return
         if self.sender is not None:
             self.sender.kill()
+        if self.is_aborted or self.is_expired:
+            # What the kernel still holds would be sent for seconds, and reach
+            # the endpoint once the network is back.
+            reset_on_close(self.sock)
         self.sock.close()
 
     def _shut_down(self) -> None:
--- a/wigeonspoke/ingress/tests/test_endpoint_attempt.py
+++ b/wigeonspoke/ingress/tests/test_endpoint_attempt.py
@@ -5,6 +5,7 @@
 
 import eventlet
 import pytest
+from eventlet.hubs import trampoline
 
 from wigeonspoke.ingress.requests.response_reading import read_body
 from wigeonspoke.ingress.requests.endpoint_attempt import (
@@ -102,3 +103,33 @@
             read_body(attempt, deadline)
         attempt.close()
     server.close()
+
+
+# The kernel went on sending the request of an attempt that was given up, which
+# reached its endpoint seconds later.
+@pytest.mark.parametrize(
+    'give_up', [EndpointAttempt.abort, EndpointAttempt.expire]
+)
+def test_a_request_given_up_does_not_arrive_later(give_up):
+    server = eventlet.listen(('127.0.0.1', 0))
+    host, port = server.getsockname()
+    attempt = EndpointAttempt(f'{host}:{port}')
+    attempt.connect(DEADLINE_SECONDS)
+    attempt.send('POST', '/x', (('Host', 'x'),), BODY)
+    sock, _ = server.accept()
+    eventlet.sleep(0.1)
+    give_up(attempt)
+    attempt.close()
+    eventlet.sleep(0.1)
+    with pytest.raises(ConnectionResetError):
+        _read_all(sock)
+    server.close()
+
+
+def _read_all(sock) -> None:
+    """Read until the connection ends, or is silent for a time."""
+    # The green socket would report a reset as an ordinary end.
+    received = b'-'
+    while received:
+        trampoline(sock.fd, read=True, timeout=DEADLINE_SECONDS)
+        received = sock.fd.recv(RECEIVE_BYTES)
