--- /dev/null
+++ b/wigeonspoke/platform/tests/node_process.py
@@ -0,0 +1,106 @@
+"""A node as a process of its own, of this build or of another one."""
+
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tarfile
+from typing import Any
+
+from wigeonspoke.platform.settings import PATH_VARIABLE
+
+ROOT = pathlib.Path(__file__).parents[3]
+SETTINGS = """
+node = "{name}"
+zone = "{zone}"
+ip = "127.0.0.1"
+internal-ports = [{internal}, {metrics}]
+[zones]
+one = "region"
+two = "region"
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[bounds]
+grace-s = 8
+retry-budget-extra = 400
+[platform]
+address = "{store}"
+"""
+PORT_NAMES = ('internal', 'metrics', 'front', 'ready', 'control')
+
+
+class NodeProcess:
+    """A node that runs the program of the sources in a folder."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        name: str,
+        zone: str,
+        store: str,
+        source: pathlib.Path = ROOT,
+    ) -> None:
+        self.name = name
+        ports = dict(zip(PORT_NAMES, _free_ports(), strict=True))
+        self.front = f'127.0.0.1:{ports["front"]}'
+        self.ready = f'127.0.0.1:{ports["ready"]}'
+        settings = folder / f'{name}.toml'
+        settings.write_text(
+            SETTINGS.format(name=name, zone=zone, store=store, **ports)
+        )
+        self.log = folder / f'{name}.log'
+        with self.log.open('w') as output:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'wigeonspoke.platform'],
+                cwd=source,
+                env={
+                    PATH_VARIABLE: str(settings),
+                    'PYTHONPATH': str(source),
+                    'PYTHONWARNINGS': 'ignore',
+                },
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send_signals(self, *signals: signal.Signals) -> None:
+        """Send signals, one after the other."""
+        for number in signals:
+            self.process.send_signal(number)
+
+    def has_ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self.process.poll() is not None
+
+    def close(self) -> None:
+        """End the process at once."""
+        if not self.has_ended():
+            self.process.kill()
+        self.process.wait()
+
+
+def extract_build(commit: str, folder: pathlib.Path) -> pathlib.Path | None:
+    """Extract the sources of a commit, None if there is no history."""
+    archive = folder / f'{commit}.tar'
+    result: Any = subprocess.run(
+        ['git', 'archive', f'--output={archive}', commit, 'wigeonspoke'],
+        cwd=ROOT,
+        capture_output=True,
+        check=False,
+    )
+    if result.returncode:
+        return None
+    source = folder / commit
+    with tarfile.open(archive) as packed:
+        packed.extractall(source, filter='data')
+    return source
+
+
+def _free_ports() -> list[int]:
+    socks = [socket.create_server(('127.0.0.1', 0)) for _ in PORT_NAMES]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
