Postmortem of calls to endpoints that leave; show which version serves a relay

Relayed requests of another version: with the route added, moved or removed at the node or at its peers, a peer runs none, and its client gets 503. No fault was found there.

endpoint-missing also tells when a call to the store last failed, and only a node that stops asks how long responses take.

--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -148,6 +148,8 @@
 
     def _may_take(self, rule: Rule) -> bool:
         """Return whether a request can be answered before the node ends."""
+        if not self.state.is_stopping:
+            return True
         expected_seconds = self.state.response_times.expected(
             rule.name, rule.target_latency_seconds
         )
--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -155,6 +155,7 @@
             endpoint=endpoint_id,
             kept_seconds=round(seconds, 3),
             store_away_ago=_describe_age(outages.seconds_since(now)),
+            store_failed_ago=_describe_age(now - outages.failed_at),
             **source.describe(),
         )
 
--- a/wigeonspoke/platform/tests/test_relay.py
+++ b/wigeonspoke/platform/tests/test_relay.py
@@ -10,6 +10,8 @@
 from wigeonspoke.platform.tests.deployment import Deployment
 from wigeonspoke.platform.tests.harness import (
     Client,
+    make_configuration,
+    make_route,
     send_request,
     start_node,
     stop_node,
@@ -300,6 +302,52 @@
     ]
 
 
+def _adopt(node, routes: list) -> None:
+    """Put a configuration of other routes into force at one node."""
+    changed = make_configuration(9, routes=routes)
+    decoded = node.state.wire.decode_configuration(msgspec.json.encode(changed))
+    assert node.state.routing_table.adopt(decoded.unwrap())
+
+
+# Guards against a request that a peer runs by a configuration in which the
+# route is another one, or is not there.
+@pytest.mark.parametrize(
+    ('path', 'at_node', 'at_peers', 'reason'),
+    [
+        ('/added/x', make_route('/added/', 'ledger', 'safe'), None, 'no-rule'),
+        (
+            '/read/x',
+            make_route('/read/', 'drafting', 'safe'),
+            None,
+            'other-rule',
+        ),
+        ('/read/x', None, make_route('/other/', 'ledger', 'safe'), 'no-rule'),
+        (
+            '/read/x',
+            None,
+            make_route('/read/', 'drafting', 'safe'),
+            'other-rule',
+        ),
+    ],
+    ids=['added', 'moved', 'removed-at-peers', 'moved-at-peers'],
+)
+def test_a_peer_of_another_version_runs_no_relayed_request(
+    placed_harness, trio, path, at_node, at_peers, reason
+):
+    for node in trio.deployment.nodes:
+        route = at_node if node is trio.node else at_peers
+        if route is not None:
+            _adopt(node, [route])
+    status = send_request(placed_harness, 'GET', path, 'id1')[0]
+    assert status == 503
+    assert not _runs(placed_harness, 'id1')
+    refused = [
+        peer.state.counters['relay-refused', reason]
+        for peer in trio.deployment.nodes[1:]
+    ]
+    assert sum(refused) > 0
+
+
 def test_a_relayed_request_reaches_the_endpoint_unchanged(placed_harness, trio):
     """Guards against lost headers, a leaked key, and headers between nodes."""
     status, headers, body = send_request(
