Name an exchange that this node has ended, and never reuse its connection

An attempt that expired in a stop while its response was complete could have gone back to the pool with a connection that was shut down. The process ends then, so that no caller saw it.

--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -190,6 +190,11 @@
             and not self.receiver.received_bytes
         )
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether this node has ended the exchange, not the endpoint."""
+        return self.is_aborted or self.is_expired
+
     def has_input(self) -> bool:
         """Return whether the endpoint has sent more than was read."""
         return self.sock is not None and bool(peek(self.sock.fd))
@@ -213,7 +218,7 @@
             return
         if self.sender is not None:
             self.sender.kill()
-        if self.is_aborted or self.is_expired:
+        if self.is_given_up:
             # What the kernel still holds would be sent for seconds, and reach
             # the endpoint once the network is back.
             reset_on_close(self.sock)
@@ -279,7 +284,7 @@
 
     def _is_reusable(self) -> bool:
         """Return whether the exchange is complete, with no bytes left."""
-        if self.is_aborted or self.sender is not None:
+        if self.is_given_up or self.sender is not None:
             return False
         return (
             self.parser.our_state is h11.DONE and self._is_response_complete()
