--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 # The tests mostly wait, so several processes share them.
-TEST_PARTS := 1 2 3 4
+TEST_PARTS := 1 2 3 4 5
 TEST_TARGETS := $(TEST_PARTS:%=test-part-%)
 
 .PHONY: demo test $(TEST_TARGETS) lint format golden bench fuzz
