--- a/wigeonspoke/ingress/tests/test_endpoint_attempt.py
+++ b/wigeonspoke/ingress/tests/test_endpoint_attempt.py
@@ -67,7 +67,7 @@
 
 WHOLE_RESPONSE = (
     b'HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n'
-    b'HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nResponse-Signature: s1.2\r\n'
+    b'HTTP/1.1 200 OK\r\nX-First: one\r\nX-Second: two\r\n'
     b'Content-Length: 4\r\n\r\nbody'
 )
 
