--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -147,7 +147,7 @@
             self._drop(endpoint_id, 'removed')
             return
         self.missing.keep(endpoint_id, now + seconds)
-        self._schedule_drop()
+        self._schedule_drop(now + seconds)
         outages = self.state.store_outages
         self.state.count_event('endpoint-missing', source.kind)
         self.state.log.write(
@@ -171,9 +171,8 @@
             return source.retention.seconds(endpoint_id)
         return self.state.store_outages.retention_seconds(now)
 
-    def _schedule_drop(self) -> None:
-        """Drop the next endpoint when its time is over."""
-        due_at = self.missing.next_due_at
+    def _schedule_drop(self, due_at: float) -> None:
+        """Drop missing endpoints at a time, unless that is done sooner."""
         if due_at < self.due_at:
             self.due_at = due_at
             wait_seconds = max(0, due_at - time.monotonic())
@@ -183,7 +182,7 @@
         for endpoint_id in self.missing.take_due(time.monotonic()):
             self._drop(endpoint_id, 'not registered again after store outage')
         self.due_at = math.inf
-        self._schedule_drop()
+        self._schedule_drop(self.missing.next_due_at)
 
     def _drop(self, endpoint_id: str, reason: str) -> None:
         self.missing.discard(endpoint_id)
--- a/wigeonspoke/ingress/tables/table_followers.py
+++ b/wigeonspoke/ingress/tables/table_followers.py
@@ -103,8 +103,8 @@
         self.is_reachable = True
         self.needs_full_read = True
         self.lost_at = 0
-        # From when on this node vouches for entries that it does not know: an
-        # outage before it read the table would be noticed by then.
+        # From when on entries that this node has never known are gone: those
+        # that lapsed in an outage before it read the table are back by then.
         self.vouches_from = math.inf
         self.consecutive_change_pages = 0
         # Until when a watcher keeps the copy current, without the store.
