--- a/wigeonspoke/platform/tests/node_process.py
+++ b/wigeonspoke/platform/tests/node_process.py
@@ -1,8 +1,9 @@
 """A node as a process of its own, of this build or of another one."""
 
+import itertools
+import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tarfile
@@ -14,21 +15,22 @@
 SETTINGS = """
 node = "{name}"
 zone = "{zone}"
-ip = "127.0.0.1"
+ip = "{host}"
 internal-ports = [{internal}, {metrics}]
 [zones]
 one = "region"
 two = "region"
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-control = "127.0.0.1:{control}"
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
 [bounds]
 grace-s = 8
 retry-budget-extra = 400
 [platform]
 address = "{store}"
 """
+PORTS = itertools.count(7000)
 PORT_NAMES = ('internal', 'metrics', 'front', 'ready', 'control')
 
 
@@ -44,12 +46,15 @@
         source: pathlib.Path = ROOT,
     ) -> None:
         self.name = name
-        ports = dict(zip(PORT_NAMES, _free_ports(), strict=True))
-        self.front = f'127.0.0.1:{ports["front"]}'
-        self.ready = f'127.0.0.1:{ports["ready"]}'
+        host = _own_host()
+        ports = {port_name: next(PORTS) for port_name in PORT_NAMES}
+        self.front = f'{host}:{ports["front"]}'
+        self.ready = f'{host}:{ports["ready"]}'
         settings = folder / f'{name}.toml'
         settings.write_text(
-            SETTINGS.format(name=name, zone=zone, store=store, **ports)
+            SETTINGS.format(
+                name=name, zone=zone, host=host, store=store, **ports
+            )
         )
         self.log = folder / f'{name}.log'
         with self.log.open('w') as output:
@@ -98,9 +103,11 @@
     return source
 
 
-def _free_ports() -> list[int]:
-    socks = [socket.create_server(('127.0.0.1', 0)) for _ in PORT_NAMES]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+def _own_host() -> str:
+    """Return a loopback address of this test process alone.
+
+    Several test processes run at once, and a port that is free now may be
+    taken by the time at which a node listens there.
+    """
+    pid = os.getpid()
+    return f'127.{1 + (pid >> 16) % 254}.{(pid >> 8) & 255}.{pid & 255}'
