Remove a property that only a test read

The state told when a call to the store last failed a second time, beside its record of outages. The test reads that record, with the same assertion.

--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -212,11 +212,6 @@
         """
         self.store_outages.record_failure(now, silent_seconds)
 
-    @property
-    def store_failed_at(self) -> float:
-        """When a call to the store last failed, on the monotonic clock."""
-        return self.store_outages.failed_at
-
     @property
     def node_count(self) -> int:
         """Number of nodes that may be running, including this one.
--- a/wigeonspoke/platform/tests/test_table_watchers.py
+++ b/wigeonspoke/platform/tests/test_table_watchers.py
@@ -178,7 +178,7 @@
     )
     for failed_at in failures:
         state.record_store_failure(failed_at)
-    assert state.store_failed_at == pytest.approx(last)
+    assert state.store_outages.failed_at == pytest.approx(last)
 
 
 def test_a_small_domain_has_no_watchers(harness):
