Review, case 2: an acknowledged configuration stays unread after a drill of the store

The store comes back from a copy some seconds old, and gives versions out again. All six nodes go on from the version that they had read before, skip the configuration that was written meanwhile, and serve a key that was taken away.

--- a/review/support.py
+++ b/review/support.py
@@ -225,11 +225,10 @@
             self.is_away = True
         self.server.close()
 
-    def come_back_from_copy(self, seconds):
-        """Come back with the rows as they were some seconds ago."""
-        oldest = time.monotonic() - seconds
+    def come_back_from_copy(self, at):
+        """Come back with the rows as they were at an earlier time."""
         with self.changed:
-            kept = [copy for copy in self.copies if copy[0] <= oldest]
+            kept = [copy for copy in self.copies if copy[0] <= at]
             if not kept:
                 raise CannotRun('no copy is old enough')
             self.copies = kept
@@ -418,7 +417,8 @@
     def _beat_on(self):
         while self.is_alive:
             time.sleep(HEARTBEAT_SECONDS)
-            if self.is_alive:
+            # A heartbeat that the store does not take is lost.
+            if self.is_alive and not self.store.is_away:
                 self.beat()
 
     def _handle(self, request, connection):
