--- a/review/support.py
+++ b/review/support.py
@@ -652,3 +652,126 @@
     record.note(f'exit {status}: {verdict[status]}')
     sys.stdout.flush()
     os._exit(status)
+
+
+class Engine:
+    """A replica of a model service that can hold all layers of the model.
+
+    ``serve`` answers a stream; it gets the engine, the request and the
+    connection.
+    """
+
+    def __init__(self, store, record, name, service, zone, serve):
+        self.store = store
+        self.record = record
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.serve = serve
+        self.layers = None
+        self.sequence = 0
+        self.fence = 0
+        self.is_busy = False
+        self.born = int(time.time() * 1000)
+        self.server = HttpServer(self._handle)
+        self.beat()
+        threading.Thread(target=self._beat_on, daemon=True).start()
+
+    def beat(self):
+        """Write the entry."""
+        self.store.put('servers', self.name, {
+            'service': self.service,
+            'address': self.server.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 96,
+            'state': 'ready',
+            'kind': 'big',
+            'cold-remaining-ms': 0,
+            'sequence': self.sequence,
+            'born': self.born,
+            'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+            'layers': self._held(),
+        })
+
+    def head(self, request, *lines):
+        """Return the head of a stream with further header lines."""
+        return '\r\n'.join([
+            'HTTP/1.1 200 OK',
+            'Content-Type: text/event-stream',
+            *lines,
+            f'Request-Id: {request.request_id}',
+            f'Response-Signature: stamp.{self.name}.{request.request_id}',
+            '',
+            '',
+        ]).encode()
+
+    def _held(self):
+        if self.layers is None:
+            return None
+        return {'from': self.layers[0], 'to': self.layers[1], 'version': 1}
+
+    def _beat_on(self):
+        while True:
+            time.sleep(HEARTBEAT_SECONDS)
+            if not self.store.is_away:
+                self.beat()
+
+    def _handle(self, request, connection):
+        if request.target == '/v1/report':
+            connection.respond(200, {}, json.dumps({
+                'stage': 'both',
+                'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+                'layers': self._held(),
+                'busy': self.is_busy,
+                'sequence': self.sequence,
+                'born': self.born,
+                'pace': 1.0,
+                'waiting': 0,
+                'running': 0,
+                'kv-used': 0,
+                'kv-total': 100000,
+                'handles': 0,
+            }).encode())
+        elif request.target == '/healthz':
+            connection.respond(200, {'Instance-Id': self.name})
+        elif request.target == '/v1/order':
+            self._order(json.loads(request.body), connection)
+        elif request.headers.get('expect-instance') != self.name:
+            connection.respond(421, {'Request-Id': request.request_id})
+        else:
+            self.serve(self, request, connection)
+
+    def _order(self, order, connection):
+        if order['fence'] < self.fence:
+            connection.respond(412)
+        elif order['precondition'] != self.sequence:
+            connection.respond(409)
+        else:
+            self.fence = order['fence']
+            self.sequence += 1
+            self.is_busy = True
+            connection.respond(202)
+            threading.Timer(0.2, self._hold, [(order['from'], order['to'])]).start()
+
+    def _hold(self, layers):
+        self.layers = layers
+        self.is_busy = False
+        self.beat()
+
+
+def model_service(name, layers=40):
+    """Return a model service of the configuration, with one kind of card."""
+    return {
+        'name': name,
+        'health-path': '/healthz',
+        'max-connections': 968,
+        'engine': {
+            'layers': layers,
+            'layer-mb': 1750.0,
+            'kv-token-bytes': 590000,
+            'usual': {'prompt': 100, 'answer': 100},
+            'models': [{'name': 'm', 'load-s': 0.2}],
+            'kinds': [{'name': 'big', 'mb': 90000.0, 'pace': 1.0}],
+        },
+    }
