--- a/review/1/case.py
+++ b/review/1/case.py
@@ -77,9 +77,16 @@
     store.put('op', 'config', configuration(
         7, [route('/status/', 'filing-app', 'safe', timeout_ms=1500)],
     ))
-    node = Node(folder, 'edge-1', 'one', store.server.address, ('one', 'two'))
-    nodes.append(node)
-    node.wait_ready()
+    # Of three nodes, one has a connection reset.
+    for number, zone in enumerate(('one', 'two', 'one')):
+        seeds = [node.control for node in nodes]
+        nodes.append(Node(
+            folder, f'edge-{number + 1}', zone, store.server.address,
+            ('one', 'two'), seeds,
+        ))
+    for node in nodes:
+        node.wait_ready()
+    node = nodes[0]
     time.sleep(4)
     for number in range(ROUNDS):
         request_id = f'request-{number}'
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -92,7 +92,8 @@
     config = configuration(7, [drafts], services=())
     config['services'] = [model_service('drafting-llm')]
     store.put('op', 'config', config)
-    for number, zone in enumerate(ZONES):
+    # Of three nodes, one has a connection reset.
+    for number, zone in enumerate((*ZONES, ZONES[0])):
         seeds = [node.control for node in nodes]
         nodes.append(Node(
             folder, f'edge-{number + 1}', zone, store.server.address, ZONES, seeds
--- a/review/support.py
+++ b/review/support.py
@@ -525,10 +525,6 @@
         self.process.wait()
 
 
-class Answer(tuple):
-    """Status, headers and body of an answer; whether it is complete."""
-
-
 def send(address, method, path, headers, body=b'', seconds=10.0):
     """Send a request on a new connection; return the answer as read.
 
@@ -628,6 +624,8 @@
     ``play`` gets the record, a temporary folder and a list of nodes to end, and
     returns whether the rule was broken.
     """
+    # A caller that ends the case ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     record = Record(folder)
     record.note('TROUBLE=1' if has_trouble() else 'TROUBLE=0')
     nodes = []
