Review, case 2: the second change comes at the return of the store

The second change now comes 0.05 s after the return, the copy is from 0.7 s before the first change, and the store is away for 2 s.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,11 +31,11 @@
 NODES = 6
 TAKEN_KEY = 'key-that-is-taken'
 # From the copy to the first change, from there to the drill, and its length.
-BEFORE_CHANGE_SECONDS = 0.6
+BEFORE_CHANGE_SECONDS = 0.7
 AFTER_CHANGE_SECONDS = 1.0
-AWAY_SECONDS = 1.5
+AWAY_SECONDS = 2.0
 # From the return to the second change.
-SECOND_CHANGE_SECONDS = 0.2
+SECOND_CHANGE_SECONDS = 0.05
 # Bounds: stable-window-ms, config-apply-ms, outer-ms.
 STABLE_SECONDS = 3.0
 APPLY_SECONDS = 2.0
