Log how a body without a length ended, and what met the loss

Hypotheses: (1) a look at the input of the silent attempt is told of the reset, and the next read returns a regular end; (2) the sending task is told of it; (3) the deadline shuts the socket down, which reads as a regular end; (4) the parser takes the end of the connection for that of the body whatever the read reports. The log could not tell them apart: a call had no line for the end of its body, and a stream only whether the send had failed.

Change: the receiver of a connection records the first operation that met an error. `stream-end` names it, and calls have the line `answer-end`. Nothing is decided by it yet.

--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -39,7 +39,7 @@
     NodeResponse,
 )
 from wigeonspoke.ingress.state import IngressState
-from wigeonspoke.transport import ReadTimeout
+from wigeonspoke.transport import BodyEnd, ReadTimeout
 
 # The first attempt at a repeatable call may take this multiple of the rule's
 # target latency; the last one may take all the remaining time.
@@ -216,6 +216,7 @@
         if markers is None:
             return None
         body = collect_body(partial(read, attempt.read_body_part), attempt.peer)
+        self._note_end(attempt, len(body))
         response = EndpointResponse(
             head.status_code, without_node_headers(headers), body
         )
@@ -288,8 +289,24 @@
         markers = self.read_markers(attempt, replica, head.status_code, headers)
         read_part = partial(read, attempt.read_body_part)
         body = collect_body(read_part, attempt.peer)
+        self._note_end(attempt, len(body))
         return EndpointResponse(head.status_code, headers, body), markers
 
+    def _note_end(self, attempt: EndpointAttempt, body_bytes: int) -> None:
+        """Write to the log that a body ended with its connection, and how.
+
+        Only such a body can be a part of the answer without being malformed.
+        """
+        self.state.count_event('answer-end', str(attempt.body_end))
+        if attempt.body_end is BodyEnd.CLOSE:
+            self.note(
+                'answer-end',
+                peer=attempt.peer,
+                end=attempt.body_end,
+                body_bytes=body_bytes,
+                lost=attempt.describe_loss(),
+            )
+
     def _read_until_silent(
         self, attempt: EndpointAttempt, read: Callable[[float], Any]
     ) -> Any:
--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -24,11 +24,11 @@
     BodyEnd,
     ChunkedDecoder,
     ChunkError,
+    Operation,
     ReadTimeout,
     ResponseReceiver,
     ResponseTooLarge,
     find_body_end,
-    peek,
     reset_on_close,
 )
 
@@ -197,7 +197,12 @@
 
     def has_input(self) -> bool:
         """Return whether the endpoint has sent more than was read."""
-        return self.sock is not None and bool(peek(self.sock.fd))
+        return self.receiver is not None and self.receiver.has_bytes()
+
+    def describe_loss(self) -> str:
+        """Return for the log how the connection was lost, empty if it isn't."""
+        loss = None if self.receiver is None else self.receiver.loss
+        return '' if loss is None else loss.describe()
 
     def expire(self) -> None:
         """End the time for the request: reads are timed out from now on."""
@@ -230,6 +235,10 @@
             # closes it in ``close``.
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
+            if self.receiver is not None:
+                self.receiver.record_loss(
+                    Operation.SHUTDOWN, ConnectionAbortedError()
+                )
 
     def _open_connection(self, seconds: float) -> None:
         host, _, port = self.peer.rpartition(':')
@@ -339,8 +348,9 @@
         # the connection; its response can still be read.
         try:
             self.sock.sendall(payload)
-        except OSError:
+        except OSError as error:
             self.send_failed = True
+            self.receiver.record_loss(Operation.SEND, error)
 
     def _error(self, reason: Reason, step: str) -> AttemptError:
         outcome = Outcome.UNKNOWN if self.may_have_executed else Outcome.NOT_RUN
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -379,7 +379,7 @@
                 complete=may_end,
                 last=self.cursor.last_number,
                 incomplete_bytes=len(splitter.incomplete),
-                send_failed=attempt.send_failed,
+                lost=attempt.describe_loss(),
             )
         if not may_end:
             raise AttemptError(
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -8,6 +8,7 @@
     EndCause,
     Phase,
 )
+from wigeonspoke.transport.connection_loss import ConnectionLoss, Operation
 from wigeonspoke.transport.decimal_text import parse_decimal
 from wigeonspoke.transport.http_client import (
     HttpClient,
@@ -37,6 +38,7 @@
     'ChunkedDecoder',
     'ClientConnection',
     'ConnectionEnd',
+    'ConnectionLoss',
     'ConnectionPools',
     'EndCause',
     'HttpClient',
@@ -45,6 +47,7 @@
     'HttpReply',
     'LimitHistory',
     'ListenerLimits',
+    'Operation',
     'Phase',
     'ReadTimeout',
     'RequestError',
--- a/wigeonspoke/transport/response_receiver.py
+++ b/wigeonspoke/transport/response_receiver.py
@@ -12,6 +12,8 @@
 import eventlet
 from eventlet.hubs import trampoline
 
+from wigeonspoke.transport.connection_loss import ConnectionLoss, Operation
+
 # Small enough that parsing what one call returns does not delay other tasks.
 RECEIVE_BYTES = 16384
 # Bytes received without a pause after which other tasks run.
@@ -33,14 +35,19 @@
 
 
 class ResponseReceiver:
-    """Receives the bytes of one response on a non-blocking socket.
+    """Receives the bytes of responses on a non-blocking socket.
 
     Deadlines are on the monotonic clock.
+
+    The kernel reports an error of a connection once, to whichever call comes
+    first: a look at the input, a read, or a send by another task.  ``loss`` is
+    the first error that any of them has met, None if there was none.
     """
 
     __slots__ = (
         'is_drained',
         'late_bytes',
+        'loss',
         'received_bytes',
         'sock',
         'turn_bytes',
@@ -55,11 +62,27 @@
         self.received_bytes = 0
         # Bytes received since other tasks could last run.
         self.turn_bytes = 0
+        self.loss: ConnectionLoss | None = None
 
     def begin_response(self) -> None:
         """Count the bytes of another response on the same connection."""
         self.received_bytes = 0
 
+    def record_loss(self, operation: Operation, error: OSError) -> None:
+        """Record an error of the connection; only the first one counts."""
+        if self.loss is None:
+            self.loss = ConnectionLoss(operation, error)
+
+    def has_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not received yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            self.record_loss(Operation.LOOK, error)
+            return False
+
     def receive(self, deadline: float, max_bytes: int = RECEIVE_BYTES) -> bytes:
         """Return received bytes, or ``b''`` at the regular end.
 
@@ -95,6 +118,9 @@
         except BlockingIOError:
             self.is_drained = True
             return None
+        except OSError as error:
+            self.record_loss(Operation.READ, error)
+            raise
 
     def _count(self, received: bytes, max_bytes: int, is_late: bool) -> None:
         size = len(received)
