Remember for each connection that it was lost, whoever met the error

Cause: the kernel reports a reset once. While a call is tried at a second replica, the silent attempt is looked at, and the look consumed the reset. The next read returned a regular end, which completes a body without a length. The code knew of two other consumers, the sending task and a shutdown of its own, by a flag for each.

Change: looks, reads, sends and shutdowns of a connection go through its receiver, which keeps the first error for good. Once the bytes before it are read, each read raises it. The two flags are gone. A lost connection is not returned to the pool either.

Why this works: it does not matter any more which call the kernel tells. A body that ends with its connection counts as whole only if no use of the connection has ever met an error.

--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -85,7 +85,6 @@
         'peer',
         'pool',
         'receiver',
-        'send_failed',
         'sender',
         'sent_at',
         'sock',
@@ -108,8 +107,6 @@
         self.sock: green_socket.socket | None = None
         self.receiver: ResponseReceiver | None = None
         self.sender: eventlet.greenthread.GreenThread | None = None
-        # Whether the connection broke before the request was sent completely.
-        self.send_failed = False
         # When the request was sent, on the monotonic clock.
         self.sent_at = math.inf
         self.may_have_executed = False
@@ -126,6 +123,8 @@
         if self.sock is None:
             self._open_connection(seconds)
         self.receiver = ResponseReceiver(self.sock.fd)
+        if self.is_given_up:
+            self._shut_down()
 
     def send(
         self,
@@ -177,8 +176,6 @@
         event = self._next_event(deadline)
         if isinstance(event, h11.Data):
             return bytes(event.data)
-        if self.body_end is BodyEnd.CLOSE and self._has_lost_end():
-            raise self._error(Reason.RESET, 'answer')
         return self.body_end
 
     @property
@@ -283,17 +280,10 @@
         except ChunkError as error:
             raise self._error(Reason.CONTRACT, 'answer') from error
 
-    def _has_lost_end(self) -> bool:
-        """Return whether a read may report an end that was not regular.
-
-        A reset is reported only once, possibly to the task that sends the
-        request, and a shutdown of our own looks like the peer's close.
-        """
-        return self.send_failed or self.is_aborted
-
     def _is_reusable(self) -> bool:
         """Return whether the exchange is complete, with no bytes left."""
-        if self.is_given_up or self.sender is not None:
+        is_lost = self.receiver is None or self.receiver.loss is not None
+        if is_lost or self.is_given_up or self.sender is not None:
             return False
         return (
             self.parser.our_state is h11.DONE and self._is_response_complete()
@@ -349,7 +339,6 @@
         try:
             self.sock.sendall(payload)
         except OSError as error:
-            self.send_failed = True
             self.receiver.record_loss(Operation.SEND, error)
 
     def _error(self, reason: Reason, step: str) -> AttemptError:
--- /dev/null
+++ b/wigeonspoke/platform/tests/test_reset_of_a_silent_replica.py
@@ -0,0 +1,83 @@
+"""A silent attempt is reset while its call is tried at another replica."""
+
+import eventlet
+import pytest
+
+from wigeonspoke.platform.tests.harness import (
+    make_configuration,
+    make_route,
+    send_request,
+)
+
+BODY = b'a whole answer ' * 100
+SILENT_SECONDS = 0.9
+
+
+def _part_of(request, replica) -> bytes:
+    lines = (
+        'HTTP/1.1 200 OK',
+        f'Request-Id: {request.headers["request-id"]}',
+        f'Response-Signature: s.{replica.endpoint_id}',
+        'Connection: close',
+    )
+    head = '\r\n'.join(lines).encode() + b'\r\n\r\n'
+    return head + BODY[: len(BODY) // 3]
+
+
+def refuse_at_deadline(request, connection) -> None:
+    """Refuse as an endpoint whose queue has held the request too long."""
+    eventlet.sleep(int(request.headers['deadline-ms']) / 1000)
+    headers = {
+        'Request-Id': request.headers['request-id'],
+        'Not-Executed': '1',
+    }
+    connection.respond(503, headers)
+
+
+def _configure(harness) -> None:
+    """Let a silent replica be doubted soon."""
+    configuration = make_configuration(
+        version=2,
+        routes=[make_route('/read/', 'ledger', 'safe', target_latency_ms=200)],
+    )
+    harness.store.put('op', 'config', configuration)
+    state = harness.node.state
+    harness.wait_until(lambda: state.routing_table.version == 2)
+
+
+# The first third of an answer without a length was a 200 with a length and the
+# replica's signature, once the second replica had refused at the deadline.
+@pytest.mark.parametrize('is_reset', [True, False])
+def test_a_reset_of_a_silent_replica_does_not_complete_its_answer(
+    harness, is_reset
+):
+    first = []
+
+    def serve(replica):
+        def handle(request, connection):
+            if request.target != '/read/x':
+                connection.respond(200, {})
+                return
+            if first:
+                refuse_at_deadline(request, connection)
+                return
+            first.append(replica)
+            connection.write(_part_of(request, replica))
+            eventlet.sleep(SILENT_SECONDS)
+            if is_reset:
+                connection.reset()
+                return
+            connection.write(BODY[len(BODY) // 3 :])
+            connection.sock.close()
+
+        return handle
+
+    _configure(harness)
+    for replica in harness.replicas:
+        replica.server.handle = serve(replica)
+    status, _, body = send_request(harness, 'GET', '/read/x', 'id1')
+    assert first
+    if is_reset:
+        assert status in {502, 504}
+    else:
+        assert (status, body) == (200, BODY)
--- a/wigeonspoke/transport/response_receiver.py
+++ b/wigeonspoke/transport/response_receiver.py
@@ -40,8 +40,10 @@
     Deadlines are on the monotonic clock.
 
     The kernel reports an error of a connection once, to whichever call comes
-    first: a look at the input, a read, or a send by another task.  ``loss`` is
-    the first error that any of them has met, None if there was none.
+    first: a look at the input, a read, or a send by another task.  Later reads
+    return a regular end.  All uses of the connection are therefore recorded
+    here: ``loss`` is the first error that any of them has met, None if there
+    was none.  Once the bytes received before it are read, each read raises it.
     """
 
     __slots__ = (
@@ -114,13 +116,16 @@
     def _receive_available(self, max_bytes: int) -> bytes | None:
         """Return available bytes: empty at the end, None if there are none."""
         try:
-            return self.sock.recv(max_bytes)
+            received = self.sock.recv(max_bytes)
         except BlockingIOError:
             self.is_drained = True
             return None
         except OSError as error:
             self.record_loss(Operation.READ, error)
             raise
+        if not received and self.loss is not None:
+            raise self.loss.error
+        return received
 
     def _count(self, received: bytes, max_bytes: int, is_late: bool) -> None:
         size = len(received)
