Take no reply whose connection a send has lost for a whole one

What callers could see: services behind the node that drives each step, the store, reports and peers' tables are read by the HTTP client. A reply without a length whose peer reset before it had read the request was complete with what had arrived.

The library goes on to read after a send that met a reset, and the read returns a regular end.

Change: the client's socket records errors of its sends at its receiver.

Tests: both of test_reset_met_by_a_send failed before, with `Success: HttpReply(status=200, ..., body=b'part')` and the lines `[b'one', b'two']`.

--- a/wigeonspoke/transport/http_connection.py
+++ b/wigeonspoke/transport/http_connection.py
@@ -9,6 +9,7 @@
 import urllib3
 from eventlet.greenio import GreenSocket
 
+from wigeonspoke.transport.connection_loss import Operation
 from wigeonspoke.transport.response_receiver import (
     MAX_INFORMATIONAL_HEADS,
     ResponseReceiver,
@@ -19,7 +20,7 @@
     """A socket that receives through :class:`ResponseReceiver`.
 
     The green socket reports a reset as a regular end of the connection; this
-    one raises the error.
+    one raises the error, also if a send has met it.
     """
 
     def __init__(self, sock: GreenSocket) -> None:
@@ -34,6 +35,14 @@
         self.deadline = time.monotonic() + seconds
         self.receiver.begin_response()
 
+    def send(self, payload: bytes, flags: int = 0) -> int:
+        """Send bytes; the library goes on to read after some errors."""
+        try:
+            return super().send(payload, flags)
+        except OSError as error:
+            self.receiver.record_loss(Operation.SEND, error)
+            raise
+
     def recv_into(
         self, buffer: memoryview, nbytes: int = 0, flags: int = 0
     ) -> int:
