Pass on an answer that has ended while another attempt is open

What callers saw: an answer without a length whose connection ended regularly while a second replica was tried came only when that one had answered or the deadline was reached.

Cause: the look at earlier attempts asks for unread bytes. The regular end of a body that ends with its connection has none, though it is all that is missing.

Change: such an end counts as input. The error of a lost connection does not, so that the other attempt goes on.

--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -193,8 +193,15 @@
         return self.is_aborted or self.is_expired
 
     def has_input(self) -> bool:
-        """Return whether the endpoint has sent more than was read."""
-        return self.receiver is not None and self.receiver.has_bytes()
+        """Return whether the endpoint has sent more than was read.
+
+        The regular end of a body that ends with its connection counts, too.
+        """
+        next_byte = None if self.receiver is None else self.receiver.look()
+        if next_byte is None:
+            return False
+        may_end = self.body_end is BodyEnd.CLOSE and self.receiver.loss is None
+        return may_end or bool(next_byte)
 
     def describe_loss(self) -> str:
         """Return for the log how the connection was lost, empty if it isn't."""
--- a/wigeonspoke/ingress/tests/test_lost_connections.py
+++ b/wigeonspoke/ingress/tests/test_lost_connections.py
@@ -28,7 +28,7 @@
 
 
 def _look(attempt: EndpointAttempt) -> None:
-    assert not attempt.has_input()
+    attempt.has_input()
 
 
 def _look_twice(attempt: EndpointAttempt) -> None:
@@ -108,6 +108,7 @@
     assert attempt.read_body_part(deadline) == PART
     eventlet.sleep(2 * ARRIVAL_SECONDS)
     use(attempt)
+    assert not attempt.has_input()
     with pytest.raises(AttemptError, match='connection-lost'):
         read_body(attempt, deadline)
     # The end is remembered, so that it does not matter who asks again.
@@ -154,6 +155,7 @@
     assert attempt.read_body_part(deadline) == PART
     eventlet.sleep(ARRIVAL_SECONDS)
     use(attempt)
+    assert attempt.has_input()
     assert read_body(attempt, deadline) == b''
     attempt.close()
     server.close()
--- a/wigeonspoke/transport/response_receiver.py
+++ b/wigeonspoke/transport/response_receiver.py
@@ -75,15 +75,18 @@
         if self.loss is None:
             self.loss = ConnectionLoss(operation, error)
 
-    def has_bytes(self) -> bool:
-        """Return whether bytes have arrived that were not received yet."""
+    def look(self) -> bytes | None:
+        """Return the next byte without receiving it, None if there is none.
+
+        It is ``b''`` at the end; ``loss`` tells whether that is regular.
+        """
         try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError as error:
             self.record_loss(Operation.LOOK, error)
-            return False
+            return b''
 
     def receive(self, deadline: float, max_bytes: int = RECEIVE_BYTES) -> bytes:
         """Return received bytes, or ``b''`` at the regular end.
