Order versions of the store by its era first

Cause: the store comes back from an older copy and gives out its versions again. A node kept the version it had read before. Once the new versions had passed it, its feed went on from there and skipped rows with numbers in between; while they were below, it got 410 and ignored each full read as too old. Peers compare the same numbers and could not tell either.

Ruled out: the configuration's own version, which the nodes would have adopted (the row was never read), and the relay between peers, which fails without the case, too.

Change: the adapter decodes the era that all answers name into StoreVersion, a type with an order. Copies of tables, feeds, gossip, relayed tables and released leases compare it. A page of a feed counts only in the era it was asked in. A rise, in whichever answer, leads to one new read of each table. Missing entries are kept as after any outage, runs that leave or were just removed stay out of use, and leases and registrations are read anew.

Why this works: a version of the new era is later than any of the one before, whatever its number, so that nothing lost hides what was written since; and a late answer of the era before is older than anything known.

The stand-in of the store refuses feeds from versions it does not have, as the users' page says.

--- a/wigeonspoke/core/fleet/registry.py
+++ b/wigeonspoke/core/fleet/registry.py
@@ -3,9 +3,15 @@
 import msgspec
 
 from wigeonspoke.core.deployment import LayerRange
-from wigeonspoke.core.fleet.leaving import LeavingReport, LeavingRuns
+from wigeonspoke.core.fleet.leaving import (
+    HINT_SECONDS,
+    LeavingReport,
+    LeavingRuns,
+)
 from wigeonspoke.core.fleet.records import Endpoint
 
+MAX_REMOVED = 256
+
 
 class ListedEndpoints(msgspec.Struct, frozen=True):
     """The endpoints of a service that stay, and whether others leave."""
@@ -22,12 +28,21 @@
     then.
     """
 
-    __slots__ = ('endpoints', 'leaving', 'listed', 'listed_at', 'revision')
+    __slots__ = (
+        'endpoints',
+        'leaving',
+        'listed',
+        'listed_at',
+        'removed_at',
+        'revision',
+    )
 
     def __init__(self) -> None:
         self.endpoints: dict[str, Endpoint] = {}
         self.leaving = LeavingRuns()
         self.revision = 0
+        # When the entries of runs were removed, by start id, oldest first.
+        self.removed_at: dict[str, float] = {}
         # The endpoints by service, as of revision ``listed_at``.
         self.listed: dict[str, ListedEndpoints] = {}
         self.listed_at = 0
@@ -54,6 +69,37 @@
             self.revision += 1
         return removed
 
+    def record_removal(self, start_id: str, now: float) -> None:
+        """Record that the registry has removed the entry of a run."""
+        self.removed_at.pop(start_id, None)
+        self.removed_at[start_id] = now
+        if len(self.removed_at) > MAX_REMOVED:
+            self.removed_at.pop(next(iter(self.removed_at)))
+
+    def keep_leaving(self, now: float) -> int:
+        """Keep the runs out of use that leave or were removed just now.
+
+        The registry is about to be read from an older copy of the store, which
+        may list them as before.  A run that is listed as leaving ends.  One
+        whose entry was removed may have lapsed and be back, so that this only
+        holds for a time.  Return the number of these runs.
+        """
+        leaving = [
+            endpoint.start_id
+            for endpoint in self.endpoints.values()
+            if endpoint.is_leaving
+        ]
+        for listed_run in leaving:
+            self.record_leaving(listed_run, now)
+        removed = [
+            start_id
+            for start_id, removed_at in self.removed_at.items()
+            if now - removed_at <= HINT_SECONDS
+        ]
+        for removed_run in removed:
+            self.merge_leaving(LeavingReport(removed_run, 0), now)
+        return len(leaving) + len(removed)
+
     def update_layers(
         self,
         endpoint_id: str,
--- a/wigeonspoke/core/leases/lease.py
+++ b/wigeonspoke/core/leases/lease.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from wigeonspoke.core.store_version import UNKNOWN_ERA, StoreVersion
+
 LEASE_SECONDS = 10.0
 RENEW_INTERVAL_SECONDS = 5.0
 # A failed write is retried after this long.
@@ -55,10 +57,19 @@
 
 
 class VersionedLease(msgspec.Struct, frozen=True):
-    """A lease row and its version in the store, 0 if there is no row."""
+    """A lease row and its version in the store, 0 if there is no row.
+
+    ``era`` is that of the version; nodes of earlier builds do not tell it.
+    """
 
     version: int
     row: LeaseRow | None = None
+    era: int = UNKNOWN_ERA
+
+    @property
+    def store_version(self) -> StoreVersion:
+        """The version with its era, by which rows are ordered."""
+        return StoreVersion(self.era, self.version)
 
 
 @enum.unique
--- a/wigeonspoke/ingress/fleet/lease_loop.py
+++ b/wigeonspoke/ingress/fleet/lease_loop.py
@@ -16,6 +16,7 @@
     LeaseRow,
     VersionedLease,
 )
+from wigeonspoke.core.store_version import UNKNOWN_ERA
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.serialization import decode_json
@@ -43,6 +44,8 @@
 # Minimum time between two reads, and the pause after a failed one.
 MIN_READ_INTERVAL_SECONDS = 1.5
 READ_JITTER = 0.25
+# The rows are read anew within this time after the store has lost some.
+ERA_READ_SECONDS = 2.0
 # After this time from the start, gossip has arrived from all live peers.
 DISCOVERY_SECONDS = 3.0
 
@@ -64,6 +67,7 @@
         'last_read_at',
         'lease_rows',
         'next_read_at',
+        'read_era',
         'started_at',
         'state',
         'store',
@@ -87,6 +91,8 @@
         self.started_at = lease_clock()
         self.last_read_at = 0
         self.next_read_at = 0
+        # The era for which a read has been scheduled.
+        self.read_era = UNKNOWN_ERA
         # Store's monotonic clock minus :func:`lease_clock` of this node.
         self.store_clock_offset = 0
         # Woken when a lease is won.
@@ -153,12 +159,27 @@
         }
 
     def _needs_read(self, now: float) -> bool:
+        self._follow_era(now)
         if now >= self.next_read_at:
             return True
         if now < self.last_read_at + MIN_READ_INTERVAL_SECONDS:
             return False
         return bool(self._acquirable_keepers())
 
+    def _follow_era(self, now: float) -> None:
+        """Read the rows anew, soon, when the store has lost its last seconds.
+
+        The registration of this node may be among what is gone.  Nodes read at
+        different times.
+        """
+        era = self.state.eras.current
+        if era == self.read_era:
+            return
+        if self.read_era != UNKNOWN_ERA:
+            wait_seconds = ERA_READ_SECONDS * self.state.rng.random()
+            self.next_read_at = min(self.next_read_at, now + wait_seconds)
+        self.read_era = era
+
     def _acquirable_keepers(self) -> list[LeaseKeeper]:
         """Return the keepers whose lease this node should acquire."""
         live_names = self.state.live_peer_names
@@ -176,7 +197,10 @@
         now = lease_clock()
         seen = self.lease_rows.get(keeper.domain, VersionedLease(0))
         released = self.state.released_peer_leases.get(keeper.domain)
-        if released is not None and released.version > seen.version:
+        is_newer = (
+            released is not None and released.store_version > seen.store_version
+        )
+        if is_newer:
             seen = released
         peer_lease = self.state.peer_leases.get(keeper.domain)
         if (
@@ -185,7 +209,7 @@
             and peer_lease.until > seen.row.until
             and not peer_lease.predates_release(seen.row)
         ):
-            seen = VersionedLease(seen.version, peer_lease)
+            seen = VersionedLease(seen.version, peer_lease, seen.era)
         has_discovered = now >= self.started_at + DISCOVERY_SECONDS
         return keeper.next_action(
             seen,
@@ -228,7 +252,9 @@
         write = RowWrite(keeper.domain, msgspec.json.encode(row), expected)
         written = self.store.write_rows(LEASE_TABLE, (write,))
         if isinstance(written, Success):
-            released = VersionedLease(written.unwrap(), row)
+            released = VersionedLease(
+                written.unwrap(), row, self.state.eras.current
+            )
             self.lease_rows[keeper.domain] = released
             self.state.released_leases[keeper.domain] = released
             self.state.tell_news()
@@ -291,7 +317,7 @@
             is_new = not keeper.is_held
             keeper.record_written(written.unwrap(), sent_at)
             self.lease_rows[keeper.domain] = VersionedLease(
-                written.unwrap(), row
+                written.unwrap(), row, self.state.eras.current
             )
             if is_new:
                 self.state.released_leases.pop(keeper.domain, None)
@@ -334,5 +360,5 @@
     for row in page.rows:
         # A row that cannot be decoded is treated as held by no node.
         lease = decode_json(bytes(row.content), LeaseRow).value_or(None)
-        seen[row.key] = VersionedLease(row.version, lease)
+        seen[row.key] = VersionedLease(row.version, lease, page.version.era)
     return seen
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -105,6 +105,7 @@
         log: DecisionLog,
     ) -> None:
         self.state = IngressState(settings, wire, log)
+        store.on_era = self.state.record_era
         self.prober = Prober(self.state, control)
         self.witness = ConnectionWitness(self.state, client, self.prober.look)
         self.prober.witness = self.witness
@@ -174,6 +175,7 @@
         self.loops: tuple[Callable[[], None], ...] = (
             *(follower.run for follower in followers),
             *(follower.run_peer_sync for follower in followers),
+            *(follower.run_era_sync for follower in followers),
             *(subscription.run for subscription in subscriptions),
             self.prober.run,
             ReachabilityLoop(self.state, self.prober).run,
--- a/wigeonspoke/ingress/peers/peer_gossip.py
+++ b/wigeonspoke/ingress/peers/peer_gossip.py
@@ -30,6 +30,7 @@
 from wigeonspoke.core.outcomes import Outcome
 from wigeonspoke.core.quarantine import PartReport
 from wigeonspoke.core.reachability import ReachedReport
+from wigeonspoke.core.store_version import UNKNOWN_ERA, StoreVersion
 from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.state import IngressState, node_name
 from wigeonspoke.ingress.tables.table_copy import TableCopy
@@ -64,7 +65,8 @@
     gave up because it is.  ``open_requests`` is the number of requests that it
     has at endpoints, for its clients and for peers, and ``is_stopping`` whether
     it stops.  ``loads`` holds the tokens of its streams, by the endpoint id of
-    the chain head.
+    the chain head.  ``table_eras`` are the eras of the store to which the
+    versions in ``tables`` belong; nodes of earlier builds do not tell them.
     """
 
     gossip: GossipMessage
@@ -81,6 +83,7 @@
     open_requests: int = 0
     is_stopping: bool = False
     loads: dict[str, TokenLoad] = {}
+    table_eras: dict[str, int] = {}
 
 
 class PeerGossip:
@@ -180,7 +183,10 @@
         return PeerUpdate(
             self.exchange.message_to(address, report),
             self.state.leases,
-            {name: copy.newest_change for name, copy in self.copies.items()},
+            {
+                name: copy.newest_change.number
+                for name, copy in self.copies.items()
+            },
             dict(self.state.chains.in_flight),
             parts.reports(now),
             parts.sound.recent_news(now),
@@ -192,6 +198,10 @@
             self.state.open_requests,
             self.state.is_stopping,
             dict(self.state.chains.times.loads),
+            {
+                name: copy.newest_change.era
+                for name, copy in self.copies.items()
+            },
         )
 
     def apply_update(self, update: PeerUpdate) -> None:
@@ -253,7 +263,13 @@
         has_news = self.state.merge_leaving(update.leaving, source) or has_news
         if has_news and not self.state.hears_all_peers:
             self.tell_news()
-        for name, changed in update.tables.items():
+        self._record_tables(update, now)
+
+    def _record_tables(self, update: PeerUpdate, now: float) -> None:
+        """Record which tables a peer has read, and up to which change."""
+        for name, number in update.tables.items():
+            era = update.table_eras.get(name, UNKNOWN_ERA)
+            changed = self.state.eras.complete(StoreVersion(era, number))
             self.peer_versions.record(name, changed, update.gossip.address, now)
 
     def _apply_reached(self, update: PeerUpdate, now: float) -> None:
--- a/wigeonspoke/ingress/peers/peer_versions.py
+++ b/wigeonspoke/ingress/peers/peer_versions.py
@@ -2,13 +2,14 @@
 
 import msgspec
 
+from wigeonspoke.core.store_version import StoreVersion
 from wigeonspoke.ingress.wake_up import WakeUp
 
 
 class _PeerVersion(msgspec.Struct):
     """The newest known change of a table, its reporter and the time."""
 
-    version: int
+    version: StoreVersion
     peer: str
     since: float
 
@@ -25,7 +26,9 @@
         self.newest: dict[str, _PeerVersion] = {}
         self.news = WakeUp()
 
-    def record(self, name: str, version: int, peer: str, now: float) -> None:
+    def record(
+        self, name: str, version: StoreVersion, peer: str, now: float
+    ) -> None:
         """Record the newest change of a table that a peer has read."""
         known = self.newest.get(name)
         if known is None or version > known.version:
@@ -35,13 +38,13 @@
             # The latest reporter is the most likely to be reachable.
             known.peer = peer
 
-    def has_newer(self, name: str, known: int) -> bool:
+    def has_newer(self, name: str, known: StoreVersion) -> bool:
         """Return whether a peer has reported a newer version than ``known``."""
         heard = self.newest.get(name)
         return heard is not None and heard.version > known
 
     def known_seconds(
-        self, name: str, version: int, now: float
+        self, name: str, version: StoreVersion, now: float
     ) -> float | None:
         """Return how long ago a peer first told of the newest change.
 
@@ -53,7 +56,7 @@
         return now - heard.since
 
     def find_newer_peer(
-        self, name: str, known: int, heard_before: float
+        self, name: str, known: StoreVersion, heard_before: float
     ) -> str:
         """Return a peer with a newer version than ``known``, empty if none.
 
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from wigeonspoke.core.admission import RankReservation
 from wigeonspoke.core.availability import EndpointAvailability
 from wigeonspoke.core.chains import (
@@ -30,6 +32,7 @@
 from wigeonspoke.core.relay import RelayTraffic
 from wigeonspoke.core.reachability import Reachability
 from wigeonspoke.core.routing import RoutingTable
+from wigeonspoke.core.store_version import EraHistory
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
 from wigeonspoke.ingress.fleet.part_watch import PartWatch
@@ -55,6 +58,8 @@
         'chains',
         'connection_pool',
         'counters',
+        'era_news',
+        'eras',
         'fleet',
         'availability',
         'hears_all_peers',
@@ -101,6 +106,9 @@
         # Number of nodes with a current registration in the store.
         self.registered_node_count = ASSUMED_NODE_COUNT
         self.store_outages = StoreOutages()
+        self.eras = EraHistory()
+        # Woken when the store is known to have come back from an older copy.
+        self.era_news = WakeUp()
         self.peers = PeerRegistry()
         # Whether each gossip round reaches every node.
         self.hears_all_peers = True
@@ -232,8 +240,30 @@
     ) -> None:
         """Record that the holder of a lease has released it."""
         known = self.released_peer_leases.get(domain)
-        if known is None or released.version > known.version:
-            self.released_peer_leases[domain] = released
+        told = msgspec.structs.replace(
+            released, era=self.eras.complete(released.store_version).era
+        )
+        if known is None or told.store_version > known.store_version:
+            self.released_peer_leases[domain] = told
+
+    def record_era(self, era: int, source: str = 'store') -> None:
+        """Record the era of an answer of the store, or of a peer's table.
+
+        If it is a later one, the store has lost its last seconds: what is read
+        of it from here on may be older than what is known.
+        """
+        before = self.eras.current
+        if not self.eras.record(era):
+            return
+        now = time.monotonic()
+        # Entries that others write again may be missing for a moment.
+        self.store_outages.record_return(now)
+        kept = self.fleet.keep_leaving(now)
+        self.count_event('store-era', source)
+        self.log.write(
+            'store-era', era=era, before=before, source=source, leaving=kept
+        )
+        self.era_news.wake()
 
     @property
     def open_requests(self) -> int:
--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -15,6 +15,8 @@
 
 # Characters of a problem that are logged; it may quote the entry.
 MAX_LOGGED_PROBLEM = 200
+# Why an endpoint is dropped whose entry the registry has removed.
+REMOVED = 'removed'
 
 
 class TableConsumer(Protocol):
@@ -144,7 +146,7 @@
         now = time.monotonic()
         seconds = self._retention_seconds(endpoint_id, source, now)
         if not seconds:
-            self._drop(endpoint_id, 'removed')
+            self._drop(endpoint_id, REMOVED)
             return
         self.missing.keep(endpoint_id, now + seconds)
         self._schedule_drop(now + seconds)
@@ -186,7 +188,11 @@
 
     def _drop(self, endpoint_id: str, reason: str) -> None:
         self.missing.discard(endpoint_id)
-        if self.state.fleet.drop(endpoint_id) is not None:
+        dropped = self.state.fleet.drop(endpoint_id)
+        if dropped is not None:
+            if reason == REMOVED:
+                now = time.monotonic()
+                self.state.fleet.record_removal(dropped.start_id, now)
             self.state.queues.wake()
             self.state.count_event('endpoint-gone', reason)
             self.state.log.write(
--- a/wigeonspoke/ingress/tables/table_copy.py
+++ b/wigeonspoke/ingress/tables/table_copy.py
@@ -5,6 +5,11 @@
 
 import msgspec
 
+from wigeonspoke.core.store_version import (
+    UNKNOWN_ERA,
+    UNREAD,
+    StoreVersion,
+)
 from wigeonspoke.ingress.tables.table_source import Retention
 from wigeonspoke.store import TableRow
 
@@ -27,7 +32,8 @@
     """A table, or its changes since a version that a peer knows.
 
     ``age`` is the seconds since the node read it.  ``retention`` is what it
-    knows of missing entries; nodes of earlier builds do not tell it.
+    knows of missing entries, and ``era`` that of all versions in it; nodes of
+    earlier builds tell neither.
     """
 
     version: int
@@ -35,6 +41,12 @@
     rows: tuple[RelayedRow, ...]
     is_complete: bool = True
     retention: Retention | None = None
+    era: int = UNKNOWN_ERA
+
+    @property
+    def store_version(self) -> StoreVersion:
+        """The version of the store that the table has."""
+        return StoreVersion(self.era, self.version)
 
 
 class TableCopy:
@@ -43,7 +55,8 @@
     ``version`` is the store version up to which the table was read, and
     ``newest_change`` the version of the newest change in the table.
     ``changes`` holds the version of the last change of each row that changed
-    after version ``changes_since``, oldest first.
+    after version ``changes_since``, oldest first.  All versions of rows are of
+    the era of ``version``; a copy of another era is replaced as a whole.
     """
 
     __slots__ = (
@@ -57,56 +70,64 @@
 
     def __init__(self) -> None:
         self.rows: dict[str, TableRow] = {}
-        self.version: int | None = None
-        self.newest_change = 0
+        self.version: StoreVersion | None = None
+        self.newest_change = UNREAD
         self.read_at = 0
         self.changes: dict[str, int] = {}
         self.changes_since = 0
 
     @property
-    def known_version(self) -> int:
-        """Version of the copy, -1 if the table was never read."""
-        return -1 if self.version is None else self.version
+    def known_version(self) -> StoreVersion:
+        """Version of the copy, ``UNREAD`` if the table was never read."""
+        return UNREAD if self.version is None else self.version
 
-    def replace(self, rows: Iterable[TableRow], version: int) -> None:
+    def replace(self, rows: Iterable[TableRow], version: StoreVersion) -> None:
         """Replace the copy by a complete table."""
         self.rows = {row.key: row for row in rows if not row.is_removed}
         # Rows may have been removed that the complete table cannot name.
         self.changes.clear()
-        self.changes_since = version
-        self._update_newest_change(self.rows.values())
+        self.changes_since = version.number
+        self._update_newest_change(self.rows.values(), version.era)
         self._mark_read(version)
 
     def apply_changes(
         self,
         rows: Iterable[TableRow],
-        version: int,
+        version: StoreVersion,
     ) -> tuple[TableRow, ...]:
-        """Apply changes; return those that were not known yet.
+        """Apply changes of the copy's era; return those not known yet.
 
         A table adopted from a peer in the meantime may be newer than these
         changes.
         """
-        changes = tuple(row for row in rows if row.version > self.known_version)
+        known = self.known_version
+        if version.era != known.era:
+            return ()
+        changes = tuple(row for row in rows if row.version > known.number)
         for row in changes:
             if row.is_removed:
                 self.rows.pop(row.key, None)
             else:
                 self.rows[row.key] = row
         self._remember(changes)
-        self._update_newest_change(changes)
-        if version > self.known_version:
+        self._update_newest_change(changes, version.era)
+        if version > known:
             self._mark_read(version)
         return changes
 
-    def snapshot_after(self, known: int) -> RelayedTable | None:
+    def snapshot_after(self, known: StoreVersion) -> RelayedTable | None:
         """Return what a peer that knows a version lacks, None if nothing."""
         if self.version is None or self.version <= known:
             return None
-        is_complete = known < self.changes_since
-        rows = self.rows.values() if is_complete else self._changed_after(known)
+        is_complete = (
+            known.era != self.version.era or known.number < self.changes_since
+        )
+        rows = self.rows.values()
+        if not is_complete:
+            rows = self._changed_after(known.number)
         return RelayedTable(
-            version=self.version,
+            version=self.version.number,
+            era=self.version.era,
             age=time.monotonic() - self.read_at,
             rows=tuple(map(_encode_row, rows)),
             is_complete=is_complete,
@@ -128,11 +149,13 @@
             oldest = next(iter(self.changes))
             self.changes_since = self.changes.pop(oldest)
 
-    def _update_newest_change(self, rows: Iterable[TableRow]) -> None:
-        for row in rows:
-            self.newest_change = max(self.newest_change, row.version)
+    def _update_newest_change(self, rows: Iterable[TableRow], era: int) -> None:
+        newest = max((row.version for row in rows), default=0)
+        if newest or era > self.newest_change.era:
+            changed = StoreVersion(era, newest)
+            self.newest_change = max(self.newest_change, changed)
 
-    def _mark_read(self, version: int) -> None:
+    def _mark_read(self, version: StoreVersion) -> None:
         self.version = version
         self.read_at = time.monotonic()
 
--- a/wigeonspoke/ingress/tables/table_followers.py
+++ b/wigeonspoke/ingress/tables/table_followers.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from wigeonspoke.core.fleet import RETENTION_SECONDS
+from wigeonspoke.core.store_version import UNKNOWN_ERA, StoreVersion
 from wigeonspoke.ingress.peers.peer_versions import PeerVersions
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.tables.table_consumers import TableConsumer
@@ -51,6 +52,12 @@
 # Each call to the store has a price, also one that fails.
 SELDOM_BACKOFF_SECONDS = 2.0
 BACKOFF_FACTOR = 2
+# A table is read anew within this time after the store has come back from an
+# older copy of itself.
+ERA_READ_SECONDS = 0.5
+LARGE_ERA_READ_SECONDS = 1.0
+# How often to look for a new era without news of one.
+MAX_ERA_CHECK_SECONDS = 60.0
 
 
 class TableFollower:
@@ -148,6 +155,28 @@
             if peer and not self._fetch_from_peer(peer):
                 eventlet.sleep(STORE_GRACE_SECONDS)
 
+    def run_era_sync(self) -> None:
+        """Read the table anew when the store has lost rows; never returns.
+
+        A long poll that is under way may not end for long.
+        """
+        while True:
+            self.state.era_news.wait(MAX_ERA_CHECK_SECONDS)
+            if not self._is_of_earlier_era():
+                continue
+            seconds = ERA_READ_SECONDS
+            if not self.state.hears_all_peers:
+                seconds = LARGE_ERA_READ_SECONDS
+            eventlet.sleep(seconds * self.state.rng.random())
+            if self._is_of_earlier_era():
+                page = self.store.read_table(self.consumer.table)
+                if isinstance(page, Success):
+                    self._process_table(page.unwrap())
+
+    def complete_version(self, version: StoreVersion) -> StoreVersion:
+        """Return a version that a peer told, with an era if it named none."""
+        return self.state.eras.complete(version)
+
     @property
     def reads_store(self) -> bool:
         """Whether this node reads the table from the store, and could."""
@@ -162,7 +191,7 @@
         """How long ago the store was away, as far as this node knows."""
         return self.state.store_outages.seconds_since(time.monotonic())
 
-    def snapshot_after(self, known: int) -> RelayedTable | None:
+    def snapshot_after(self, known: StoreVersion) -> RelayedTable | None:
         """Return what a peer that knows a version lacks, None if nothing."""
         snapshot = self.copy.snapshot_after(known)
         if snapshot is None:
@@ -188,10 +217,13 @@
     def adopt(self, relayed: RelayedTable, peer: str) -> None:
         """Adopt what a peer has read, a complete table or its changes."""
         rows = decode_rows(relayed)
+        version = self.complete_version(relayed.store_version)
+        if version.era != UNKNOWN_ERA:
+            self.state.record_era(version.era, peer)
         if not relayed.is_complete:
-            self._apply_changes(rows, relayed.version, peer, relayed.retention)
-        elif relayed.version > self.copy.known_version:
-            self._replace(rows, relayed.version, peer, relayed.retention)
+            self._apply_changes(rows, version, peer, relayed.retention)
+        elif version > self.copy.known_version:
+            self._replace(rows, version, peer, relayed.retention)
 
     @property
     def _shortest_backoff(self) -> float:
@@ -217,18 +249,19 @@
     def _follow_once(self) -> bool:
         sent_at = time.monotonic()
         wait_seconds = 0
-        if self.needs_full_read:
+        followed = None if self.needs_full_read else self.copy.version
+        if followed is None:
             page = self.store.read_table(self.consumer.table)
         else:
             wait_seconds = self._wait_seconds
             page = self.store.follow(
-                self.consumer.table, self.copy.version, wait_seconds
+                self.consumer.table, followed, wait_seconds
             )
         if not isinstance(page, Success):
             self._handle_error(page.failure(), sent_at + wait_seconds)
             return False
         self.state.store_outages.record_answer(time.monotonic())
-        self._process_page(page.unwrap())
+        self._process_page(page.unwrap(), followed)
         return True
 
     @property
@@ -246,24 +279,39 @@
     def _has_followers(self) -> bool:
         return time.monotonic() < self.asked_at + FOLLOWED_SECONDS
 
-    def _process_page(self, page: RowPage) -> None:
+    def _process_page(
+        self, page: RowPage, followed: StoreVersion | None
+    ) -> None:
+        """Process the changes after a version, or the whole table if None."""
         if not self.is_reachable:
             self._record_return()
-        if self.needs_full_read:
-            # A full read may be older than the version known before the
-            # store dropped its history.
-            if page.version >= self.copy.known_version:
-                self._replace(page.rows, page.version)
+        if followed is None:
+            self._process_table(page)
+            return
+        if page.version.era != followed.era:
+            # The version has been given out again, for other rows.
+            self.needs_full_read = self._is_of_earlier_era()
             return
         has_changes = self._apply_changes(page.rows, page.version)
         self.consecutive_change_pages = (
             self.consecutive_change_pages + 1 if has_changes else 0
         )
 
+    def _process_table(self, page: RowPage) -> None:
+        # A full read may be older than the version known before the store
+        # dropped its history, or than what a peer has told meanwhile.
+        if page.version >= self.copy.known_version:
+            self._replace(page.rows, page.version)
+
+    def _is_of_earlier_era(self) -> bool:
+        """Return whether the store has lost rows since the copy was read."""
+        version = self.copy.version
+        return version is not None and version.era < self.state.eras.current
+
     def _apply_changes(
         self,
         rows: tuple[TableRow, ...],
-        version: int,
+        version: StoreVersion,
         peer: str = '',
         retention: Retention | None = None,
     ) -> bool:
@@ -278,11 +326,12 @@
     def _replace(
         self,
         rows: tuple[TableRow, ...],
-        version: int,
+        version: StoreVersion,
         peer: str = '',
         retention: Retention | None = None,
     ) -> None:
-        if self.vouches_from == math.inf:
+        is_later_era = version.era > self.copy.known_version.era
+        if self.vouches_from == math.inf or is_later_era:
             unknown_seconds = (
                 RETENTION_SECONDS if retention is None else retention.other
             )
@@ -337,14 +386,16 @@
         )
         if relayed is None:
             return False
-        if relayed.version <= self.copy.known_version:
+        version = self.complete_version(relayed.store_version)
+        if version <= self.copy.known_version:
             return True
         self.state.log.write(
             'told-by-peer',
             peer=peer,
             table=self.consumer.table,
             version=relayed.version,
-            known=known,
+            era=relayed.era,
+            known=known.number,
             age_seconds=round(relayed.age, 3),
         )
         self.adopt(relayed, peer)
@@ -367,7 +418,8 @@
                 table=self.consumer.table,
                 problem=error.problem,
                 step=error.step,
-                version=self.copy.version,
+                version=self.copy.known_version.number,
+                era=self.copy.known_version.era,
             )
 
     def _log_store_return(self) -> None:
--- a/wigeonspoke/ingress/tables/table_relay.py
+++ b/wigeonspoke/ingress/tables/table_relay.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns.result import Success
 
+from wigeonspoke.core.store_version import UNREAD, StoreVersion
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.peers.connection_witness import CONNECT_PATH
 from wigeonspoke.ingress.relay.relay_head import RELAY_PATH
@@ -27,7 +28,6 @@
 FETCH_TIMEOUT_SECONDS = 0.5
 CHANGES_PATH = '/peers/v1/changes/'
 MAX_WAIT_SECONDS = 10
-UNKNOWN_VERSION = -1
 # The store usually sends a change as soon as a peer could; it is fetched from
 # the peer only if the store has not sent it after this time.
 STORE_GRACE_SECONDS = 0.6
@@ -45,7 +45,10 @@
     reads_store: bool
     seconds_since_outage: float
 
-    def snapshot_after(self, known: int) -> RelayedTable | None:
+    def complete_version(self, version: StoreVersion) -> StoreVersion:
+        """Return a version that a peer told, with an era if it named none."""
+
+    def snapshot_after(self, known: StoreVersion) -> RelayedTable | None:
         """Return what a peer that knows a version lacks, None if nothing."""
 
 
@@ -114,7 +117,12 @@
         table = self.tables.get(path.rpartition('/')[-1])
         if table is None:
             return None
-        known = _parse_number(query.get('after', ''), UNKNOWN_VERSION)
+        known = table.complete_version(
+            StoreVersion(
+                _parse_number(query.get('era', ''), UNREAD.era),
+                _parse_number(query.get('after', ''), UNREAD.number),
+            )
+        )
         if path.startswith(CHANGES_PATH):
             wait_seconds = _parse_number(query.get('wait', ''), 0)
             return self._wait_for_changes(table, known, wait_seconds)
@@ -122,7 +130,7 @@
         return None if snapshot is None else msgspec.json.encode(snapshot)
 
     def _wait_for_changes(
-        self, table: FollowedTable, known: int, wait_seconds: int
+        self, table: FollowedTable, known: StoreVersion, wait_seconds: int
     ) -> bytes:
         """Answer once there is a change, or after the time."""
         table.asked_at = time.monotonic()
@@ -142,10 +150,10 @@
     log: DecisionLog,
     peer: str,
     name: str,
-    known: int,
+    known: StoreVersion,
 ) -> RelayedTable | None:
     """Fetch a table newer than ``known`` from a peer, or return None."""
-    path = f'{TABLES_PATH}{name}?after={known}'
+    path = f'{TABLES_PATH}{name}?after={known.number}&era={known.era}'
     body = _fetch(client, peer, path, FETCH_TIMEOUT_SECONDS)
     return _decode(body, RelayedTable, log, peer, name)
 
@@ -155,11 +163,12 @@
     log: DecisionLog,
     watcher: str,
     name: str,
-    known: int,
+    known: StoreVersion,
     wait_seconds: int,
 ) -> WatcherAnswer | None:
     """Wait for changes of a table at a watcher; None if it did not answer."""
-    path = f'{CHANGES_PATH}{name}?after={known}&wait={wait_seconds}'
+    query = f'after={known.number}&era={known.era}&wait={wait_seconds}'
+    path = f'{CHANGES_PATH}{name}?{query}'
     timeout = wait_seconds + FETCH_TIMEOUT_SECONDS
     body = _fetch(client, watcher, path, timeout)
     return _decode(body, WatcherAnswer, log, watcher, name)
--- a/wigeonspoke/ingress/tables/table_subscription.py
+++ b/wigeonspoke/ingress/tables/table_subscription.py
@@ -118,7 +118,8 @@
                 'follows-watcher',
                 peer=watcher,
                 table=follower.consumer.table,
-                version=follower.copy.known_version,
+                version=follower.copy.known_version.number,
+                era=follower.copy.known_version.era,
             )
 
     def _apply(self, answer: WatcherAnswer, watcher: str) -> None:
--- a/wigeonspoke/platform/standins/store.py
+++ b/wigeonspoke/platform/standins/store.py
@@ -54,15 +54,25 @@
     is_removed: bool = False
 
 
+class StoreBackup(msgspec.Struct, frozen=True):
+    """The rows of the store and its version at one moment."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
 class StoreStandin:
     """Stores rows in memory and serves the store's HTTP interface.
 
+    Its answers name its ``era``, unless that is 0.
+
     All rows have the empty ``part``, which the node uses exclusively.  A read
     returns at most ``page_rows`` rows; ``after_page`` is called after each.
     """
 
     __slots__ = (
         'after_page',
+        'era',
         'expired_before',
         'fault',
         'page_rows',
@@ -76,6 +86,7 @@
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.version = 0
+        self.era = 1
         self.expired_before = 0
         self.page_rows = MAX_PAGE_ROWS
         self.after_page: Callable[[], None] | None = None
@@ -113,6 +124,20 @@
         """
         self.expired_before = self.version
 
+    def back_up(self) -> StoreBackup:
+        """Return a copy of all rows."""
+        rows = tuple(map(msgspec.structs.replace, self.rows.values()))
+        return StoreBackup(rows, self.version)
+
+    def come_back_from(self, backup: StoreBackup) -> None:
+        """Lose what was written since a backup, and begin another era."""
+        self.rows = {
+            (row.table, row.key): msgspec.structs.replace(row)
+            for row in backup.rows
+        }
+        self.version = backup.version
+        self.era += 1
+
     def _put_row(self, table: str, key: str, content: bytes) -> None:
         self.version += 1
         self.rows[table, key] = StoredRow(table, key, content, self.version)
@@ -156,8 +181,8 @@
         self, query: dict[str, str], connection: RawConnection
     ) -> None:
         after = int(query['after'])
-        if after < self.expired_before:
-            connection.respond(http.HTTPStatus.GONE, {})
+        if not self.expired_before <= after <= self.version:
+            connection.respond(http.HTTPStatus.GONE, self._headers)
             return
         deadline = (
             time.monotonic() + int(query['wait-ms']) / MILLISECONDS_PER_SECOND
@@ -197,7 +222,7 @@
             if version != condition['ver']:
                 connection.respond(
                     http.HTTPStatus.PRECONDITION_FAILED,
-                    {},
+                    self._headers,
                     b'{"rows": []}',
                 )
                 return
@@ -224,7 +249,12 @@
             'ver': self.version,
             'now-ms': time.monotonic() * MILLISECONDS_PER_SECOND,
         }
-        connection.respond(http.HTTPStatus.OK, {}, msgspec.json.encode(body))
+        content = msgspec.json.encode(body)
+        connection.respond(http.HTTPStatus.OK, self._headers, content)
+
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {'Store-Era': str(self.era)} if self.era else {}
 
 
 def _delay(_connection: RawConnection) -> bool:
--- a/wigeonspoke/platform/store_client.py
+++ b/wigeonspoke/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import http
+from collections.abc import Callable
 from functools import partial
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -10,7 +11,8 @@
 from returns.result import Failure, Result, Success
 
 from wigeonspoke.core.outcomes import Outcome
-from wigeonspoke.serialization import decode_json
+from wigeonspoke.core.store_version import UNKNOWN_ERA, StoreVersion
+from wigeonspoke.serialization import decode_json, parse_count
 from wigeonspoke.store import (
     RowPage,
     RowWrite,
@@ -23,6 +25,8 @@
 REQUEST_SECONDS = 1.5
 MILLISECONDS_PER_SECOND = 1000
 ROWS_PER_PAGE = 500
+# Rises by one each time the store comes back from an older copy of itself.
+ERA_HEADER = 'store-era'
 
 WireType = TypeVar('WireType')
 
@@ -42,16 +46,23 @@
     # If ``truncated`` is set, the table has more rows than the page holds.
     rows: tuple[_WireRow, ...] = ()
     truncated: bool = False
+    # From the header, as all answers have it.
+    era: int = UNKNOWN_ERA
 
 
 class PlatformStore:
-    """Implements :class:`FeedStore` over HTTP."""
+    """Implements :class:`FeedStore` over HTTP.
 
-    __slots__ = ('address', 'client')
+    An answer without an era has that of the answer before it.
+    """
+
+    __slots__ = ('address', 'client', 'era', 'on_era')
 
     def __init__(self, address: str, client: HttpClient) -> None:
         self.address = address
         self.client = client
+        self.era = UNKNOWN_ERA
+        self.on_era: Callable[[int], None] = _ignore
 
     def read_table(self, table: str) -> Result[RowPage, StoreError]:
         """Read all rows of a table.
@@ -72,6 +83,9 @@
                 return result
             page = result.unwrap()
             first_page = first_page or page
+            if page.era != first_page.era:
+                # The store has come back from another copy between the pages.
+                return Failure(StoreError(StoreProblem.UNAVAILABLE, 'rows-get'))
             rows.extend(_convert_rows(page))
             if not page.truncated or not page.rows:
                 return Success(_convert_page(first_page, tuple(rows)))
@@ -82,13 +96,13 @@
     def follow(
         self,
         table: str,
-        after: int,
+        after: StoreVersion,
         wait_seconds: float,
     ) -> Result[RowPage, StoreError]:
         """Wait for rows that changed after version ``after``."""
         query = {
             'table': table,
-            'after': after,
+            'after': after.number,
             'wait-ms': int(wait_seconds * MILLISECONDS_PER_SECOND),
         }
         result = self._get_page(
@@ -131,7 +145,7 @@
             body,
             REQUEST_SECONDS,
         )
-        result = _decode_result('write', reply)
+        result = self._decode('write', reply)
         return result.map(lambda page: page.ver)
 
     def _get_page(
@@ -145,7 +159,19 @@
             f'/v1/{operation}?{urlencode(query)}',
             timeout,
         )
-        return _decode_result(operation, reply)
+        return self._decode(operation, reply)
+
+    def _decode(
+        self, step: str, result: Result[HttpReply, HttpError]
+    ) -> Result[_WirePage, StoreError]:
+        if not isinstance(result, Success):
+            return Failure(_convert_http_error(step, result.failure()))
+        reply = result.unwrap()
+        era = parse_count(reply.headers.get(ERA_HEADER, ''))
+        if era is not None:
+            self.era = era
+            self.on_era(era)
+        return _decode_reply(step, reply).map(partial(_set_era, self.era))
 
 
 _PROBLEMS = {
@@ -156,15 +182,6 @@
 }
 
 
-def _decode_result(
-    step: str,
-    reply: Result[HttpReply, HttpError],
-) -> Result[_WirePage, StoreError]:
-    return reply.alt(partial(_convert_http_error, step)).bind(
-        partial(_decode_reply, step)
-    )
-
-
 def _convert_http_error(step: str, error: HttpError) -> StoreError:
     if error.outcome is Outcome.NOT_RUN:
         return StoreError(StoreProblem.UNAVAILABLE, step)
@@ -183,6 +200,15 @@
     )
 
 
+def _set_era(era: int, page: _WirePage) -> _WirePage:
+    page.era = era
+    return page
+
+
+def _ignore(_era: int) -> None:
+    """Do nothing until a node listens."""
+
+
 def _convert_rows(page: _WirePage) -> list[TableRow]:
     return [
         TableRow(
@@ -208,7 +234,11 @@
 
 
 def _convert_page(page: _WirePage, rows: tuple[TableRow, ...]) -> RowPage:
-    return RowPage(rows, page.ver, page.now_ms / MILLISECONDS_PER_SECOND)
+    return RowPage(
+        rows,
+        StoreVersion(page.era, page.ver),
+        page.now_ms / MILLISECONDS_PER_SECOND,
+    )
 
 
 def _row_key(table: str, write: RowWrite) -> dict[str, str]:
--- a/wigeonspoke/platform/tests/test_decoders.py
+++ b/wigeonspoke/platform/tests/test_decoders.py
@@ -7,6 +7,7 @@
 
 from wigeonspoke.config.questionnaire import read_answers
 from wigeonspoke.core.leases import LeaseRow
+from wigeonspoke.core.store_version import StoreVersion
 from wigeonspoke.ingress.fleet.lease_loop import _decode_rows
 from wigeonspoke.ingress.peers.connection_witness import (
     ConnectAnswer,
@@ -91,7 +92,9 @@
     'store page': lambda content: _decode_reply(
         'read', HttpReply(200, '', content)
     ),
-    'lease': lambda content: _decode_rows(RowPage((_row(content),), 1, 0)),
+    'lease': lambda content: _decode_rows(
+        RowPage((_row(content),), StoreVersion(1, 1), 0)
+    ),
     'lease row': lambda content: decode_json(content, LeaseRow),
     'part': lambda content: _decode_crashes(_row(content)),
     'part row': lambda content: decode_json(content, PartRow),
--- a/wigeonspoke/store/protocols.py
+++ b/wigeonspoke/store/protocols.py
@@ -5,11 +5,14 @@
 """
 
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 from returns.result import Result
 
+from wigeonspoke.core.store_version import StoreVersion
+
 
 @enum.unique
 class StoreProblem(enum.StrEnum):
@@ -69,12 +72,13 @@
 class RowPage(msgspec.Struct, frozen=True):
     """The rows of a table at one version, or those changed since another.
 
-    ``version`` is the store's version at the time of the read and
-    ``store_seconds`` the time of the store's monotonic clock.
+    ``version`` is the store's version at the time of the read, whose era is
+    also that of the versions of the rows, and ``store_seconds`` the time of
+    the store's monotonic clock.
     """
 
     rows: tuple[TableRow, ...]
-    version: int
+    version: StoreVersion
     store_seconds: float
 
 
@@ -90,7 +94,13 @@
 
 
 class FeedStore(Protocol):
-    """A store with a change feed: tables can be read and then followed."""
+    """A store with a change feed: tables can be read and then followed.
+
+    ``on_era`` is called with the era of each answer that names one, before the
+    call returns.
+    """
+
+    on_era: Callable[[int], None]
 
     def read_table(self, table: str) -> Result[RowPage, StoreError]:
         """Read a consistent snapshot of all rows of a table."""
@@ -98,17 +108,23 @@
     def follow(
         self,
         table: str,
-        after: int,
+        after: StoreVersion,
         wait_seconds: float,
     ) -> Result[RowPage, StoreError]:
-        """Return the rows changed after a version; wait if there are none."""
+        """Return the rows changed after a version; wait if there are none.
+
+        The page continues the version only if it has the same era.
+        """
 
     def write_rows(
         self,
         table: str,
         writes: tuple[RowWrite, ...],
     ) -> Result[int, StoreError]:
-        """Write all rows atomically and return the version of the write."""
+        """Write all rows atomically and return the version of the write.
+
+        It is the number within the era of the answer.
+        """
 
 
 class Table(Protocol):
