Share the memory for bodies of answers between endpoints

What callers saw, at another operator: a faulty endpoint sent without end, the host that had called it ran out of memory, and the requests of all its clients ended with it.

Cause here: a body has a limit of 16 MiB, and a node none for all bodies. At 60 requests it held up to 16 MiB for each, and the kernel some megabytes more.

Change: bodies held whole share a quarter of the host's memory by dynamic thresholds: an endpoint may hold as much as is still free, a body beyond that is not read on until others have ended, and the one that has waited longest always goes on. The kernel keeps up to 128 KiB of a connection. Bodies are sent to clients in parts. Engines' replies to probes and orders have a limit of 256 KiB.

Why this works: a node holds at most its share and one body more, however many answers there are. No answer is ended for want of memory before its deadline, so that honest large ones are served.

--- a/wigeonspoke/ingress/calls/call_handler.py
+++ b/wigeonspoke/ingress/calls/call_handler.py
@@ -30,7 +30,6 @@
     timeout_error,
 )
 from wigeonspoke.ingress.requests.response_reading import (
-    collect_body,
     decode_headers,
     is_corrupted,
 )
@@ -215,7 +214,8 @@
         markers = attempts.read_head(attempt, chain, head.status_code, headers)
         if markers is None:
             return None
-        body = collect_body(partial(read, attempt.read_body_part), attempt.peer)
+        read_part = partial(read, attempt.read_body_part)
+        body = self.bodies.read(attempt, self.context.deadline, read_part)
         self._note_end(attempt, len(body))
         response = EndpointResponse(
             head.status_code, without_node_headers(headers), body
@@ -288,7 +288,7 @@
         headers = decode_headers(head)
         markers = self.read_markers(attempt, replica, head.status_code, headers)
         read_part = partial(read, attempt.read_body_part)
-        body = collect_body(read_part, attempt.peer)
+        body = self.bodies.read(attempt, self.context.deadline, read_part)
         self._note_end(attempt, len(body))
         return EndpointResponse(head.status_code, headers, body), markers
 
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -8,6 +8,7 @@
 from wigeonspoke.core.routing import ClientAccount, RequestKind, Rule
 from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
 from wigeonspoke.ingress.calls.call_handler import CallHandler
+from wigeonspoke.ingress.requests.body_reading import split_body
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
 from wigeonspoke.ingress.fleet.prober import Prober
 from wigeonspoke.ingress.protocols import ClientRequest
@@ -200,7 +201,7 @@
                 )
         finally:
             self.open_handlers.discard(request_handler)
-            context.disconnect_monitor.stop()
+            request_handler.close()
 
     def _reject(
         self,
@@ -222,8 +223,8 @@
         if isinstance(response, NodeResponse):
             self._log_node_response(request, response)
         node_response_headers = self.state.wire.node_response_headers(request)
-        return iter(
-            (begin_response(response, node_response_headers, start_response),)
+        return split_body(
+            begin_response(response, node_response_headers, start_response)
         )
 
     def _log_node_response(
--- a/wigeonspoke/ingress/relay/relay_app.py
+++ b/wigeonspoke/ingress/relay/relay_app.py
@@ -23,6 +23,7 @@
     without_node_headers,
 )
 from wigeonspoke.ingress.requests.answer_watch import ClaimTrial
+from wigeonspoke.ingress.requests.body_reading import split_body
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
 from wigeonspoke.ingress.requests.request_handler import (
     RequestContext,
@@ -152,10 +153,7 @@
         )
         context = self._make_context(head, request, arrived_at)
         context.disconnect_monitor = DisconnectMonitor(environ)
-        try:
-            yield from self._run_handler(context, start_response)
-        finally:
-            context.disconnect_monitor.stop()
+        yield from self._run_handler(context, start_response)
 
     def _make_context(
         self, head: RelayHead, request: ClientRequest, arrived_at: float
@@ -194,9 +192,11 @@
             if isinstance(request_handler, StreamHandler):
                 yield from request_handler.serve(start)
             else:
-                yield begin_response(request_handler.serve(), (), start)
+                response = request_handler.serve()
+                yield from split_body(begin_response(response, (), start))
         finally:
             self.open_handlers.discard(request_handler)
+            request_handler.close()
         request_handler.note('relay-done', outcome=request_handler.outcome)
 
     def _refuse(
--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -21,6 +21,7 @@
 from wigeonspoke.ingress.protocols import HeaderList
 from wigeonspoke.transport import (
     MAX_INFORMATIONAL_HEADS,
+    RECEIVE_BUFFER_BYTES,
     BodyEnd,
     ChunkedDecoder,
     ChunkError,
@@ -253,6 +254,9 @@
             socket.TCP_USER_TIMEOUT,
             UNACKNOWLEDGED_MILLISECONDS,
         )
+        self.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.sock.settimeout(max(MIN_CONNECT_SECONDS, seconds))
         try:
             self.sock.connect((host, int(port)))
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -15,6 +15,7 @@
 from wigeonspoke.core.relay import RunCounts, may_hand_over, outcome_of
 from wigeonspoke.core.routing import Rule, choose_target
 from wigeonspoke.ingress.requests.answer_watch import AnswerWatch, ClaimTrial
+from wigeonspoke.ingress.requests.body_reading import BodyReader
 from wigeonspoke.ingress.requests.disconnect_monitor import DisconnectMonitor
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
@@ -84,6 +85,7 @@
 
     __slots__ = (
         'answer_watch',
+        'bodies',
         'context',
         'executions_before',
         'has_ended_endpoint',
@@ -110,6 +112,7 @@
         self.context = context
         self.prober = prober
         self.last_error: StepError | None = None
+        self.bodies = BodyReader(state)
         self.open_attempts: list[EndpointAttempt] = []
         # Why the request is not sent to any endpoint, None if it may be.
         self.refusal: Refusal | None = None
@@ -484,6 +487,11 @@
         for attempt in self.open_attempts:
             attempt.expire()
 
+    def close(self) -> None:
+        """End what belongs to the request, once its response is sent."""
+        self.bodies.release()
+        self.context.disconnect_monitor.stop()
+
     def record_complete_response(self) -> None:
         """Record how long a complete response has taken."""
         context = self.context
--- a/wigeonspoke/ingress/settings.py
+++ b/wigeonspoke/ingress/settings.py
@@ -11,7 +11,8 @@
     other nodes.  ``seeds`` are peer addresses of some nodes and may be out
     of date.  ``retry_ratio`` and ``retry_extra`` limit the retries that all
     nodes together may add within any ``retry_window_seconds``.
-    ``stop_seconds`` is the time limit of a graceful shutdown.
+    ``stop_seconds`` is the time limit of a graceful shutdown, and ``memory_mb``
+    the memory above which the process is ended.
     """
 
     name: str
@@ -29,3 +30,4 @@
     retry_ratio: float
     retry_extra: float
     retry_window_seconds: float
+    memory_mb: float = 300
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -31,6 +31,7 @@
 from wigeonspoke.core.membership import PeerRegistry
 from wigeonspoke.core.relay import RelayTraffic
 from wigeonspoke.core.reachability import Reachability
+from wigeonspoke.core.response_memory import ResponseMemory, body_capacity
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.core.store_version import EraHistory
 from wigeonspoke.decisions import DecisionLog
@@ -79,6 +80,8 @@
         'relay_traffic',
         'released_leases',
         'released_peer_leases',
+        'memory',
+        'memory_news',
         'replicas',
         'reservations',
         'response_times',
@@ -153,6 +156,9 @@
         )
         self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
+        self.memory = ResponseMemory(body_capacity(settings.memory_mb))
+        # Woken when bodies are held no longer.
+        self.memory_news = WakeUp()
         self.relay_traffic = RelayTraffic()
         self.budgets: dict[str, RetryWindowBudget] = {}
         self.queues = WaitingQueues()
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -16,6 +16,7 @@
 from wigeonspoke.ingress.streams.chain_attempts import ChainAttempts
 from wigeonspoke.ingress.streams.chain_choice import ChainChoice
 from wigeonspoke.ingress.streams.chain_monitor import ChainMonitor
+from wigeonspoke.ingress.requests.body_reading import split_body
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
@@ -39,10 +40,7 @@
     refusal_retry_after,
     timeout_error,
 )
-from wigeonspoke.ingress.requests.response_reading import (
-    decode_headers,
-    read_body,
-)
+from wigeonspoke.ingress.requests.response_reading import decode_headers
 from wigeonspoke.ingress.requests.responses import (
     EndpointResponse,
     NodeResponse,
@@ -301,7 +299,7 @@
             raise AttemptError(invalid_response_error(chain.head.address))
         is_stream = markers.is_event_stream and markers.is_signed
         if head.status_code != http.HTTPStatus.OK or not is_stream:
-            body = read_body(attempt, self.context.deadline)
+            body = self.bodies.read(attempt, self.context.deadline)
             return (
                 yield from self._handle_error_response(
                     attempt,
@@ -494,7 +492,7 @@
             return False
         if self.response_started:
             return False
-        yield self._respond(response)
+        yield from split_body(self._respond(response))
         return True
 
     def _finish_unserved(self) -> Iterator[bytes]:
@@ -516,7 +514,7 @@
             raise ResponseAborted(self._reason)
         response = self.fallback or self._node_response()
         self.state.count_event('own-answer', self._reason)
-        yield self._respond(response)
+        yield from split_body(self._respond(response))
 
     def _respond(self, response: EndpointResponse | NodeResponse) -> bytes:
         """Begin a complete response; return its body."""
--- a/wigeonspoke/ingress/tests/test_endless_responses.py
+++ b/wigeonspoke/ingress/tests/test_endless_responses.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.result import Success
 
-from wigeonspoke.ingress.requests.response_reading import read_body
+from wigeonspoke.ingress.tests.whole_bodies import read_body
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
--- a/wigeonspoke/ingress/tests/test_lost_connections.py
+++ b/wigeonspoke/ingress/tests/test_lost_connections.py
@@ -11,11 +11,11 @@
 import pytest
 
 from wigeonspoke.ingress.requests.connection_pool import ConnectionPool
+from wigeonspoke.ingress.tests.whole_bodies import read_body
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
 )
-from wigeonspoke.ingress.requests.response_reading import read_body
 from wigeonspoke.platform.standins.raw_server import RawServer
 from wigeonspoke.transport import BodyEnd, ReadTimeout
 
--- a/wigeonspoke/platform/program.py
+++ b/wigeonspoke/platform/program.py
@@ -25,6 +25,8 @@
 from wigeonspoke.transport import HttpClient
 
 INVALID_SETTINGS_STATUS = 2
+# Engines report and obey in a few hundred bytes, and many may be asked at once.
+MAX_REPORT_BYTES = 262144
 TABLE_NAMES = TableNames('op', CONFIGURATION_KEY, 'servers')
 
 
@@ -91,7 +93,7 @@
         settings,
         PlatformFormat(),
         PlatformStore(settings.store, client),
-        PlatformEngineControl(client),
+        PlatformEngineControl(HttpClient(max_reply_bytes=MAX_REPORT_BYTES)),
         client,
         TABLE_NAMES,
         DecisionLog(settings.name),
--- a/wigeonspoke/platform/settings.py
+++ b/wigeonspoke/platform/settings.py
@@ -23,6 +23,7 @@
 
 class _LimitsTable(msgspec.Struct, rename='kebab'):
     max_fds: int = 1024
+    memory_mb: float = 300
 
 
 class _BoundsTable(msgspec.Struct, rename='kebab'):
@@ -108,6 +109,7 @@
         metrics_port=settings_file.internal_ports[1],
         store=settings_file.platform.address,
         max_sockets=settings_file.limits.max_fds,
+        memory_mb=settings_file.limits.memory_mb,
         stop_seconds=settings_file.bounds.grace_s,
         retry_ratio=settings_file.bounds.retry_budget_ratio,
         retry_extra=settings_file.bounds.retry_budget_extra,
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -28,11 +28,15 @@
     ResponseTooLarge,
 )
 from wigeonspoke.transport.retry_after import parse_retry_after
-from wigeonspoke.transport.socket_options import reset_on_close
+from wigeonspoke.transport.socket_options import (
+    RECEIVE_BUFFER_BYTES,
+    reset_on_close,
+)
 from wigeonspoke.transport.socket_peek import peek
 
 __all__ = (
     'MAX_INFORMATIONAL_HEADS',
+    'RECEIVE_BUFFER_BYTES',
     'BodyEnd',
     'ChunkError',
     'ChunkedDecoder',
--- a/wigeonspoke/transport/http_client.py
+++ b/wigeonspoke/transport/http_client.py
@@ -23,10 +23,14 @@
     RECEIVE_BYTES,
     ResponseTooLarge,
 )
-from wigeonspoke.transport.socket_options import KEEP_ALIVE_OPTIONS
+from wigeonspoke.transport.socket_options import (
+    KEEP_ALIVE_OPTIONS,
+    RECEIVE_BUFFER_BYTES,
+)
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     *KEEP_ALIVE_OPTIONS,
 )
 MAX_POOLED_HOSTS = 4096
@@ -77,14 +81,21 @@
 class HttpClient:
     """Sends requests to peers, whose addresses have the form ``host:port``.
 
+    A reply has at most ``max_reply_bytes``.
+
     >>> HttpClient().post('127.0.0.1:1', '/x', b'').failure().reason.value
     'connect-failed'
     """
 
-    __slots__ = ('headers', 'pool')
+    __slots__ = ('headers', 'max_reply_bytes', 'pool')
 
-    def __init__(self, headers: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        headers: dict[str, str] | None = None,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
+    ) -> None:
         self.headers = headers or {}
+        self.max_reply_bytes = max_reply_bytes
         self.pool = ConnectionPools(
             num_pools=MAX_POOLED_HOSTS,
             maxsize=CONNECTIONS_PER_HOST,
@@ -227,7 +238,7 @@
             return HttpReply(
                 status=response.status,
                 content_type=response.headers.get('Content-Type', ''),
-                body=_read_body(response),
+                body=_read_body(response, self.max_reply_bytes),
                 headers={
                     name.lower(): text
                     for name, text in response.headers.items()
@@ -270,14 +281,14 @@
             response.close()
 
 
-def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+def _read_body(response: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes:
     """Read a complete body, as the peer sent it, up to the size limit."""
     parts: list[bytes] = []
     size = 0
     with _reusing_if_read(response):
         for part in response.stream(RECEIVE_BYTES, decode_content=False):
             size += len(part)
-            if size > MAX_REPLY_BYTES:
+            if size > max_bytes:
                 raise ReplyTooLarge
             parts.append(part)
     return b''.join(parts)
--- a/wigeonspoke/transport/socket_options.py
+++ b/wigeonspoke/transport/socket_options.py
@@ -5,6 +5,11 @@
 # A ``struct linger`` with ``l_onoff`` 1 and ``l_linger`` 0.
 _LINGER_RESET = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 
+# Bytes that the kernel keeps of a connection until they are read, which it
+# doubles for its own use.  Without a limit it keeps some megabytes, and they
+# count as memory of this process.
+RECEIVE_BUFFER_BYTES = 131072
+
 KEEP_ALIVE_SECONDS = 1
 # On Linux, TCP_USER_TIMEOUT also determines when unanswered keep-alive probes
 # break a connection, whatever TCP_KEEPCNT says: at the first probe that is due
