Bound the time that readers of small pieces take from others

What callers saw, at another operator and here: answers of chunks of one byte, or of comments, without end from a faulty endpoint. Nobody was answered within the route's time, the ready probe hung for seconds, and the node took a whole core.

Cause: a reader let others run after 64 KiB, whatever they took to parse. The chunk decoder copied the rest of its input for each element. Comments and repeated events counted as progress, and bytes that flow kept the limits of silence from being looked at. After the deadline a mebibyte of small pieces was still read.

Change: the decoder passes once over its input and refuses chunks that are mostly framing. Readers count parsed elements; those that parse many take turns with pauses in which all others run. Comments, repeated events and parts of an event are silence, and are limited in a row. Comments before the first event do not begin a response.

Why this works: the work between two pauses is bounded by elements, and only one such reader runs between two pauses, however many there are.

Tests: test_endless_answers [chunks of a byte] of calls and streams, [comments] and [the same event] failed before with `clients without an answer: 60`.

--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -204,6 +204,10 @@
         may_end = self.body_end is BodyEnd.CLOSE and self.receiver.loss is None
         return may_end or bool(next_byte)
 
+    def add_elements(self, count: int) -> None:
+        """Count parsed elements of the body, such as chunks and events."""
+        self.receiver.add_elements(count)
+
     def describe_loss(self) -> str:
         """Return for the log how the connection was lost, empty if it isn't."""
         loss = None if self.receiver is None else self.receiver.loss
@@ -286,10 +290,13 @@
         return part or BodyEnd.LAST_CHUNK
 
     def _decode_chunks(self, chunks: ChunkedDecoder, received: bytes) -> bytes:
+        known_count = chunks.element_count
         try:
             return chunks.feed(received)
         except ChunkError as error:
             raise self._error(Reason.CONTRACT, 'answer') from error
+        finally:
+            self.add_elements(chunks.element_count - known_count)
 
     def _is_reusable(self) -> bool:
         """Return whether the exchange is complete, with no bytes left."""
--- a/wigeonspoke/ingress/streams/event_cursor.py
+++ b/wigeonspoke/ingress/streams/event_cursor.py
@@ -6,6 +6,11 @@
 )
 from wigeonspoke.transport import BodyEnd
 
+# A chain that resumes a stream may repeat events, and comments keep a
+# connection open.  One that sends nothing else is at fault.
+MAX_REPEATED_BYTES = 1048576
+MAX_COMMENTS = 1000
+
 
 class EventCursor:
     """Tracks the last event sent to the client, over all attempts.
@@ -23,6 +28,9 @@
         'has_position',
         'last_number',
         'needs_numbers',
+        'new_count',
+        'repeated_bytes',
+        'comment_count',
     )
 
     def __init__(
@@ -32,6 +40,11 @@
         self.last_number = parse_event_number(resumed_after)
         # Whether the client has any event, from this request or before it.
         self.has_position = bool(resumed_after)
+        # Events so far that were new to the client.
+        self.new_count = 0
+        # Comments, and bytes of repeated events, since the last new one.
+        self.comment_count = 0
+        self.repeated_bytes = 0
         # Whether an attempt broke off inside the event after the last one.
         self.has_begun_event = False
 
@@ -46,21 +59,20 @@
         return '' if self.last_number is None else str(self.last_number)
 
     def take_new(self, events: list[StreamEvent]) -> list[bytes] | None:
-        """Return the events new to the client.
+        """Return the events new to the client, and comments.
 
-        It is None if one is missing, or has no place in the stream.
+        It is None if one is missing, or has no place in the stream, or if
+        nothing new comes for long.
         """
         new_events: list[bytes] = []
         for event in events:
-            if self._has_no_place(event):
-                return None
             distance = self._distance(event)
-            if distance > 1:
+            if distance > 1 or self._has_no_place(event):
                 return None
             if distance > 0:
-                self._advance(event)
                 new_events.append(event.raw)
-        return new_events
+            self._count(event, distance)
+        return None if self._is_at_fault else new_events
 
     def may_end(self, body_end: BodyEnd) -> bool:
         """Return whether the stream may be complete after the last event.
@@ -73,6 +85,11 @@
             return False
         return self.has_position or body_end is not BodyEnd.CLOSE
 
+    @property
+    def _is_at_fault(self) -> bool:
+        is_repeating = self.repeated_bytes > MAX_REPEATED_BYTES
+        return is_repeating or self.comment_count > MAX_COMMENTS
+
     def _has_no_place(self, event: StreamEvent) -> bool:
         if not self.needs_numbers or not self.is_numbered:
             return False
@@ -84,8 +101,20 @@
             return 1
         return event.number - self.last_number
 
+    def _count(self, event: StreamEvent, distance: int) -> None:
+        """Advance by a new event, or count one that is not."""
+        if event.is_comment:
+            self.comment_count += 1
+        elif distance > 0:
+            self._advance(event)
+        else:
+            self.repeated_bytes += len(event.raw)
+
     def _advance(self, event: StreamEvent) -> None:
         self.has_position = True
         self.has_begun_event = False
+        self.new_count += 1
+        self.comment_count = 0
+        self.repeated_bytes = 0
         if event.number is not None:
             self.last_number = event.number
--- a/wigeonspoke/ingress/streams/event_splitter.py
+++ b/wigeonspoke/ingress/streams/event_splitter.py
@@ -24,6 +24,8 @@
     @property
     def is_comment(self) -> bool:
         """Whether it has only comments, which keep a connection open."""
+        if self.number is not None or not self.raw:
+            return False
         return all(
             line.startswith(b':') for line in self.raw.splitlines() if line
         )
--- a/wigeonspoke/ingress/streams/stream_handler.py
+++ b/wigeonspoke/ingress/streams/stream_handler.py
@@ -329,20 +329,34 @@
             )
             if isinstance(part, BodyEnd):
                 break
-            events = self._take_new_events(
-                self._split_events(splitter, part, chain), chain
-            )
-            if events:
-                self._end_silent_attempts(attempt)
-                self.chain_monitor.record_event()
-                attempts.record_event(chain)
-                self._send_head(headers)
+            known_count = self.cursor.new_count
+            received = self._split_events(splitter, part, chain)
+            attempt.add_elements(len(received))
+            events = self._take_new_events(received, chain)
+            if self.cursor.new_count > known_count:
+                self._record_events(attempt, chain, headers)
+            else:
+                yield from self._check_without_event(attempt, chain)
+            # Comments are no reason to begin the response.
+            if events and self.response_started:
                 yield b''.join(events)
         self._check_complete(attempt, part, splitter)
         self._end_silent_attempts(attempt)
         attempts.record_complete()
         self._send_head(headers)
 
+    def _record_events(
+        self,
+        attempt: EndpointAttempt,
+        chain: Chain,
+        headers: tuple[tuple[str, str], ...],
+    ) -> None:
+        """Record that events are new to the client, and begin its response."""
+        self._end_silent_attempts(attempt)
+        self.chain_monitor.record_event()
+        self._attempts_at(chain).record_event(chain)
+        self._send_head(headers)
+
     def _split_events(
         self, splitter: EventSplitter, part: bytes, chain: Chain
     ) -> list[StreamEvent]:
@@ -417,6 +431,21 @@
             if time.monotonic() >= silent_at:
                 silent_at = yield from self._check_silence(attempt, chain)
 
+    def _check_without_event(
+        self, attempt: EndpointAttempt, chain: Chain
+    ) -> Iterator[bytes]:
+        """Try another chain if this one has sent bytes and no event for long.
+
+        Comments, and bytes of an event that does not end, are silence.
+        """
+        if time.monotonic() < self.next_check_at(self.chain_monitor.silent_at):
+            return
+        if self.must_abandon(attempt):
+            raise ReadTimeout
+        if time.monotonic() >= self.chain_monitor.silent_at:
+            check_at = yield from self._check_silence(attempt, chain)
+            self.chain_monitor.silent_at = check_at
+
     def _check_silence(
         self, attempt: EndpointAttempt, chain: Chain
     ) -> Iterator[bytes]:
--- a/wigeonspoke/ingress/tests/test_event_cursor.py
+++ b/wigeonspoke/ingress/tests/test_event_cursor.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from wigeonspoke.ingress.streams.event_cursor import EventCursor
+from wigeonspoke.ingress.streams.event_cursor import (
+    MAX_COMMENTS,
+    MAX_REPEATED_BYTES,
+    EventCursor,
+)
 from wigeonspoke.ingress.streams.event_splitter import (
     EventSplitter,
     StreamEvent,
@@ -104,3 +108,41 @@
     taken = cursor.take_new(EventSplitter().feed(raw))
     expected = [raw] if is_taken else None
     assert taken == expected
+
+
+def _comments(count: int) -> list[StreamEvent]:
+    return EventSplitter().feed(b':\n\n' * count)
+
+
+# A stream of comments kept a silent chain alive, and moved the position.
+def test_comments_are_no_events():
+    cursor = EventCursor('')
+    assert cursor.take_new(_comments(3)) == [b':\n\n'] * 3
+    assert not cursor.has_position
+    assert not cursor.new_count
+    assert not cursor.may_end(BodyEnd.CLOSE)
+
+
+@pytest.mark.parametrize('count', [MAX_COMMENTS, MAX_COMMENTS + 1])
+def test_a_chain_that_only_comments_is_at_fault(count):
+    cursor = EventCursor('')
+    cursor.take_new([StreamEvent(b'id: 1\ndata: x\n\n', 1)])
+    is_at_fault = cursor.take_new(_comments(count)) is None
+    assert is_at_fault is (count > MAX_COMMENTS)
+
+
+def test_an_event_between_comments_shows_progress():
+    cursor = EventCursor('')
+    for number in range(4):
+        assert cursor.take_new(_comments(MAX_COMMENTS)) is not None
+        event = StreamEvent(b'id: %d\ndata: x\n\n' % number, number)
+        assert cursor.take_new([event]) == [event.raw]
+
+
+def test_a_chain_that_only_repeats_is_at_fault():
+    cursor = EventCursor('')
+    event = StreamEvent(b'id: 1\ndata: %b\n\n' % (b'x' * 1000), 1)
+    cursor.take_new([event])
+    repeats = MAX_REPEATED_BYTES // len(event.raw)
+    assert cursor.take_new([event] * repeats) == []
+    assert cursor.take_new([event]) is None
--- a/wigeonspoke/platform/tests/test_endless_answers.py
+++ b/wigeonspoke/platform/tests/test_endless_answers.py
@@ -40,10 +40,14 @@
     'close': (HEAD + b'\r\n', BLOCK),
     'chunks': (HEAD + CHUNKED, b'10000\r\n' + BLOCK + b'\r\n'),
     'error': (b'HTTP/1.1 500 No\r\nRequest-Id: %s\r\n\r\n', BLOCK),
+    'chunks of a byte': (HEAD + CHUNKED, b'1\r\nx\r\n' * 10000),
     'head': (HEAD, b'X-A: b\r\n' * 8192),
 }
 STREAMS = {
     'event': (EVENTS + b'\r\nid: 1\ndata: ', BLOCK),
+    'comments': (EVENTS + b'\r\n', b':\n\n' * 20000),
+    'the same event': (EVENTS + b'\r\n', b'id: 1\ndata: x\n\n' * 5000),
+    'chunks of a byte': (EVENTS + CHUNKED, b'1\r\n:\r\n' * 10000),
     'no stream': (HEAD + b'\r\n', BLOCK),
 }
 
--- a/wigeonspoke/transport/chunked_decoder.py
+++ b/wigeonspoke/transport/chunked_decoder.py
@@ -10,6 +10,9 @@
 MAX_LINE_BYTES = 1024
 # Includes the empty line that ends the trailer section.
 MAX_TRAILERS = 16
+# How much more the sizes and ends of chunks may take than their data.  Chunks
+# of a few bytes cost many times what the same data costs in larger ones.
+MAX_FRAMING_BYTES = 65536
 HEXADECIMAL_BASE = 16
 CRLF = b'\r\n'
 
@@ -39,8 +42,10 @@
     __slots__ = (
         'awaits_chunk_end',
         'buffer',
+        'element_count',
         'is_complete',
         'remaining',
+        'surplus_bytes',
         'trailer_count',
     )
 
@@ -53,6 +58,10 @@
         # Lines of the trailer section, or None before the last chunk.
         self.trailer_count: int | None = None
         self.is_complete = False
+        # Data, sizes and ends of chunks that were decoded so far.
+        self.element_count = 0
+        # Decoded bytes, less those that they took beside.
+        self.surplus_bytes = 0
 
     def feed(self, received: bytes) -> bytes:
         """Add received bytes and return the body data decoded from them.
@@ -60,59 +69,70 @@
         Raises
         ------
         ChunkError
-            The bytes are malformed, or a line or the trailer section is too
-            long.
+            The bytes are malformed, a line or the trailer section is too
+            long, or the chunks are too small.
         """
-        self.buffer += received
         parts: list[bytes] = []
-        part = self._decode_next()
-        while part is not None:
-            parts.append(part)
-            part = self._decode_next()
-        return b''.join(parts)
-
-    def _decode_next(self) -> bytes | None:
-        """Decode the next element and return its data, None if incomplete."""
+        source = self.buffer + received
+        position = 0
+        following = self._decode_next(source, position, parts)
+        while following is not None:
+            self.element_count += 1
+            position = following
+            following = self._decode_next(source, position, parts)
+        self.buffer = source[position:]
+        body = b''.join(parts)
+        self.surplus_bytes += 2 * len(body) - position
+        if self.surplus_bytes < -MAX_FRAMING_BYTES:
+            raise ChunkError('size of the chunks')
+        return body
+
+    def _decode_next(
+        self, source: bytes, position: int, parts: list[bytes]
+    ) -> int | None:
+        """Decode the next element; return where it ends, None if incomplete."""
         if self.is_complete:
             return None
         if self.remaining:
-            return self._decode_data()
-        return (
-            self._decode_chunk_end()
-            if self.awaits_chunk_end
-            else self._decode_line()
-        )
-
-    def _decode_data(self) -> bytes | None:
-        taken = self.buffer[: self.remaining]
-        self.buffer = self.buffer[self.remaining :]
+            return self._decode_data(source, position, parts)
+        if self.awaits_chunk_end:
+            return self._decode_chunk_end(source, position)
+        return self._decode_line(source, position)
+
+    def _decode_data(
+        self, source: bytes, position: int, parts: list[bytes]
+    ) -> int | None:
+        taken = source[position : position + self.remaining]
+        if not taken:
+            return None
+        parts.append(taken)
         self.remaining -= len(taken)
         self.awaits_chunk_end = not self.remaining
-        return taken or None
+        return position + len(taken)
 
-    def _decode_chunk_end(self) -> bytes | None:
-        end = self.buffer[: len(CRLF)]
+    def _decode_chunk_end(self, source: bytes, position: int) -> int | None:
+        end = source[position : position + len(CRLF)]
         if not CRLF.startswith(end):
             raise ChunkError('end of a chunk')
         if end != CRLF:
             return None
-        self.buffer = self.buffer[len(CRLF) :]
         self.awaits_chunk_end = False
-        return b''
+        return position + len(CRLF)
 
-    def _decode_line(self) -> bytes | None:
+    def _decode_line(self, source: bytes, position: int) -> int | None:
         """Decode a chunk size line or a trailer line."""
-        line, found, after = self.buffer.partition(CRLF)
+        end = source.find(CRLF, position)
+        has_end = end >= 0
+        line = source[position:end] if has_end else source[position:]
         if len(line) > MAX_LINE_BYTES:
             raise ChunkError('length of a line')
-        if not found:
+        if not has_end:
             return None
-        self.buffer = after
         if self.trailer_count is None:
             self._parse_size(line)
         else:
             self._check_trailer(line)
-        return b''
+        return end + len(CRLF)
 
     def _parse_size(self, line: bytes) -> None:
         match = _SIZE_LINE.fullmatch(line)
--- a/wigeonspoke/transport/tests/test_chunked_decoder.py
+++ b/wigeonspoke/transport/tests/test_chunked_decoder.py
@@ -76,3 +76,29 @@
     with pytest.raises(ChunkError):
         decoder.feed(payload)
         decoder.feed(b'\r\n')
+
+
+# Each element copied the rest of the input, and chunks of a byte took a whole
+# process at a few megabytes a second.
+@pytest.mark.parametrize(('size', 'is_at_fault'), [(1, True), (70, False)])
+def test_chunks_that_are_mostly_framing_are_malformed(size, is_at_fault):
+    chunk = b'%x\r\n%b\r\n' % (size, b'x' * size)
+    decoder = ChunkedDecoder()
+
+    def feed_all():
+        for _ in range(100):
+            decoder.feed(chunk * 1000)
+
+    if is_at_fault:
+        with pytest.raises(ChunkError, match='size of the chunks'):
+            feed_all()
+    else:
+        feed_all()
+    assert decoder.element_count >= 3000
+
+
+def test_a_few_small_chunks_are_sound():
+    decoder = ChunkedDecoder()
+    body = decoder.feed(b'1\r\nx\r\n' * 10000 + b'0\r\n\r\n')
+    assert body == b'x' * 10000
+    assert decoder.is_complete
--- a/wigeonspoke/transport/tests/test_response_receiver.py
+++ b/wigeonspoke/transport/tests/test_response_receiver.py
@@ -12,7 +12,9 @@
     ResponseTooLarge,
 )
 from wigeonspoke.transport.response_receiver import (
+    GATE,
     MAX_LATE_BYTES,
+    MAX_LATE_SECONDS,
     MAX_RESPONSE_BYTES,
     RECEIVE_BYTES,
 )
@@ -86,3 +88,32 @@
     receiver.begin_response()
     deadline = time.monotonic() + DEADLINE_SECONDS
     assert receiver.receive(deadline) == b'x'
+
+
+# A peer that goes on sending small pieces after the deadline held its reader
+# for as long as a mebibyte of them takes to parse.
+@_sent(SENT)
+def test_reading_after_the_deadline_ends_by_time(receiver):
+    receiver.receive(time.monotonic() - 1)
+    receiver.late_since = time.monotonic() - MAX_LATE_SECONDS
+    with pytest.raises(ReadTimeout):
+        receiver.receive(time.monotonic() - 1)
+    in_time = time.monotonic() + DEADLINE_SECONDS
+    assert receiver.receive(in_time)
+    assert receiver.receive(time.monotonic() - 1)
+
+
+# Many readers that never wait left no time for anything else.
+def test_readers_of_small_elements_run_one_after_the_other():
+    running = []
+
+    def read(number):
+        GATE.wait()
+        running.append(number)
+
+    readers = [eventlet.spawn(read, number) for number in range(4)]
+    eventlet.sleep(0)
+    assert not running
+    for reader in readers:
+        reader.wait()
+    assert running == [0, 1, 2, 3]
