Wake readers only if some wait for memory, and count eras by kind of source

A counter by peer's address would have as many labels as there are peers; the log line names the address. Releasing a body woke an event for each call, also without anybody waiting. No change of behaviour otherwise; the tests of both pass.

--- a/wigeonspoke/ingress/requests/body_reading.py
+++ b/wigeonspoke/ingress/requests/body_reading.py
@@ -117,8 +117,10 @@
 
     def _release(self, body: HeldBody) -> None:
         self.held.remove(body)
-        self.state.memory.release(body)
-        self.state.memory_news.wake()
+        memory = self.state.memory
+        memory.release(body)
+        if memory.waiting:
+            self.state.memory_news.wake()
 
 
 def split_body(body: bytes) -> Iterator[bytes]:
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -252,7 +252,7 @@
         if known is None or told.store_version > known.store_version:
             self.released_peer_leases[domain] = told
 
-    def record_era(self, era: int, source: str = 'store') -> None:
+    def record_era(self, era: int, peer: str = '') -> None:
         """Record the era of an answer of the store, or of a peer's table.
 
         If it is a later one, the store has lost its last seconds: what is read
@@ -265,9 +265,13 @@
         # Entries that others write again may be missing for a moment.
         self.store_outages.record_return(now)
         kept = self.fleet.keep_leaving(now)
-        self.count_event('store-era', source)
+        self.count_event('store-era', 'peer' if peer else 'store')
         self.log.write(
-            'store-era', era=era, before=before, source=source, leaving=kept
+            'store-era',
+            era=era,
+            before=before,
+            source=peer or 'store',
+            leaving=kept,
         )
         self.era_news.wake()
 
