Let the newest entry of an endpoint count, whatever start it names

Cause: an entry with an earlier start than the known one counted as late. The rows of a table are applied in the order of their versions, so that a row with an earlier start is not late: the odd one before it was wrong. The odd entries also counted as later runs, and the replicas' runs as ended.

Change: the newest row counts. An earlier start is ignored only in the first table read after the store has come back from an older copy. Changes that are older than the known row itself are left out, since a table of several pages may have rows newer than its version. A row that names another service is no end of a run.

--- a/wigeonspoke/core/fleet/registry.py
+++ b/wigeonspoke/core/fleet/registry.py
@@ -47,16 +47,18 @@
         self.listed: dict[str, ListedEndpoints] = {}
         self.listed_at = 0
 
-    def put(self, endpoint: Endpoint) -> bool:
+    def put(self, endpoint: Endpoint, *, is_newest: bool = False) -> bool:
         """Add or update an endpoint, and tell whether anything changed.
 
         A row of an earlier run, or with fewer accepted orders than the known
-        one, has arrived late and is ignored.
+        one, has arrived late and is ignored.  If it ``is_newest``, the row was
+        written after the known one, so that its run goes on whatever another
+        writer has said of a later start.
         """
         known = self.endpoints.get(endpoint.endpoint_id)
         if known == endpoint:
             return False
-        if known is not None and _is_older(endpoint, known):
+        if known is not None and _is_older(endpoint, known, is_newest):
             return False
         self.endpoints[endpoint.endpoint_id] = endpoint
         self.revision += 1
@@ -180,7 +182,7 @@
         return listed
 
 
-def _is_older(endpoint: Endpoint, known: Endpoint) -> bool:
+def _is_older(endpoint: Endpoint, known: Endpoint, is_newest: bool) -> bool:
     if endpoint.born != known.born:
-        return endpoint.born < known.born
+        return endpoint.born < known.born and not is_newest
     return endpoint.orders < known.orders
--- a/wigeonspoke/ingress/tables/table_consumers.py
+++ b/wigeonspoke/ingress/tables/table_consumers.py
@@ -8,7 +8,7 @@
 import eventlet
 from returns.result import Success
 
-from wigeonspoke.core.fleet import MissingEntries
+from wigeonspoke.core.fleet import Endpoint, MissingEntries
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.tables.table_source import TableSource
 from wigeonspoke.store import TableRow
@@ -116,10 +116,11 @@
         endpoint = decoded.unwrap()
         self.missing.discard(endpoint.endpoint_id)
         known = self.state.fleet.endpoints.get(endpoint.endpoint_id)
-        if known is not None and endpoint.born > known.born:
+        if known is not None and _is_next_run(endpoint, known):
             self.state.part_watch.record_engine_end(known, 'started again')
         self.state.part_watch.record_listed(endpoint)
-        if self.state.fleet.put(endpoint):
+        is_newest = not source.may_be_older
+        if self.state.fleet.put(endpoint, is_newest=is_newest):
             self.state.queues.wake()
             self.state.log.write(
                 'endpoint',
@@ -202,6 +203,14 @@
             )
 
 
+def _is_next_run(endpoint: Endpoint, known: Endpoint) -> bool:
+    """Return whether an entry tells of a later start of an endpoint.
+
+    One that names another service comes from another writer.
+    """
+    return endpoint.born > known.born and endpoint.service == known.service
+
+
 def _describe_age(seconds: float) -> float | None:
     """Return a time for the log, None if it is infinite."""
     return None if seconds == math.inf else round(seconds, 3)
--- a/wigeonspoke/ingress/tables/table_copy.py
+++ b/wigeonspoke/ingress/tables/table_copy.py
@@ -103,7 +103,11 @@
         known = self.known_version
         if version.era != known.era:
             return ()
-        changes = tuple(row for row in rows if row.version > known.number)
+        changes = tuple(
+            row
+            for row in rows
+            if row.version > known.number and self._is_newer(row)
+        )
         for row in changes:
             if row.is_removed:
                 self.rows.pop(row.key, None)
@@ -133,6 +137,14 @@
             is_complete=is_complete,
         )
 
+    def _is_newer(self, row: TableRow) -> bool:
+        """Return whether a row was written after the one that is known.
+
+        A table of several pages may have rows that are newer than its version.
+        """
+        known = self.rows.get(row.key)
+        return known is None or row.version > known.version
+
     def _changed_after(self, known: int) -> list[TableRow]:
         """Return each row that changed after a version, as it is now."""
         return [
--- a/wigeonspoke/ingress/tables/table_followers.py
+++ b/wigeonspoke/ingress/tables/table_followers.py
@@ -337,7 +337,9 @@
             )
             self.vouches_from = time.monotonic() + unknown_seconds
         self.copy.replace(rows, version)
-        source = self._source(peer, retention)
+        source = msgspec.structs.replace(
+            self._source(peer, retention), may_be_older=is_later_era
+        )
         listed = {row.key: row for row in rows if not row.is_removed}
         for row in listed.values():
             self._apply(row, source)
--- a/wigeonspoke/ingress/tables/table_source.py
+++ b/wigeonspoke/ingress/tables/table_source.py
@@ -25,11 +25,14 @@
     ``peer`` is the peer's address, empty for the store.  ``known_seconds`` is
     how long ago a peer first told of the newest of the rows, None if none did.
     ``retention`` is what the peer knows of missing entries, None if nothing.
+    ``may_be_older`` is whether rows may have been written before the known
+    ones: the store has come back from an older copy.
     """
 
     peer: str = ''
     known_seconds: float | None = None
     retention: Retention | None = None
+    may_be_older: bool = False
 
     @property
     def kind(self) -> str:
--- a/wigeonspoke/platform/tests/test_odd_entries.py
+++ b/wigeonspoke/platform/tests/test_odd_entries.py
@@ -27,6 +27,7 @@
 }
 MANY_DIGITS = '9' * 5000
 REQUESTS = 6
+ODD_ADDRESS = '127.0.0.1:9'
 
 
 def _entry(base=REPLICA, **fields):
@@ -168,3 +169,47 @@
     ids = [chain.endpoint_ids for chain in placed_harness.chains()]
     assert len(ids) == 2
     assert 'odd' not in frozenset().union(*ids)
+
+
+# Three seconds of entries of another writer, with a later start, hid a sound
+# service for good: the entries that its replicas wrote later counted as old.
+@pytest.mark.parametrize('service', ['unnamed', 'ledger'])
+def test_the_newest_entry_counts_whatever_start_another_writer_named(
+    harness, service
+):
+    fleet = harness.node.state.fleet
+    sound = dict(fleet.endpoints)
+    odd_ids = ('r-one', 'r-two')
+    for replica in harness.replicas:
+        entry = replica.registry_entry()
+        odd = {
+            **entry,
+            'service': service,
+            'address': ODD_ADDRESS,
+            'born': entry['born'] + 60_000,
+        }
+        harness.store.put('servers', replica.endpoint_id, odd)
+    harness.wait_until(
+        lambda: all(
+            fleet.endpoints[endpoint_id].address == ODD_ADDRESS
+            for endpoint_id in odd_ids
+        )
+    )
+    harness.publish_endpoints()
+    harness.wait_until(lambda: fleet.endpoints == sound)
+    assert send_request(harness, 'GET', '/read/x', 'id1')[0] == 200
+
+
+# An entry that names another service says nothing of a request that was sent
+# to the replica before.
+def test_an_entry_of_another_service_is_no_end_of_a_replica(harness):
+    replica = harness.replicas[0]
+    endpoint = harness.node.state.fleet.endpoints[replica.endpoint_id]
+    entry = replica.registry_entry()
+    odd = {**entry, 'service': 'unnamed', 'born': entry['born'] + 60_000}
+    harness.store.put('servers', replica.endpoint_id, odd)
+    fleet = harness.node.state.fleet
+    harness.wait_until(
+        lambda: fleet.endpoints[replica.endpoint_id].service == 'unnamed'
+    )
+    assert not harness.node.state.part_watch.has_ended(endpoint)
