Show a planned stop, and clients that leave, beside endless answers

Leads of the review that needed no further change: a node ends within its grace with every client answered, and what a request held is free once its client has left. Three tests, all pass on this code; they were not run on the code before.

--- a/wigeonspoke/platform/tests/test_endless_answers.py
+++ b/wigeonspoke/platform/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 """
 
 import pathlib
+import signal
 from collections import Counter
 from collections.abc import Callable
 
@@ -28,6 +29,8 @@
 # The longest route has 5 s; a final answer comes at the deadline.
 TIMEOUT_SECONDS = 7.0
 KILOBYTES_PER_MEGABYTE = 1024
+# The time that a stop may take.
+GRACE_SECONDS = 8.0
 LARGE_ANSWERS = 28
 LARGE_BYTES = 4194304
 
@@ -200,3 +203,40 @@
         'Response-Signature': 's1.2',
     }
     connection.respond(200, headers, b'x' * LARGE_BYTES)
+
+
+# A stop must end in its time, also beside answers that do not.
+@pytest.mark.parametrize('shape', ['close', 'chunks of a byte'])
+def test_a_planned_stop_beside_endless_answers(node, shape):
+    for replica in node.harness.replicas:
+        _replace_answers(replica, '/read', _send_endlessly(*CALLS[shape]))
+    tasks = [
+        eventlet.spawn(node.send, 'GET', '/read/x', number)
+        for number in range(REQUESTS)
+    ]
+    eventlet.sleep(0.5)
+    node.node.send_signals(signal.SIGTERM)
+    node.harness.wait_until(node.node.has_ended, GRACE_SECONDS)
+    for task in tasks:
+        task.wait()
+    assert not node.node.process.returncode
+    assert set(node.statuses) <= {502, 503, 504}
+
+
+# What a request held is free once its client has left.
+def test_clients_that_leave_endless_answers_free_their_memory(node):
+    for replica in node.harness.replicas:
+        _replace_answers(replica, '/read', _send_endlessly(*CALLS['close']))
+    for _ in range(3):
+        tasks = [
+            eventlet.spawn(node.send, 'GET', '/read/x', number)
+            for number in range(REQUESTS)
+        ]
+        eventlet.sleep(0.4)
+        for task in tasks:
+            task.kill()
+    eventlet.sleep(0.2)
+    for number in range(SOUND_REQUESTS):
+        node.send_sound('POST', '/draft/x', number)
+    assert node.sound_statuses == {200: SOUND_REQUESTS}
+    assert node.peak_mb < MEMORY_MB
