--- a/wigeonspoke/platform/tests/harness.py
+++ b/wigeonspoke/platform/tests/harness.py
@@ -89,6 +89,27 @@
     }
 
 
+def make_settings(store: str) -> IngressSettings:
+    """Return the settings of a node with its own ports, at a store."""
+    return IngressSettings(
+        name='node-1',
+        failure_domain='one',
+        failure_domains=ZONES,
+        host='127.0.0.1',
+        front='127.0.0.1:0',
+        ready='127.0.0.1:0',
+        peers='127.0.0.1:0',
+        seeds=(),
+        metrics_port=0,
+        store=store,
+        max_sockets=1024,
+        stop_seconds=8.0,
+        retry_ratio=0.2,
+        retry_extra=400.0,
+        retry_window_seconds=10.0,
+    )
+
+
 class Harness:
     """A node, two replicas and six engines, with the store.
 
@@ -114,7 +135,7 @@
             for index in range(3)
         ]
         self.publish_endpoints()
-        self.node = build_node(self._settings())
+        self.node = build_node(make_settings(self.store.address))
         self.node.start()
 
     def publish_endpoints(self) -> None:
@@ -151,6 +172,12 @@
                 listed[replica.address] = replica.endpoint_id
             eventlet.sleep(REGISTRY_SECONDS)
 
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Publish a configuration, and wait until it is in force."""
+        self.store.put('op', 'config', configuration)
+        table = self.node.state.routing_table
+        self.wait_until(lambda: table.version == configuration['version'])
+
     def place_layers(self) -> None:
         """Wait until both domains have a complete chain.
 
@@ -200,25 +227,6 @@
         if known is None or known.content != entry:
             self.store.put_bytes('servers', endpoint_id, entry)
 
-    def _settings(self) -> IngressSettings:
-        return IngressSettings(
-            name='node-1',
-            failure_domain='one',
-            failure_domains=ZONES,
-            host='127.0.0.1',
-            front='127.0.0.1:0',
-            ready='127.0.0.1:0',
-            peers='127.0.0.1:0',
-            seeds=(),
-            metrics_port=0,
-            store=self.store.address,
-            max_sockets=1024,
-            stop_seconds=8.0,
-            retry_ratio=0.2,
-            retry_extra=400.0,
-            retry_window_seconds=10.0,
-        )
-
 
 def start_node(harness: Harness, name: str, **overrides: Any) -> IngressNode:
     """Start a further node, whose settings are those of the first but these.
--- a/wigeonspoke/platform/tests/test_reset_of_a_silent_chain.py
+++ b/wigeonspoke/platform/tests/test_reset_of_a_silent_chain.py
@@ -58,9 +58,7 @@
     configuration = make_configuration(version=2)
     for route in configuration['routes']:
         route['timeout-ms'] = TIMEOUT_MS
-    harness.store.put('op', 'config', configuration)
-    state = harness.node.state
-    harness.wait_until(lambda: state.routing_table.version == 2)
+    harness.configure(configuration)
 
 
 # A stream without a length, reset after event 8 of 20 while the other chain had
--- a/wigeonspoke/platform/tests/test_reset_of_a_silent_replica.py
+++ b/wigeonspoke/platform/tests/test_reset_of_a_silent_replica.py
@@ -40,9 +40,7 @@
         version=2,
         routes=[make_route('/read/', 'ledger', 'safe', target_latency_ms=200)],
     )
-    harness.store.put('op', 'config', configuration)
-    state = harness.node.state
-    harness.wait_until(lambda: state.routing_table.version == 2)
+    harness.configure(configuration)
 
 
 def _serve_partly(harness, finish) -> list:
--- a/wigeonspoke/platform/tests/test_stream_lost_in_failover.py
+++ b/wigeonspoke/platform/tests/test_stream_lost_in_failover.py
@@ -21,9 +21,7 @@
     configuration = make_configuration(version=2)
     for route in configuration['routes']:
         route |= {'timeout-ms': ROUTE_MS, 'max-attempts': 3}
-    harness.store.put('op', 'config', configuration)
-    state = harness.node.state
-    harness.wait_until(lambda: state.routing_table.version == 2)
+    harness.configure(configuration)
 
 
 def _request(harness):
