--- a/Makefile
+++ b/Makefile
@@ -7,15 +7,22 @@
 TEST_PARTS := 1 2 3 4 5
 TEST_TARGETS := $(TEST_PARTS:%=test-part-%)
 
-.PHONY: demo test $(TEST_TARGETS) lint format golden bench fuzz
+.PHONY: demo test test-alone $(TEST_TARGETS) lint format golden bench fuzz
 
 demo: $(STAMP)
 	$(BIN)/wigeonspoke demo
 
-# Every part runs, and one that fails makes the whole fail.
+# Every part runs, and one that fails makes the whole fail.  The tests that run
+# apart from other load come after all others.
 test: $(STAMP)
+	@failed=0; \
 	$(MAKE) --no-print-directory --keep-going --jobs=$(words $(TEST_PARTS)) \
-	    --output-sync=target $(TEST_TARGETS)
+	    --output-sync=target $(TEST_TARGETS) || failed=1; \
+	$(MAKE) --no-print-directory test-alone || failed=1; \
+	exit $$failed
+
+test-alone: $(STAMP)
+	$(BIN)/pytest --alone
 
 $(TEST_TARGETS): test-part-%: $(STAMP)
 	$(BIN)/pytest --part=$*/$(words $(TEST_PARTS))
--- a/wigeonspoke/conftest.py
+++ b/wigeonspoke/conftest.py
@@ -3,7 +3,8 @@
 Sockets are patched as in the daemons.  Tests listed in ``KNOWN-RED.txt`` at
 the root of the repository are run, but their failures do not fail the run.
 Several processes may share the tests: with ``--part=2/4``, a run takes the
-second of four disjoint parts, which together are all the tests.
+second of four disjoint parts, which together are all the tests but those that
+are marked to run alone.  ``--alone`` takes these.
 """
 
 import warnings
@@ -56,6 +57,16 @@
         metavar='NUMBER/COUNT',
         help='run this one of several disjoint parts of the tests',
     )
+    parser.addoption(
+        '--alone',
+        action='store_true',
+        help='run the tests that must run apart from other load',
+    )
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Define the mark of tests that run alone."""
+    config.addinivalue_line('markers', 'alone: runs apart from other load')
 
 
 def pytest_collection_modifyitems(session: pytest.Session) -> None:
@@ -64,18 +75,28 @@
     The name of a test alone decides on its part, so that each test is in
     exactly one, whatever else is collected.
     """
-    number, count = session.config.getoption('--part')
     kept: list[pytest.Item] = []
     others: list[pytest.Item] = []
     for test in session.items:
-        is_kept = zlib.crc32(test.nodeid.encode()) % count == number - 1
-        (kept if is_kept else others).append(test)
+        (kept if _is_kept(test) else others).append(test)
     session.items.clear()
     session.items.extend(kept)
     if others:
         session.config.hook.pytest_deselected(items=others)
 
 
+def _is_kept(test: pytest.Item) -> bool:
+    """Return whether the options select a test."""
+    number, count = test.config.getoption('--part')
+    runs_alone = test.get_closest_marker('alone') is not None
+    if test.config.getoption('--alone'):
+        return runs_alone
+    if count == 1:
+        return True
+    is_in_part = zlib.crc32(test.nodeid.encode()) % count == number - 1
+    return is_in_part and not runs_alone
+
+
 def pytest_collection_finish(session: pytest.Session) -> None:
     """Mark the tests that are listed as known to fail."""
     known = _known_red_tests()
--- a/wigeonspoke/platform/tests/node_process.py
+++ b/wigeonspoke/platform/tests/node_process.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from wigeonspoke.platform.settings import PATH_VARIABLE
+from wigeonspoke.transport import HttpClient
 
 ROOT = pathlib.Path(__file__).parents[3]
 SETTINGS = """
@@ -29,9 +30,16 @@
 retry-budget-extra = 400
 [platform]
 address = "{store}"
+[limits]
+memory-mb = {memory_mb}
+max-fds = {max_fds}
 """
 PORTS = itertools.count(7000)
 PORT_NAMES = ('internal', 'metrics', 'front', 'ready', 'control')
+# Of an entry host, by the users' page.
+MEMORY_MB = 300
+MAX_DESCRIPTORS = 4200
+KILOBYTES_PER_MEGABYTE = 1024
 
 
 class NodeProcess:
@@ -44,16 +52,25 @@
         zone: str,
         store: str,
         source: pathlib.Path = ROOT,
+        memory_mb: int = MEMORY_MB,
+        max_fds: int = MAX_DESCRIPTORS,
     ) -> None:
         self.name = name
         host = _own_host()
         ports = {port_name: next(PORTS) for port_name in PORT_NAMES}
         self.front = f'{host}:{ports["front"]}'
         self.ready = f'{host}:{ports["ready"]}'
+        self.control = f'{host}:{ports["control"]}'
         settings = folder / f'{name}.toml'
         settings.write_text(
             SETTINGS.format(
-                name=name, zone=zone, host=host, store=store, **ports
+                name=name,
+                zone=zone,
+                host=host,
+                store=store,
+                memory_mb=memory_mb,
+                max_fds=max_fds,
+                **ports,
             )
         )
         self.log = folder / f'{name}.log'
@@ -70,6 +87,24 @@
                 stderr=subprocess.STDOUT,
             )
 
+    @property
+    def peak_mb(self) -> float:
+        """The most memory that the process has had."""
+        status = pathlib.Path(f'/proc/{self.process.pid}/status')
+        lines = status.read_text().splitlines()
+        peak = next(line for line in lines if line.startswith('VmHWM'))
+        return int(peak.split()[1]) / KILOBYTES_PER_MEGABYTE
+
+    @property
+    def descriptors(self) -> int:
+        """The number of open descriptors of the process."""
+        return len(os.listdir(f'/proc/{self.process.pid}/fd'))
+
+    def is_ready(self) -> bool:
+        """Return whether the process answers that it is ready."""
+        reply = HttpClient().get(self.ready, '/v1/readyz')
+        return reply.map(lambda found: found.is_ok).value_or(False)
+
     def send_signals(self, *signals: signal.Signals) -> None:
         """Send signals, one after the other."""
         for number in signals:
--- a/wigeonspoke/platform/tests/test_endless_answers.py
+++ b/wigeonspoke/platform/tests/test_endless_answers.py
@@ -19,16 +19,13 @@
     make_configuration,
     make_route,
 )
-from wigeonspoke.platform.tests.node_process import NodeProcess
+from wigeonspoke.platform.tests.node_process import MEMORY_MB, NodeProcess
 from wigeonspoke.transport import HttpClient
 
-# Of an entry host, by the users' page.
-MEMORY_MB = 300
 REQUESTS = 60
 SOUND_REQUESTS = 20
 # The longest route has 5 s; a final answer comes at the deadline.
 TIMEOUT_SECONDS = 7.0
-KILOBYTES_PER_MEGABYTE = 1024
 # The time that a stop may take.
 GRACE_SECONDS = 8.0
 LARGE_ANSWERS = 28
@@ -64,15 +61,7 @@
         self.client = HttpClient()
         self.statuses = Counter()
         self.sound_statuses = Counter()
-        harness.wait_until(self._is_ready, 20.0)
-
-    @property
-    def peak_mb(self) -> float:
-        """The most memory that the process has had."""
-        status = pathlib.Path(f'/proc/{self.node.process.pid}/status')
-        lines = status.read_text().splitlines()
-        peak = next(line for line in lines if line.startswith('VmHWM'))
-        return int(peak.split()[1]) / KILOBYTES_PER_MEGABYTE
+        harness.wait_until(self.node.is_ready, 20.0)
 
     def send(self, method: str, path: str, number: int) -> None:
         """Send a request that a faulty endpoint gets."""
@@ -88,10 +77,6 @@
         self.node.process.kill()
         self.node.process.wait()
 
-    def _is_ready(self) -> bool:
-        reply = self.client.get(self.node.ready, '/v1/readyz')
-        return reply.map(lambda found: found.is_ok).value_or(False)
-
     def _status(self, method: str, path: str, request_id: str) -> int | Reason:
         headers = {
             'Host': HOST,
@@ -148,7 +133,7 @@
     for task in tasks:
         task.wait()
     assert not node.node.has_ended()
-    assert node.peak_mb < MEMORY_MB
+    assert node.node.peak_mb < MEMORY_MB
     assert not node.statuses[Reason.TIMEOUT], 'clients without an answer'
     assert node.sound_statuses == {200: SOUND_REQUESTS}
 
@@ -194,7 +179,7 @@
     for task in tasks:
         task.wait()
     assert node.statuses == {200: LARGE_ANSWERS}
-    assert node.peak_mb < MEMORY_MB
+    assert node.node.peak_mb < MEMORY_MB
 
 
 def _send_large(request, connection) -> None:
@@ -239,4 +224,4 @@
     for number in range(SOUND_REQUESTS):
         node.send_sound('POST', '/draft/x', number)
     assert node.sound_statuses == {200: SOUND_REQUESTS}
-    assert node.peak_mb < MEMORY_MB
+    assert node.node.peak_mb < MEMORY_MB
