Share the memory for bodies of requests between all clients

What callers saw: 100 clients with bodies of 4 MiB that they did not end took 439 MB at a node whose host has 300, whole bodies 536 to 713 MB; such a process is ended, and the requests of all its clients end with it.

Cause: `max-body-bytes` limits each body, nothing limits them together. Bodies were read to their end before the route, the key or a stop were looked at, so that a request for no route cost as much; a read had a limit of 10 s, the body none. The listener for peers read any body of any length. Ruled out: the kernel's buffers (the peak is of the process), heads (44 MB).

Change: all bodies that a process reads have an eighth of its memory, shared by the thresholds that answers have (`BodyMemory`, the accountant of both). A body beyond its threshold is not read on; one below 16 KiB always is. The first in line goes on and stays first until its request has ended, so that the whole is bounded by the capacity and one body; if it brings too little while others wait, it gets 503. A body ends at the deadline of its request. The head is judged first: what it refuses costs no memory, and the rest of a small body is dropped, so that its connection is kept.

An ordinary request is answered beside each crowd and after it, and one body of the full size after it, also on a slow link.

--- a/wigeonspoke/core/tests/test_response_memory.py
+++ b/wigeonspoke/core/tests/test_body_memory.py
@@ -4,15 +4,15 @@
 
 import pytest
 
-from wigeonspoke.core.response_memory import (
-    FREE_BYTES,
-    ResponseMemory,
-    body_capacity,
+from wigeonspoke.core.body_memory import (
+    SMALL_ANSWER_BYTES,
+    BodyMemory,
+    answer_capacity,
 )
 
-CAPACITY = 64 * FREE_BYTES
+CAPACITY = 64 * SMALL_ANSWER_BYTES
 PART = 16384
-MAX_BODY = 16 * FREE_BYTES
+MAX_BODY = 16 * SMALL_ANSWER_BYTES
 REQUESTS = 60
 
 
@@ -30,21 +30,21 @@
 # Many answers without end from one endpoint took all memory of the node.
 @pytest.mark.parametrize('faulty', [1, 2, 3])
 def test_some_memory_is_left_beside_faulty_endpoints(faulty):
-    memory = ResponseMemory(CAPACITY)
+    memory = BodyMemory(CAPACITY, SMALL_ANSWER_BYTES)
     bodies = [
         memory.begin(f'faulty-{number % faulty}') for number in range(REQUESTS)
     ]
     for body in bodies:
-        memory.add(body, FREE_BYTES // 4)
+        memory.add(body, SMALL_ANSWER_BYTES // 4)
     _fill(memory, bodies[:6])
     assert memory.held_bytes <= CAPACITY
     sound = memory.begin('sound')
-    memory.add(sound, FREE_BYTES)
+    memory.add(sound, SMALL_ANSWER_BYTES)
     assert memory.may_grow(sound)
 
 
 def test_the_body_that_waited_longest_goes_on():
-    memory = ResponseMemory(CAPACITY)
+    memory = BodyMemory(CAPACITY, SMALL_ANSWER_BYTES)
     bodies = [memory.begin('a') for _ in range(3)]
     for body in bodies:
         memory.add(body, CAPACITY // 4)
@@ -62,7 +62,7 @@
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.memory = ResponseMemory(CAPACITY)
+        self.memory = BodyMemory(CAPACITY, SMALL_ANSWER_BYTES)
         self.bodies = []
 
     def step(self) -> None:
@@ -88,7 +88,7 @@
     memory = requests.memory
     for _ in range(20000):
         requests.step()
-        small = len(requests.bodies) * (FREE_BYTES + PART)
+        small = len(requests.bodies) * (SMALL_ANSWER_BYTES + PART)
         assert memory.held_bytes <= CAPACITY + MAX_BODY + small
         waiting = tuple(memory.waiting)
         assert not waiting or any(map(memory.may_grow, waiting))
@@ -100,4 +100,4 @@
 
 @pytest.mark.parametrize('megabytes', [200, 300, 552])
 def test_the_memory_for_bodies_is_a_part_of_the_node(megabytes):
-    assert body_capacity(megabytes) < megabytes * 1048576 / 3
+    assert answer_capacity(megabytes) < megabytes * 1048576 / 3
--- a/wigeonspoke/ingress/front_app.py
+++ b/wigeonspoke/ingress/front_app.py
@@ -24,11 +24,15 @@
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.streams.stream_handler import StreamHandler
 from wigeonspoke.serialization import MAX_COUNT, parse_count
-from wigeonspoke.transport import RequestError, read_request_body
+from wigeonspoke.transport import MemoryShortError, RequestBody, RequestError
 
 StartResponse = Callable[..., Any]
 
-NO_CONFIGURATION_RETRY_AFTER_SECONDS = 1.0
+NO_CONFIGURATION = NodeResponse(
+    http.HTTPStatus.SERVICE_UNAVAILABLE, 'no-configuration', retry_after=1.0
+)
+# The memory for bodies is mostly free again when some requests have ended.
+MEMORY_RETRY_AFTER_SECONDS = 1.0
 # The answer to a request that comes too late in a stop.  Its client returns on
 # a new connection, which reaches another node.
 STOPPING = NodeResponse(
@@ -65,28 +69,50 @@
         arrived_at = time.monotonic()
         request = self._decode(environ)
         environ['wigeonspoke.connection'].request_id = request.request_id
-        try:
-            limits = self.state.routing_table.limits
-            request.body = read_request_body(environ, limits.max_body_bytes)
-        except RequestError as error:
+        response = self._find_refusal(request)
+        if response is None:
+            response = self._read_body(request, arrived_at, environ)
+        elif not environ['wigeonspoke.body'].drop():
             environ['wigeonspoke.end_connection']()
-            return self._reject(
-                request, error.status, error.problem, start_response
+        if response is None:
+            # The configuration may have changed while the body was read.
+            response = self._find_refusal(request)
+        if response is not None:
+            return self._respond(request, response, start_response)
+        context = self._context(request, arrived_at)
+        return self._serve(context, environ, start_response)
+
+    def _read_body(
+        self,
+        request: ClientRequest,
+        arrived_at: float,
+        environ: dict[str, Any],
+    ) -> NodeResponse | None:
+        """Read the body of a request; return a refusal if that fails."""
+        limits = self.state.routing_table.limits
+        body: RequestBody = environ['wigeonspoke.body']
+        rule = self._find_rule(request)
+        # Nobody can be served after the deadline.
+        body.deadline = self._deadline(request, rule, arrived_at)
+        try:
+            request.body = body.read_whole(limits.max_body_bytes)
+        except MemoryShortError as error:
+            refusal = NodeResponse(
+                error.status, error.problem, MEMORY_RETRY_AFTER_SECONDS
             )
+        except RequestError as error:
+            refusal = NodeResponse(error.status, error.problem)
         except OSError as error:
-            environ['wigeonspoke.end_connection']()
             self.state.log.write(
                 'body-lost',
                 request=request.request_id,
                 error=str(error),
             )
-            return self._reject(
-                request,
-                http.HTTPStatus.REQUEST_TIMEOUT,
-                'body',
-                start_response,
-            )
-        return self._admit(request, arrived_at, environ, start_response)
+            refusal = NodeResponse(http.HTTPStatus.REQUEST_TIMEOUT, 'body')
+        else:
+            return None
+        environ['wigeonspoke.end_connection']()
+        return refusal
 
     def _decode(self, environ: dict[str, Any]) -> ClientRequest:
         target = environ['RAW_PATH_INFO']
@@ -99,53 +125,27 @@
             environ['headers_raw'],
         )
 
-    def _admit(
-        self,
-        request: ClientRequest,
-        arrived_at: float,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-    ) -> Iterator[bytes]:
+    def _find_refusal(self, request: ClientRequest) -> NodeResponse | None:
+        """Return why a request is refused, as its head tells; None if not."""
         table = self.state.routing_table
         if table.configuration is None:
-            return self._respond(
-                request,
-                NodeResponse(
-                    http.HTTPStatus.SERVICE_UNAVAILABLE,
-                    'no-configuration',
-                    NO_CONFIGURATION_RETRY_AFTER_SECONDS,
-                ),
-                start_response,
-            )
-        rule = table.find_rule(request.host, request.path)
+            return NO_CONFIGURATION
+        rule = self._find_rule(request)
         if rule is None:
-            return self._reject(
-                request,
-                http.HTTPStatus.NOT_FOUND,
-                'no-rule',
-                start_response,
-            )
-        account = table.find_account(request.key)
+            return NodeResponse(http.HTTPStatus.NOT_FOUND, 'no-rule')
         needs_account = table.requires_keys and not rule.allows_anonymous
-        if needs_account and account is None:
-            return self._reject(
-                request,
-                http.HTTPStatus.UNAUTHORIZED,
-                'no-account',
-                start_response,
-            )
+        if needs_account and self._find_account(request) is None:
+            return NodeResponse(http.HTTPStatus.UNAUTHORIZED, 'no-account')
         is_stream = rule.kind is RequestKind.STREAM
         if is_stream and not _has_valid_position(request):
-            return self._reject(
-                request,
-                http.HTTPStatus.BAD_REQUEST,
-                'last-event-id',
-                start_response,
-            )
-        if not self._may_take(rule):
-            return self._respond(request, STOPPING, start_response)
-        context = self._context(request, rule, account, arrived_at)
-        return self._serve(context, environ, start_response)
+            return NodeResponse(http.HTTPStatus.BAD_REQUEST, 'last-event-id')
+        return None if self._may_take(rule) else STOPPING
+
+    def _find_rule(self, request: ClientRequest) -> Rule | None:
+        return self.state.routing_table.find_rule(request.host, request.path)
+
+    def _find_account(self, request: ClientRequest) -> ClientAccount | None:
+        return self.state.routing_table.find_account(request.key)
 
     def _may_take(self, rule: Rule) -> bool:
         """Return whether a request can be answered before the node ends."""
@@ -157,27 +157,30 @@
         return self.state.shutdown.may_take(time.monotonic(), expected_seconds)
 
     def _context(
-        self,
-        request: ClientRequest,
-        rule: Rule,
-        account: ClientAccount | None,
-        arrived_at: float,
+        self, request: ClientRequest, arrived_at: float
     ) -> RequestContext:
-        remaining_seconds = rule.timeout_seconds
-        if request.remaining_seconds is not None:
-            remaining_seconds = min(
-                remaining_seconds, request.remaining_seconds
-            )
+        rule = self._find_rule(request)
+        account = self._find_account(request)
         return RequestContext(
             request=request,
             rule=rule,
             account='' if account is None else account.name,
             arrived_at=arrived_at,
-            deadline=min(
-                arrived_at + remaining_seconds, self.state.shutdown.answer_at
-            ),
+            deadline=self._deadline(request, rule, arrived_at),
         )
 
+    def _deadline(
+        self, request: ClientRequest, rule: Rule, arrived_at: float
+    ) -> float:
+        """Return when a request is given up, on the monotonic clock."""
+        remaining_seconds = rule.timeout_seconds
+        if request.remaining_seconds is not None:
+            remaining_seconds = min(
+                remaining_seconds, request.remaining_seconds
+            )
+        answer_at = self.state.shutdown.answer_at
+        return min(arrived_at + remaining_seconds, answer_at)
+
     def _serve(
         self,
         context: RequestContext,
@@ -203,17 +206,6 @@
             self.open_handlers.discard(request_handler)
             request_handler.close()
 
-    def _reject(
-        self,
-        request: ClientRequest,
-        status: http.HTTPStatus,
-        reason: str,
-        start_response: StartResponse,
-    ) -> Iterator[bytes]:
-        return self._respond(
-            request, NodeResponse(status, reason), start_response
-        )
-
     def _respond(
         self,
         request: ClientRequest,
--- a/wigeonspoke/ingress/metrics_page.py
+++ b/wigeonspoke/ingress/metrics_page.py
@@ -36,6 +36,9 @@
         'suspects': len(state.suspects.suspicions),
         'suspected_parts': len(parts.suspicions),
         'quarantined_parts': len(parts.quarantined(now)),
+        'answer_body_bytes': state.memory.held_bytes,
+        'request_body_bytes': state.request_memory.bodies.held_bytes,
+        'request_bodies_waiting': len(state.request_memory.bodies.waiting),
         'queued_requests': len(state.queues),
         'queue_age_seconds': state.queues.oldest_age(now),
     }
--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -10,7 +10,7 @@
 import eventlet
 
 from wigeonspoke.core.forwarding import Shutdown
-from wigeonspoke.core.response_memory import body_capacity
+from wigeonspoke.core.body_memory import answer_capacity, request_capacity
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.explain import EXPLAIN_PATH, ExplainApp
 from wigeonspoke.ingress.fleet.chain_reporter import ChainReporter
@@ -274,7 +274,10 @@
             if getattr(settings, name) != getattr(before, name)
         )
         self.state.settings = settings
-        self.state.memory.capacity_bytes = body_capacity(settings.memory_mb)
+        self.state.memory.capacity_bytes = answer_capacity(settings.memory_mb)
+        self.state.request_memory.bodies.capacity_bytes = request_capacity(
+            settings.memory_mb
+        )
         for budget in self.state.budgets.values():
             budget.ratio = settings.retry_ratio
             budget.extra_retries = settings.retry_extra
@@ -333,6 +336,7 @@
             int(port),
             ListenerLimits(connections=connections),
             ConnectionReporter(self.state, name),
+            self.state.request_memory,
         )
 
     def _run_loop(self, loop: Callable[[], None]) -> None:
--- a/wigeonspoke/ingress/relay/relay_app.py
+++ b/wigeonspoke/ingress/relay/relay_app.py
@@ -35,7 +35,7 @@
 )
 from wigeonspoke.ingress.state import IngressState
 from wigeonspoke.ingress.streams.stream_handler import StreamHandler
-from wigeonspoke.transport import RequestError, read_request_body
+from wigeonspoke.transport import RequestBody, RequestError
 
 StartResponse = Callable[..., Any]
 
@@ -141,9 +141,12 @@
         arrived_at: float,
     ) -> Iterator[bytes]:
         request = head.to_request()
+        body: RequestBody = environ['wigeonspoke.body']
+        # The sender gives the request up then.
+        body.deadline = arrived_at + head.remaining_seconds
         try:
             limits = self.state.routing_table.limits
-            request.body = read_request_body(environ, limits.max_body_bytes)
+            request.body = body.read_whole(limits.max_body_bytes)
         except (RequestError, OSError):
             yield from self._refuse(environ, start_response, head, 'body')
             return
--- a/wigeonspoke/ingress/requests/body_reading.py
+++ b/wigeonspoke/ingress/requests/body_reading.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from wigeonspoke.core.outcomes import Outcome, Reason, StepError
-from wigeonspoke.core.response_memory import HeldBody
+from wigeonspoke.core.body_memory import HeldBody
 from wigeonspoke.ingress.requests.endpoint_attempt import (
     AttemptError,
     EndpointAttempt,
--- a/wigeonspoke/ingress/state.py
+++ b/wigeonspoke/ingress/state.py
@@ -31,7 +31,12 @@
 from wigeonspoke.core.membership import PeerRegistry
 from wigeonspoke.core.relay import RelayTraffic
 from wigeonspoke.core.reachability import Reachability
-from wigeonspoke.core.response_memory import ResponseMemory, body_capacity
+from wigeonspoke.core.body_memory import (
+    SMALL_ANSWER_BYTES,
+    BodyMemory,
+    answer_capacity,
+    request_capacity,
+)
 from wigeonspoke.core.routing import RoutingTable
 from wigeonspoke.core.store_version import EraHistory
 from wigeonspoke.decisions import DecisionLog
@@ -41,6 +46,7 @@
 from wigeonspoke.ingress.requests.waiting_queue import WaitingQueues
 from wigeonspoke.ingress.settings import IngressSettings
 from wigeonspoke.ingress.wake_up import WakeUp
+from wigeonspoke.transport import RequestMemory
 
 # Number of nodes assumed until the registered nodes have been counted.
 ASSUMED_NODE_COUNT = 10
@@ -78,6 +84,7 @@
         'registered_node_count',
         'queues',
         'relay_traffic',
+        'request_memory',
         'released_leases',
         'released_peer_leases',
         'memory',
@@ -156,7 +163,12 @@
         )
         self.replicas = ReplicaSelector(self.fleet, domain, self.availability)
         self.connection_pool = ConnectionPool()
-        self.memory = ResponseMemory(body_capacity(settings.memory_mb))
+        self.memory = BodyMemory(
+            answer_capacity(settings.memory_mb), SMALL_ANSWER_BYTES
+        )
+        self.request_memory = RequestMemory(
+            request_capacity(settings.memory_mb)
+        )
         # Woken when bodies are held no longer.
         self.memory_news = WakeUp()
         self.relay_traffic = RelayTraffic()
--- a/wigeonspoke/ingress/tables/table_relay.py
+++ b/wigeonspoke/ingress/tables/table_relay.py
@@ -18,14 +18,17 @@
 from wigeonspoke.core.store_version import UNREAD, StoreVersion
 from wigeonspoke.decisions import DecisionLog
 from wigeonspoke.ingress.peers.connection_witness import CONNECT_PATH
+from wigeonspoke.ingress.peers.peer_gossip import GOSSIP_PATH
 from wigeonspoke.ingress.relay.relay_head import RELAY_PATH
 from wigeonspoke.ingress.tables.table_copy import RelayedTable, TableCopy
 from wigeonspoke.ingress.wake_up import WakeUp
 from wigeonspoke.serialization import decode_json
-from wigeonspoke.transport import HttpClient
+from wigeonspoke.transport import HttpClient, RequestError, read_request_body
 
 TABLES_PATH = '/peers/v1/tables/'
 FETCH_TIMEOUT_SECONDS = 0.5
+# Many times the largest message, which tells of each node and lease.
+MAX_MESSAGE_BYTES = 4194304
 CHANGES_PATH = '/peers/v1/changes/'
 MAX_WAIT_SECONDS = 10
 # The store usually sends a change as soon as a peer could; it is fetched from
@@ -74,7 +77,7 @@
     application for the requests of clients that a peer sends on.
     """
 
-    __slots__ = ('handle_gossip', 'handle_question', 'serve_relayed', 'tables')
+    __slots__ = ('handlers', 'serve_relayed', 'tables')
 
     def __init__(
         self,
@@ -83,10 +86,12 @@
         serve_relayed: Callable[..., Iterable[bytes]],
         handle_question: Callable[[bytes], bytes | None],
     ) -> None:
-        self.handle_question = handle_question
         self.tables = tables
         self.serve_relayed = serve_relayed
-        self.handle_gossip = handle_gossip
+        self.handlers = {
+            GOSSIP_PATH: handle_gossip,
+            CONNECT_PATH: handle_question,
+        }
 
     def __call__(
         self,
@@ -97,7 +102,10 @@
         if environ['PATH_INFO'] == RELAY_PATH:
             return self.serve_relayed(environ, start_response)
         status = http.HTTPStatus.OK
-        body = self._respond(environ)
+        try:
+            body = self._respond(environ)
+        except RequestError as error:
+            status, body = error.status, b''
         if body is None:
             status = http.HTTPStatus.NOT_FOUND
         headers = [
@@ -110,9 +118,10 @@
     def _respond(self, environ: dict[str, Any]) -> bytes | None:
         path = environ['PATH_INFO']
         if environ['REQUEST_METHOD'] == 'POST':
-            is_question = path == CONNECT_PATH
-            handle = self.handle_question if is_question else self.handle_gossip
-            return handle(environ['wsgi.input'].read())
+            handle = self.handlers.get(path)
+            if handle is None:
+                return None
+            return handle(read_request_body(environ, MAX_MESSAGE_BYTES))
         query = dict(parse_qsl(environ.get('QUERY_STRING', '')))
         table = self.tables.get(path.rpartition('/')[-1])
         if table is None:
--- a/wigeonspoke/node/daemon.py
+++ b/wigeonspoke/node/daemon.py
@@ -4,6 +4,7 @@
 import time
 import uuid
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
 from eventlet.greenthread import GreenThread
@@ -24,7 +25,7 @@
 from wigeonspoke.node.tokenizer import ByteTokenizer
 from wigeonspoke.observe import HybridClock, Timeline
 from wigeonspoke.store import HttpPlatform
-from wigeonspoke.transport import HttpClient, HttpListener
+from wigeonspoke.transport import HttpClient, HttpListener, RequestMemory
 from wigeonspoke.webapp import key_digest
 
 RANDOM_SUFFIX_LENGTH = 4
@@ -159,13 +160,12 @@
             is_ready=lambda: self.is_ready,
         )
         peers = PeersApp(self.gossip, key_digest(settings.cluster_key))
-        self.callers = HttpListener(
-            callers,
-            settings.host,
-            settings.callers_port,
+        listen = partial(
+            HttpListener, host=settings.host, memory=RequestMemory()
         )
-        self.admin = HttpListener(admin, settings.host, settings.admin_port)
-        self.peers = HttpListener(peers, settings.host, settings.peers_port)
+        self.callers = listen(callers, port=settings.callers_port)
+        self.admin = listen(admin, port=settings.admin_port)
+        self.peers = listen(peers, port=settings.peers_port)
         self.gossip.set_address(self.peers.address)
 
 
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -19,8 +19,12 @@
 from wigeonspoke.transport.http_connection import ConnectionPools
 from wigeonspoke.transport.http_server import HttpListener, ResponseAborted
 from wigeonspoke.transport.listener_limits import LimitHistory, ListenerLimits
-from wigeonspoke.transport.request_body import read_request_body
+from wigeonspoke.transport.request_body import RequestBody, read_request_body
 from wigeonspoke.transport.request_head import RequestError
+from wigeonspoke.transport.request_memory import (
+    MemoryShortError,
+    RequestMemory,
+)
 from wigeonspoke.transport.response_receiver import (
     MAX_INFORMATIONAL_HEADS,
     ReadTimeout,
@@ -51,10 +55,13 @@
     'HttpReply',
     'LimitHistory',
     'ListenerLimits',
+    'MemoryShortError',
     'Operation',
     'Phase',
     'ReadTimeout',
+    'RequestBody',
     'RequestError',
+    'RequestMemory',
     'ResponseAborted',
     'ResponseReceiver',
     'ResponseTooLarge',
--- a/wigeonspoke/transport/client_connection.py
+++ b/wigeonspoke/transport/client_connection.py
@@ -7,6 +7,10 @@
 import msgspec
 
 
+# Bytes of a body that count as progress: a byte now and then does not.
+PROGRESS_BYTES = 1024
+
+
 class Phase(enum.StrEnum):
     """What a connection is occupied with."""
 
@@ -74,25 +78,36 @@
     """What a connection is occupied with, and why it ends.
 
     ``limits`` are those under which the current or last request began, and
-    ``since`` is when the phase began.  Only the first cause counts: what
+    ``since`` is when the phase began.  ``progress_at`` is since when the client
+    has sent nothing that counts.  ``answered`` is how many requests were
+    answered.  Only the first cause counts: what
     follows from it, such as an error of a later write, tells nothing new.
     """
 
     __slots__ = (
+        'address',
+        'answered',
         'cause',
         'limit_seconds',
         'limits',
         'phase',
         'problem',
+        'progress_at',
+        'progress_bytes',
         'request_id',
         'since',
         'version',
     )
 
-    def __init__(self, limits: RequestLimits) -> None:
+    def __init__(self, limits: RequestLimits, address: str = '') -> None:
         self.limits = limits
+        self.address = address
+        self.answered = 0
+        # Bytes of a body since ``progress_at``.
+        self.progress_bytes = 0
         self.phase = Phase.IDLE
         self.since = time.monotonic()
+        self.progress_at = self.since
         self.cause: EndCause | None = None
         self.problem = ''
         self.limit_seconds: float | None = None
@@ -108,6 +123,14 @@
         """Begin a phase."""
         self.phase = phase
         self.since = time.monotonic()
+        self.progress_at = self.since
+
+    def record_body(self, size: int) -> None:
+        """Record that a part of the request's body was received."""
+        self.progress_bytes += size
+        if self.progress_bytes >= PROGRESS_BYTES:
+            self.progress_bytes = 0
+            self.progress_at = time.monotonic()
 
     def record_progress(self) -> None:
         """Record that a part of the response was sent."""
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -25,6 +25,7 @@
     ListenerLimits,
 )
 from wigeonspoke.transport.request_head import RequestError
+from wigeonspoke.transport.request_memory import RequestMemory
 from wigeonspoke.transport.server_protocol import ServerProtocol, error_reply
 from wigeonspoke.transport.socket_peek import has_input
 
@@ -50,7 +51,8 @@
     ``address`` is the bound address, as ``host:port``.  ``active`` counts the
     requests whose responses are not completely written.  While
     ``is_stopping`` is true, each response closes its connection.  ``on_end``
-    is told how each connection has ended.
+    is told how each connection has ended.  ``memory`` is that for the bodies of
+    requests, which several listeners may share.
 
     :meth:`close` stops accepting and leaves open connections alone,
     :meth:`close_idle` closes those without a request, and :meth:`abort` closes
@@ -65,6 +67,7 @@
         'is_closed',
         'is_stopping',
         'limit_history',
+        'memory',
         'on_end',
         'open_connections',
         'sock',
@@ -77,8 +80,10 @@
         port: int = 0,
         limits: ListenerLimits | None = None,
         on_end: Callable[[ConnectionEnd], None] | None = None,
+        memory: RequestMemory | None = None,
     ) -> None:
         self.application = application
+        self.memory = memory or RequestMemory()
         self.on_end = on_end
         self.active = 0
         self.is_closed = False
@@ -179,7 +184,7 @@
         client: ClientConnection = environ['wigeonspoke.connection']
         connection = environ['eventlet.input'].get_socket()
         begin_response = partial(
-            _begin_response, connection, client, start_response
+            self._begin_response, connection, client, environ, start_response
         )
         try:
             body = self.application(environ, begin_response)
@@ -192,6 +197,20 @@
         break_response = environ['wigeonspoke.break_response']
         return _report_parts(body, client, break_response)
 
+    def _begin_response(
+        self,
+        connection: GreenSocket,
+        client: ClientConnection,
+        environ: dict,
+        start_response: Callable,
+        *arguments: object,
+    ) -> Callable:
+        if not environ['wigeonspoke.body'].may_be_dropped:
+            environ['wigeonspoke.end_connection']()
+        client.enter(Phase.WRITING)
+        connection.settimeout(client.limits.write_seconds)
+        return start_response(*arguments)
+
     def _count_finished(self, _environ: dict) -> None:
         self.active -= 1
 
@@ -201,7 +220,8 @@
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
-        client = ClientConnection(self.limits)
+        host, port = state[0]
+        client = ClientConnection(self.limits, f'{host}:{port}')
         self.open_connections[connection] = client
         server.listener = self
         try:
@@ -227,17 +247,6 @@
         connection.fd.send(error_reply(refusal))
 
 
-def _begin_response(
-    connection: GreenSocket,
-    client: ClientConnection,
-    start_response: Callable,
-    *arguments: object,
-) -> Callable:
-    client.enter(Phase.WRITING)
-    connection.settimeout(client.limits.write_seconds)
-    return start_response(*arguments)
-
-
 def _report_parts(
     body: Iterable[bytes],
     client: ClientConnection,
--- a/wigeonspoke/transport/server_protocol.py
+++ b/wigeonspoke/transport/server_protocol.py
@@ -27,6 +27,7 @@
     RequestHead,
     read_request_head,
 )
+from wigeonspoke.transport.request_body import BodyStream, RequestBody
 from wigeonspoke.transport.socket_options import reset_on_close
 from wigeonspoke.transport.socket_peek import has_input
 
@@ -48,6 +49,7 @@
     def setup(self) -> None:
         """Prepare the connection."""
         super().setup()
+        self.body: RequestBody | None = None
         self.must_reset = False
         self.has_write_error = False
         self.rfile.close()
@@ -90,11 +92,29 @@
         response as broken off.
         """
         environ = super().get_environ()
+        self.body = RequestBody(
+            environ['eventlet.input'],
+            self.client,
+            self.server.listener.memory,
+        )
+        environ['wigeonspoke.body'] = self.body
+        environ['wsgi.input'] = BodyStream(self.body)
         environ['wigeonspoke.connection'] = self.client
         environ['wigeonspoke.end_connection'] = self._end_connection
         environ['wigeonspoke.break_response'] = self._break_response
         return environ
 
+    def handle_one_response(self) -> None:
+        """Serve a request, and drop what the application left of its body."""
+        try:
+            super().handle_one_response()
+            self.client.answered += 1
+            if not self.close_connection and not self.body.is_complete:
+                self.client.enter(Phase.BODY)
+                self.close_connection = not self.body.drop()
+        finally:
+            self.body.release()
+
     def record_write_error(self, error: OSError) -> None:
         """Record that a part of the response could not be written."""
         self.has_write_error = True
--- a/wigeonspoke/webapp/json_app.py
+++ b/wigeonspoke/webapp/json_app.py
@@ -4,7 +4,7 @@
 import hmac
 import http
 from collections.abc import Callable, Iterable
-from typing import TypeVar
+from typing import BinaryIO, TypeVar
 
 import eventlet
 import msgspec
@@ -13,10 +13,14 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from wigeonspoke.transport import RequestError
+
 JSON_CONTENT_TYPE = 'application/json'
 MAX_BODY_BYTES = 1_048_576
 BODY_TIMEOUT_SECONDS = 10.0
 READ_CHUNK_BYTES = 65_536
+# The memory for bodies is mostly free again when some requests have ended.
+MEMORY_RETRY_AFTER_SECONDS = '1'
 BEARER_PREFIX = 'Bearer '
 
 Body = TypeVar('Body')
@@ -218,7 +222,7 @@
     source = request.environ['wsgi.input']
     chunks: list[bytes] = []
     size = 0
-    while chunk := source.read(READ_CHUNK_BYTES):
+    while chunk := _read_chunk(source):
         size += len(chunk)
         if size > limit:
             raise _too_large(limit)
@@ -226,6 +230,21 @@
     return b''.join(chunks)
 
 
+def _read_chunk(source: BinaryIO) -> bytes:
+    try:
+        return source.read(READ_CHUNK_BYTES)
+    except RequestError as error:
+        raise _unreadable(error) from error
+
+
+def _unreadable(error: RequestError) -> ApiError:
+    """Return the error for a body that is malformed or finds no memory."""
+    headers = {'Connection': 'close'}
+    if error.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        headers['Retry-After'] = MEMORY_RETRY_AFTER_SECONDS
+    return ApiError(error.status, 'bad_request', 'body', error.problem, headers)
+
+
 def _too_large(limit: int) -> ApiError:
     return ApiError(
         http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
