Keep the body of a request once, and no longer than the request

What callers saw: a node took up to twice the memory that bodies of requests have, 713 MB for 100 streams with bodies of 4 MiB.

Cause: each attempt joined head and body to a payload of its own, and each partial send copied what was left of it. Objects of a request refer to each other, so that its body lived until the next garbage collection, which few large objects do not bring about. Ruled out: fragmentation, since the peak is the same with every large block mapped by itself.

Change: the head and a view of the body are sent one after the other, and the body is dropped when the request is closed.

Evidence, test_whole_bodies_of_many_clients with 120 MB: peak of calls 74 MB before, 67 after; of streams 95 and 67. The bound of the test held before this change as well.

--- a/wigeonspoke/ingress/requests/endpoint_attempt.py
+++ b/wigeonspoke/ingress/requests/endpoint_attempt.py
@@ -139,15 +139,16 @@
         if body or method not in {'GET', 'HEAD'}:
             framed.append(('Content-Length', str(len(body))))
         request = h11.Request(method=method, target=target, headers=framed)
-        payload = self.parser.send(request)
-        payload += self.parser.send(h11.Data(data=body)) or b''
-        payload += self.parser.send(h11.EndOfMessage()) or b''
+        sent_head = self.parser.send(request)
+        # The library must know of the body, but a copy of it is not needed.
+        self.parser.send_with_data_passthrough(h11.Data(data=body))
+        self.parser.send(h11.EndOfMessage())
         self.may_have_executed = True
         self.sent_at = time.monotonic()
-        if len(payload) > INLINE_BODY_BYTES:
-            self.sender = eventlet.spawn(self._send_all, payload)
+        if len(sent_head) + len(body) > INLINE_BODY_BYTES:
+            self.sender = eventlet.spawn(self._send_all, sent_head, body)
         else:
-            self._send_all(payload)
+            self._send_all(sent_head + body)
 
     def read_head(self, deadline: float) -> h11.Response:
         """Read the head of the response.
@@ -351,11 +352,13 @@
         if self.is_expired:
             raise ReadTimeout
 
-    def _send_all(self, payload: bytes) -> None:
+    def _send_all(self, *parts: bytes) -> None:
         # An endpoint may respond before it has read the body and then reset
         # the connection; its response can still be read.
         try:
-            self.sock.sendall(payload)
+            for part in parts:
+                # Slices of it are no copies.
+                self.sock.sendall(memoryview(part))
         except OSError as error:
             self.receiver.record_loss(Operation.SEND, error)
 
--- a/wigeonspoke/ingress/requests/request_handler.py
+++ b/wigeonspoke/ingress/requests/request_handler.py
@@ -491,6 +491,9 @@
         """End what belongs to the request, once its response is sent."""
         self.bodies.release()
         self.context.disconnect_monitor.stop()
+        # Objects of a request refer to each other, so that they live until the
+        # next garbage collection, which large bodies do not bring about.
+        self.context.request.body = b''
 
     def record_complete_response(self) -> None:
         """Record how long a complete response has taken."""
