Let readers of small chunks take turns, and leave out clients that have left

What callers saw: 100 clients with chunks of 5 bytes kept a node from answering for 10 s; after 1,600 clients with chunks of a byte had left, it answered nobody for 29 s, and renewed no lease, since it went on with the bytes that lay in its sockets.

Cause: a reader of chunks ran as long as its socket had bytes. The limit of 64 KiB counts bytes, and 64 KiB are 10,000 chunks of a byte. Nothing looked whether the client was still there: its end lies behind its bytes.

Before its turn a reader that is past its deadline, or whose client has closed as the kernel tells, leaves the line.

--- a/wigeonspoke/transport/request_body.py
+++ b/wigeonspoke/transport/request_body.py
@@ -19,6 +19,8 @@
 from wigeonspoke.transport.client_connection import ClientConnection, Phase
 from wigeonspoke.transport.request_head import RequestError
 from wigeonspoke.transport.request_memory import RequestMemory
+from wigeonspoke.transport.socket_peek import has_left
+from wigeonspoke.transport.turn_gate import TURN_ELEMENTS, TurnGate
 
 # Bytes received at once.  Each body may exceed its share of memory by as much.
 PART_BYTES = 16384
@@ -30,6 +32,9 @@
 BODY_SECONDS = 60.0
 # A remainder up to this size is dropped, so that its connection stays in use.
 DROPPED_BYTES = 65536
+# All bodies of this process are read on one event loop.  The gate of responses
+# is another one, since clients must not hold up the answers to others.
+GATE = TurnGate(pauses_alone=False)
 
 
 class RequestBody:
@@ -52,6 +57,7 @@
         'server_input',
         'started_at',
         'turn_bytes',
+        'turn_elements',
     )
 
     def __init__(
@@ -72,6 +78,7 @@
         # Bytes of a body with a length that were not read yet.
         self.remaining = server_input.content_length or 0
         self.turn_bytes = 0
+        self.turn_elements = 0
         self._keep_from_server()
         self.is_complete = self.decoder is None and not self.remaining
         if self.is_complete:
@@ -199,6 +206,7 @@
         return part
 
     def _decode(self, decoder: ChunkedDecoder, received: bytes) -> bytes:
+        known_count = decoder.element_count
         try:
             if not received:
                 raise ChunkError('line of a chunk')
@@ -206,6 +214,8 @@
         except ChunkError as error:
             problem = str(error)
             raise RequestError(http.HTTPStatus.BAD_REQUEST, problem) from error
+        finally:
+            self.turn_elements += decoder.element_count - known_count
 
     def _wait_for(self, receive: Callable[[], bytes]) -> bytes:
         """Receive bytes, with the timeouts of a body."""
@@ -228,10 +238,22 @@
                 self.memory.wait_for_room(self.held, self.deadline)
 
     def _let_others_run(self) -> None:
-        """Let other tasks run after many bytes."""
-        if self.turn_bytes >= TURN_BYTES:
+        """Let other tasks run after many bytes or elements."""
+        if self.turn_elements >= TURN_ELEMENTS:
+            GATE.wait(self._is_over)
+            if has_left(self.connection):
+                raise ConnectionAbortedError('the client has left')
+        elif self.turn_bytes >= TURN_BYTES:
             eventlet.sleep(0)
-            self.turn_bytes = 0
+        else:
+            return
+        self.turn_bytes = 0
+        self.turn_elements = 0
+
+    def _is_over(self) -> bool:
+        """Return whether nobody waits for the request any more."""
+        is_late = time.monotonic() >= self.deadline
+        return is_late or has_left(self.connection)
 
 
 class BodyStream(io.RawIOBase):
--- a/wigeonspoke/transport/tests/test_request_body.py
+++ b/wigeonspoke/transport/tests/test_request_body.py
@@ -15,6 +15,7 @@
     RequestMemory,
     request_body,
 )
+from wigeonspoke.transport.chunked_decoder import ChunkedDecoder
 
 MAX_BYTES = 1048576
 CAPACITY = 262144
@@ -90,6 +91,67 @@
             eventlet.sleep(0.01)
 
 
+# A reader of small chunks went on until its body ended, and all others waited.
+@pytest.mark.parametrize('clients', [1, 5])
+def test_others_run_between_turns_of_small_chunks(
+    listener, monkeypatch, clients
+):
+    elements = Counter()
+    turns = []
+    decode = ChunkedDecoder.feed
+
+    def feed(decoder, received):
+        known = decoder.element_count
+        try:
+            return decode(decoder, received)
+        finally:
+            elements['parsed'] += decoder.element_count - known
+
+    def record_turns():
+        while True:
+            turns.append(elements['parsed'])
+            elements['parsed'] = 0
+            eventlet.sleep(0)
+
+    monkeypatch.setattr(ChunkedDecoder, 'feed', feed)
+    payload = CHUNKED % b'tiny' + TINY_CHUNKS * 10000 + LAST_CHUNK
+    crowd = [_open(listener) for _ in range(clients)]
+    recorder = eventlet.spawn(record_turns)
+    senders = [eventlet.spawn(client.sendall, payload) for client in crowd]
+    for client, sender in zip(crowd, senders, strict=True):
+        sender.wait()
+        assert _status(client) == b'200'
+        client.close()
+    recorder.kill()
+    assert sum(turns) + elements['parsed'] >= clients * 30000
+    # The first turn of each client is its own.
+    largest = 2 * request_body.TURN_ELEMENTS
+    assert max(turns) <= largest * clients
+    assert sum(turn > largest for turn in turns) <= clients
+
+
+# Chunks of clients that had left were parsed to their end.
+def test_chunks_of_clients_that_have_left_are_not_parsed(listener, monkeypatch):
+    elements = Counter()
+    decode = ChunkedDecoder.feed
+
+    def feed(decoder, received):
+        part = decode(decoder, received)
+        elements['parsed'] += len(part)
+        return part
+
+    monkeypatch.setattr(ChunkedDecoder, 'feed', feed)
+    crowd = [
+        _open(listener, CHUNKED % b'tiny' + TINY_CHUNKS * 3000)
+        for _ in range(10)
+    ]
+    for client in crowd:
+        client.close()
+    _wait_until(lambda: not listener.open_connections)
+    # At most the first turn of each, and one more.
+    assert elements['parsed'] <= 10 * request_body.TURN_ELEMENTS
+
+
 def test_bodies_share_the_memory(application, listener):
     application.held.add('held')
     size = CAPACITY // 2
