Let a refusal reach a client that is still sending

What callers saw: a client that sends on past a limit, or to no route, could find its connection reset in place of 413 or 404.

Cause: a close with unread bytes in the socket sends a reset, and a reset takes away what the client has not read yet.

Change: after a refusal with an unread body the node ends its output, and drops what comes for 2 s and 1 MiB at most, then closes.

Evidence: test_a_refusal_reaches_a_client_that_is_still_sending.

--- a/wigeonspoke/transport/client_connection.py
+++ b/wigeonspoke/transport/client_connection.py
@@ -88,6 +88,7 @@
         'address',
         'answered',
         'cause',
+        'is_closing',
         'limit_seconds',
         'limits',
         'phase',
@@ -103,6 +104,8 @@
         self.limits = limits
         self.address = address
         self.answered = 0
+        # Whether only what a refused client still sends is dropped.
+        self.is_closing = False
         # Bytes of a body since ``progress_at``.
         self.progress_bytes = 0
         self.phase = Phase.IDLE
--- a/wigeonspoke/transport/server_protocol.py
+++ b/wigeonspoke/transport/server_protocol.py
@@ -2,11 +2,14 @@
 
 import http
 import io
+import socket
+import time
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from functools import partial
 from typing import BinaryIO
 
+import eventlet
 from eventlet.greenio import GreenSocket, shutdown_safe
 from eventlet.wsgi import (
     STATE_REQUEST,
@@ -32,6 +35,10 @@
 from wigeonspoke.transport.socket_peek import has_input
 
 LAST_VERSION_WITHOUT_CHUNKS = 'HTTP/1.0'
+# How long the input of a refused client is dropped, and how much of it.
+CLOSING_SECONDS = 2.0
+CLOSING_BYTES = 1048576
+DROPPED_PART_BYTES = 65536
 
 
 class ServerProtocol(HttpProtocol):
@@ -65,6 +72,8 @@
             # What could not be written before is not waited for again.
             self.connection.settimeout(0)
         else:
+            if self._may_be_sending():
+                self._drop_input()
             shutdown_safe(self.connection)
         with suppress(OSError):
             self.wfile.close()
@@ -123,6 +132,29 @@
             self.client.end_by_limit(limits.write_seconds, limits.version)
         self.client.end(EndCause.CLIENT, str(error))
 
+    def _may_be_sending(self) -> bool:
+        """Return whether a client may still send what was refused."""
+        if self.client.cause is EndCause.REJECTED:
+            return True
+        has_body = self.body is not None and not self.body.is_complete
+        return has_body and self.client.cause is not EndCause.CLIENT
+
+    def _drop_input(self) -> None:
+        """End the output, and drop the input until the client has closed.
+
+        To close before would send a reset, which takes the response away from
+        a client that is still sending.
+        """
+        self.client.is_closing = True
+        until = time.monotonic() + CLOSING_SECONDS
+        with suppress(OSError):
+            self.connection.shutdown(socket.SHUT_WR)
+            for _ in range(CLOSING_BYTES // DROPPED_PART_BYTES):
+                self.connection.settimeout(max(0, until - time.monotonic()))
+                if not self.connection.recv(DROPPED_PART_BYTES):
+                    return
+                eventlet.sleep(0)
+
     def _read_request_line(self) -> bytes:
         """Wait for a request, and read its first line.
 
--- a/wigeonspoke/transport/tests/test_request_body.py
+++ b/wigeonspoke/transport/tests/test_request_body.py
@@ -204,6 +204,18 @@
     assert status.wait() == b'408'
 
 
+# A reset took the refusal away from a client that was still sending.
+@pytest.mark.parametrize(
+    'head', [CHUNKED % b'x', LENGTH % (b'refused', 600000)]
+)
+def test_a_refusal_reaches_a_client_that_is_still_sending(listener, head):
+    client = _open(listener, head + b'no chunk\r\n')
+    for _ in range(8):
+        eventlet.sleep(0.02)
+        client.sendall(b'x' * 16384)
+    assert _status(client) in {b'400', b'404'}
+
+
 # The rest of a small body is dropped, so that the connection stays in use.
 @pytest.mark.parametrize(
     'request_bytes',
