End the connections that only hold a place when others need it

What callers saw: 450 clients that sent nothing, a part of a head or of a body took 463 descriptors of 400; with 1,600 a node answered nobody until they had left, and requests sent together 766 descriptors. 60 connections to the listener for readiness kept the platform's question from being answered, 300 to that for peers their requests.

Cause: a listener stops to accept while all places are taken, and nothing ends who holds one; 1,500 places are more than some hosts have descriptors. Requests that came together ran one after the other without a pause.

Change: the number of places comes from `max-fds` and `memory-mb`: 1,500 with 4,200 descriptors and 300 MB, as before. When all are taken, the connections in whose phase only the client is waited for, and that have gone longest without progress, are ended; a request of which a part was read gets 503. Responses then close their connections, so that busy clients leave their places, too. Other tasks run between requests that came together. A stop refuses the bodies that are still being read at its last moment.

--- a/wigeonspoke/ingress/node.py
+++ b/wigeonspoke/ingress/node.py
@@ -42,8 +42,17 @@
 from wigeonspoke.ingress.relay.relay_app import RelayApp
 from wigeonspoke.ingress.tables.table_subscription import TableSubscription
 from wigeonspoke.store import FeedStore
-from wigeonspoke.transport import HttpClient, HttpListener, ListenerLimits
+from wigeonspoke.transport import (
+    CLIENT_SOCKET_FRACTION,
+    PEER_SOCKET_FRACTION,
+    READINESS_SOCKET_FRACTION,
+    HostLimits,
+    HttpClient,
+    HttpListener,
+    ListenerLimits,
+)
 
+# The most connections of each listener, whatever the host would bear.
 FRONT_CONNECTIONS = 1500
 READY_CONNECTIONS = 32
 PEER_CONNECTIONS = 256
@@ -204,10 +213,14 @@
                 self.open_handlers,
             ),
             settings.front,
-            FRONT_CONNECTIONS,
+            self._front_connections,
+        )
+        host_limits = self._host_limits
+        ready_connections = host_limits.connections(
+            READINESS_SOCKET_FRACTION, READY_CONNECTIONS
         )
         self.ready = self._listen(
-            'ready', self._serve_readiness, settings.ready, READY_CONNECTIONS
+            'ready', self._serve_readiness, settings.ready, ready_connections
         )
         self.peers = self._listen(
             'peers',
@@ -218,14 +231,14 @@
                 self.witness.handle_question,
             ),
             settings.peers,
-            PEER_CONNECTIONS,
+            host_limits.connections(PEER_SOCKET_FRACTION, PEER_CONNECTIONS),
         )
         self.gossip.set_address(self.peers.address)
         self.metrics = self._listen(
             'metrics',
             self._serve_metrics,
             f'{settings.host}:{settings.metrics_port}',
-            READY_CONNECTIONS,
+            ready_connections,
         )
         self.greenlets = [
             eventlet.spawn(self._run_loop, loop) for loop in self.loops
@@ -294,6 +307,17 @@
             and bool(state.fleet.endpoints)
         )
 
+    @property
+    def _host_limits(self) -> HostLimits:
+        settings = self.state.settings
+        return HostLimits(settings.max_sockets, settings.memory_mb)
+
+    @property
+    def _front_connections(self) -> int:
+        return self._host_limits.connections(
+            CLIENT_SOCKET_FRACTION, FRONT_CONNECTIONS
+        )
+
     def _wait_for_requests(self, until: float) -> None:
         """Wait until no request is open, or until a time."""
         while time.monotonic() < until:
@@ -311,6 +335,8 @@
             request_handler.note('stop-expired')
             request_handler.expire(now)
         self.state.queues.wake()
+        for listener in (self.front, self.peers):
+            listener.end_bodies()
         return len(expired)
 
     def _peer_addresses(self) -> set[str]:
@@ -362,7 +388,7 @@
             limits = table.limits
             self.front.apply_limits(
                 ListenerLimits(
-                    connections=FRONT_CONNECTIONS,
+                    connections=self._front_connections,
                     header_bytes=limits.max_header_bytes,
                     idle_seconds=limits.idle_timeout_seconds,
                     head_seconds=limits.header_timeout_seconds,
--- a/wigeonspoke/transport/__init__.py
+++ b/wigeonspoke/transport/__init__.py
@@ -8,6 +8,12 @@
     EndCause,
     Phase,
 )
+from wigeonspoke.transport.connection_places import (
+    CLIENT_SOCKET_FRACTION,
+    PEER_SOCKET_FRACTION,
+    READINESS_SOCKET_FRACTION,
+    HostLimits,
+)
 from wigeonspoke.transport.connection_loss import ConnectionLoss, Operation
 from wigeonspoke.transport.decimal_text import parse_decimal
 from wigeonspoke.transport.http_client import (
@@ -39,7 +45,10 @@
 from wigeonspoke.transport.socket_peek import peek
 
 __all__ = (
+    'CLIENT_SOCKET_FRACTION',
     'MAX_INFORMATIONAL_HEADS',
+    'PEER_SOCKET_FRACTION',
+    'READINESS_SOCKET_FRACTION',
     'RECEIVE_BUFFER_BYTES',
     'BodyEnd',
     'ChunkError',
@@ -53,6 +62,7 @@
     'HttpError',
     'HttpListener',
     'HttpReply',
+    'HostLimits',
     'LimitHistory',
     'ListenerLimits',
     'MemoryShortError',
--- a/wigeonspoke/transport/client_connection.py
+++ b/wigeonspoke/transport/client_connection.py
@@ -30,6 +30,8 @@
     # The last response was complete and announced the end.
     COMPLETE = 'complete'
     LIMIT = 'limit'
+    # Its place was needed for another client.
+    PLACE = 'place'
     STOP = 'stop'
     # The head of a request cannot be parsed; the response says so.
     REJECTED = 'rejected'
@@ -64,6 +66,13 @@
         return self.cause is EndCause.COMPLETE
 
 
+class OpenBody(Protocol):
+    """The body of a request that is being read."""
+
+    def give_up(self) -> bool:
+        """Refuse the body if it waits for memory; return whether it does."""
+
+
 class RequestLimits(Protocol):
     """Limits on a request: the size of its head, and each phase in seconds."""
 
@@ -87,6 +96,7 @@
     __slots__ = (
         'address',
         'answered',
+        'body',
         'cause',
         'is_closing',
         'limit_seconds',
@@ -104,6 +114,8 @@
         self.limits = limits
         self.address = address
         self.answered = 0
+        # The body of the current or last request, None before the first one.
+        self.body: OpenBody | None = None
         # Whether only what a refused client still sends is dropped.
         self.is_closing = False
         # Bytes of a body since ``progress_at``.
--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -20,6 +20,7 @@
     EndCause,
     Phase,
 )
+from wigeonspoke.transport.connection_places import choose_to_end
 from wigeonspoke.transport.listener_limits import (
     LimitHistory,
     ListenerLimits,
@@ -31,6 +32,8 @@
 
 WsgiApplication = Callable[..., Iterable[bytes]]
 
+# Connections whose places are needed end while others are accepted.
+ENDING_CONNECTIONS = 32
 CLOSED_SOCKET_ERRORS = frozenset((errno.EBADF, errno.EINVAL))
 LIMIT_CHECK_SECONDS = 0.5
 # The kernel reports a connection as writable again when a third of its buffer
@@ -126,6 +129,13 @@
                 client.end(EndCause.STOP)
                 shutdown_safe(connection)
 
+    def end_bodies(self) -> None:
+        """Refuse the requests whose bodies are being read."""
+        for connection, client in tuple(self.open_connections.items()):
+            if client.phase is Phase.BODY:
+                client.end(EndCause.STOP)
+                _refuse_unread(connection, client, 'stopping')
+
     def abort(self) -> None:
         """Stop accepting and close all open connections immediately."""
         self.close()
@@ -139,7 +149,7 @@
                 self.sock,
                 self._serve_request,
                 protocol=self._serve_connection,
-                max_size=self.limits.connections,
+                max_size=self.limits.connections + ENDING_CONNECTIONS,
                 log_output=False,
                 minimum_chunk_size=1,
                 debug=False,
@@ -157,6 +167,22 @@
                 if self.limit_history.is_overdue(client, now):
                     self._end_overdue(connection, client)
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self.open_connections) >= self.limits.connections
+
+    def _make_room(self) -> None:
+        """End the connections that have gone longest without progress."""
+        ended = set(
+            choose_to_end(
+                self.open_connections.values(), self.limits.connections
+            )
+        )
+        for connection, client in tuple(self.open_connections.items()):
+            if client in ended:
+                client.end(EndCause.PLACE)
+                _refuse_unread(connection, client, 'too many connections')
+
     def _end_overdue(
         self, connection: GreenSocket, client: ClientConnection
     ) -> None:
@@ -205,7 +231,8 @@
         start_response: Callable,
         *arguments: object,
     ) -> Callable:
-        if not environ['wigeonspoke.body'].may_be_dropped:
+        # Clients that keep their connections busy must not keep others out.
+        if self._is_full or not environ['wigeonspoke.body'].may_be_dropped:
             environ['wigeonspoke.end_connection']()
         client.enter(Phase.WRITING)
         connection.settimeout(client.limits.write_seconds)
@@ -222,6 +249,8 @@
         )
         host, port = state[0]
         client = ClientConnection(self.limits, f'{host}:{port}')
+        if self._is_full:
+            self._make_room()
         self.open_connections[connection] = client
         server.listener = self
         try:
@@ -247,6 +276,23 @@
         connection.fd.send(error_reply(refusal))
 
 
+def _refuse_unread(
+    connection: GreenSocket, client: ClientConnection, problem: str
+) -> None:
+    """End a connection for whose client only is waited, without waiting.
+
+    A request of which a part was read has not run, and is told so.
+    """
+    if client.body is not None and client.body.give_up():
+        # Its reader answers and closes.
+        return
+    if client.phase is not Phase.IDLE and not client.is_closing:
+        refusal = RequestError(http.HTTPStatus.SERVICE_UNAVAILABLE, problem)
+        with suppress(OSError):
+            connection.fd.send(error_reply(refusal))
+    shutdown_safe(connection)
+
+
 def _report_parts(
     body: Iterable[bytes],
     client: ClientConnection,
--- a/wigeonspoke/transport/request_body.py
+++ b/wigeonspoke/transport/request_body.py
@@ -71,6 +71,7 @@
         self.connection = server_input.get_socket()
         self.client = client
         self.memory = memory
+        client.body = self
         self.held = memory.bodies.begin(client.address)
         self.started_at = time.monotonic()
         self.deadline = self.started_at + BODY_SECONDS
@@ -141,6 +142,10 @@
             return False
         return self.is_complete
 
+    def give_up(self) -> bool:
+        """Refuse the body if it waits for memory; return whether it does."""
+        return self.memory.refuse(self.held)
+
     def release(self) -> None:
         """Hold the body no longer."""
         self.memory.release(self.held)
--- a/wigeonspoke/transport/request_memory.py
+++ b/wigeonspoke/transport/request_memory.py
@@ -56,6 +56,14 @@
             self.bodies.end_wait(body)
             self._wake()
 
+    def refuse(self, body: HeldBody) -> bool:
+        """Refuse a body if it waits for memory; return whether it does."""
+        event = self.events.pop(body, None)
+        if event is None:
+            return False
+        event.send(True)
+        return True
+
     def release(self, body: HeldBody) -> None:
         """Hold a body no longer; repeating it has no effect."""
         has_freed = body.size > 0 or body in self.bodies.waiting
@@ -74,9 +82,11 @@
             event = Event()
             self.events[body] = event
             try:
-                event.wait(timeout=remaining_seconds)
+                is_refused = event.wait(timeout=remaining_seconds)
             finally:
                 self.events.pop(body, None)
+            if is_refused:
+                raise self._refuse()
 
     def _refuse(self) -> MemoryShortError:
         self.refused_count += 1
--- a/wigeonspoke/transport/server_protocol.py
+++ b/wigeonspoke/transport/server_protocol.py
@@ -60,7 +60,10 @@
         self.must_reset = False
         self.has_write_error = False
         self.rfile.close()
-        self.rfile = io.BufferedReader(_RequestInput(self.connection))
+        self.input = _RequestInput(self.connection)
+        # Reads of the input until the last request.
+        self.known_reads = 0
+        self.rfile = io.BufferedReader(self.input)
         self.wfile = _ResponseWriter(self.wfile, self)
 
     def finish(self) -> None:
@@ -167,6 +170,7 @@
         self.client.enter(Phase.IDLE)
         self.client.request_id = ''
         self.connection.settimeout(None)
+        self._let_others_run()
         if not self._has_request():
             return b''
         limits = self.server.listener.limits
@@ -174,6 +178,12 @@
         self.server.keepalive = limits.idle_seconds
         return self.rfile.readline(self.server.url_length_limit)
 
+    def _let_others_run(self) -> None:
+        """Let others run between requests that were received together."""
+        if self.client.answered and self.input.read_count == self.known_reads:
+            eventlet.sleep(0)
+        self.known_reads = self.input.read_count
+
     def _has_request(self) -> bool:
         """Wait for a request; return whether its first byte has arrived."""
         try:
@@ -225,6 +235,7 @@
 
     def __init__(self, connection: GreenSocket) -> None:
         self.connection = connection
+        self.read_count = 0
 
     def readable(self) -> bool:
         """Return whether the input can be read."""
@@ -232,6 +243,7 @@
 
     def readinto(self, target: bytearray) -> int:
         """Read into a buffer; return the number of bytes, 0 at the end."""
+        self.read_count += 1
         while True:
             try:
                 return self.connection.recv_into(target)
