--- a/wigeonspoke/transport/request_memory.py
+++ b/wigeonspoke/transport/request_memory.py
@@ -23,19 +23,13 @@
 
 
 class RequestMemory:
-    """Lets bodies wait while others hold the memory.
+    """Lets bodies wait while others hold the memory."""
 
-    ``wait_count`` and ``refused_count`` are how many bodies have waited, and
-    how many were refused.
-    """
-
-    __slots__ = ('bodies', 'events', 'refused_count', 'wait_count')
+    __slots__ = ('bodies', 'events')
 
     def __init__(self, capacity_bytes: float = DEFAULT_CAPACITY_BYTES) -> None:
         self.bodies = BodyMemory(capacity_bytes, SMALL_REQUEST_BYTES)
         self.events: dict[HeldBody, Event] = {}
-        self.wait_count = 0
-        self.refused_count = 0
 
     def wait_for_room(self, body: HeldBody, deadline: float) -> None:
         """Wait until more of a body may be received.
@@ -51,7 +45,7 @@
             now = time.monotonic()
             is_first = not self.bodies.has_room(body)
             if is_first and self.bodies.is_stalled(body, now):
-                raise self._refuse()
+                raise MemoryShortError
         if self.bodies.has_room(body) and body in self.bodies.waiting:
             self.bodies.end_wait(body)
             self._wake()
@@ -72,13 +66,11 @@
             self._wake()
 
     def _wait(self, body: HeldBody, deadline: float) -> None:
-        if body not in self.bodies.waiting:
-            self.wait_count += 1
         self.bodies.wait(body)
         while not self.bodies.may_grow(body):
             remaining_seconds = deadline - time.monotonic()
             if remaining_seconds <= 0:
-                raise self._refuse()
+                raise MemoryShortError
             event = Event()
             self.events[body] = event
             try:
@@ -86,11 +78,7 @@
             finally:
                 self.events.pop(body, None)
             if is_refused:
-                raise self._refuse()
-
-    def _refuse(self) -> MemoryShortError:
-        self.refused_count += 1
-        return MemoryShortError()
+                raise MemoryShortError
 
     def _wake(self) -> None:
         """Wake the bodies that may grow now."""
