Bound what the kernel keeps of a client's connection

What a host would see: memory beside that of the process, up to some megabytes for each body that waits, since the kernel lets the buffer of a connection grow that was read fast before. Such bytes count towards the memory of a machine.

Evidence: test_the_kernel_keeps_a_bounded_part_of_a_body failed before (the default of the system). The peak of the process does not show it.

--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -28,6 +28,7 @@
 from wigeonspoke.transport.request_head import RequestError
 from wigeonspoke.transport.request_memory import RequestMemory
 from wigeonspoke.transport.server_protocol import ServerProtocol, error_reply
+from wigeonspoke.transport.socket_options import RECEIVE_BUFFER_BYTES
 from wigeonspoke.transport.socket_peek import has_input
 
 WsgiApplication = Callable[..., Iterable[bytes]]
@@ -247,6 +248,9 @@
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         host, port = state[0]
         client = ClientConnection(self.limits, f'{host}:{port}')
         if self._is_full:
--- a/wigeonspoke/transport/tests/test_request_body.py
+++ b/wigeonspoke/transport/tests/test_request_body.py
@@ -9,6 +9,7 @@
 
 from wigeonspoke.core.body_memory import CHECK_SECONDS, SMALL_REQUEST_BYTES
 from wigeonspoke.transport import (
+    RECEIVE_BUFFER_BYTES,
     HttpListener,
     ListenerLimits,
     RequestError,
@@ -257,3 +258,15 @@
     _wait_until(lambda: application.sizes['held'] == total)
     application.held.clear()
     assert {_status(client) for client in crowd} == {b'200'}
+
+
+# Without a limit the kernel keeps some megabytes of each connection.
+def test_the_kernel_keeps_a_bounded_part_of_a_body(listener):
+    client = _open(listener, LENGTH % (b'x', 9) + b'x')
+    _wait_until(lambda: listener.open_connections)
+    connection = next(iter(listener.open_connections))
+    _wait_until(lambda: listener.open_connections[connection].body)
+    kept = connection.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    # The kernel doubles it for its own use.
+    assert kept == 2 * RECEIVE_BUFFER_BYTES
+    client.close()
