Let clients wait for a place in a queue that does not depend on the places

What callers saw: on a host with few descriptors, a client that came just after a crowd had left found no connection within a second.

Cause: the number of places of such a host is small since it comes from `max-fds`, and the queue of connections not accepted yet had the same size; the crowd filled it.

Change: the queue has 1,024 places at least.

--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -33,6 +33,7 @@
 
 WsgiApplication = Callable[..., Iterable[bytes]]
 
+MIN_BACKLOG = 1024
 # Connections whose places are needed end while others are accepted.
 ENDING_CONNECTIONS = 32
 CLOSED_SOCKET_ERRORS = frozenset((errno.EBADF, errno.EINVAL))
@@ -111,8 +112,11 @@
 
     @property
     def backlog(self) -> int:
-        """Return the size of the queue of connections not accepted yet."""
-        return self.limits.connections
+        """Return the size of the queue of connections not accepted yet.
+
+        A small one drops clients that come while a crowd is being accepted.
+        """
+        return max(MIN_BACKLOG, self.limits.connections)
 
     def close(self) -> None:
         """Stop accepting connections."""
--- a/wigeonspoke/transport/listener_limits.py
+++ b/wigeonspoke/transport/listener_limits.py
@@ -10,8 +10,9 @@
 class ListenerLimits(msgspec.Struct, frozen=True):
     """Limits on what a listener accepts from its clients.
 
-    ``connections`` limits the open connections and the queue of connections
-    not accepted yet, ``header_bytes`` the size of a request's head.
+    ``connections`` limits the open connections and, if there are many, the
+    queue of connections not accepted yet; ``header_bytes`` limits the size of a
+    request's head.
 
     Each phase of a connection has a limit of its own, in seconds:
     ``idle_seconds`` until the next request begins, ``head_seconds`` for the
--- a/wigeonspoke/transport/tests/test_connection_places.py
+++ b/wigeonspoke/transport/tests/test_connection_places.py
@@ -153,3 +153,12 @@
     recorder.kill()
     # The first two requests may run at once.
     assert max(after - before for before, after in pairwise(runs)) <= 2
+
+
+# Clients that came while a crowd was being accepted were dropped.
+@pytest.mark.parametrize('connections', [1, 1500])
+def test_more_clients_may_wait_than_there_are_places(connections):
+    limits = ListenerLimits(connections=connections)
+    server = HttpListener(_application, limits=limits)
+    assert server.backlog >= 1024
+    server.abort()
