Show readers that stop, and crowds at the own daemon

Ruled out as a mend: ending readers that stop sooner, since those behind them in the queue of connections take the places again, 7 answers at a time.

--- a/wigeonspoke/platform/tests/crowd.py
+++ b/wigeonspoke/platform/tests/crowd.py
@@ -23,12 +23,14 @@
     """What each client of a crowd sends.
 
     ``repeated`` follows ``first`` so many ``times``, or without end if that
-    is 0.  ``%d`` stands for the number of the client.
+    is 0.  ``%d`` stands for the number of the client.  ``reads`` is whether it
+    reads what it is answered.
     """
 
     first: bytes
     repeated: bytes = b''
     times: int = 0
+    reads: bool = True
 
 
 def request_head(
@@ -62,6 +64,7 @@
         self.repeated = shape.repeated.replace(b'%d', b'%d' % number)
         self.is_endless = bool(shape.repeated) and not shape.times
         self.left = shape.times
+        self.reads = shape.reads
         self.is_closed = False
         self.answer = b''
 
@@ -70,7 +73,7 @@
         if self.is_closed:
             return False
         try:
-            has_received = self._receive()
+            has_received = self.reads and self._receive()
             has_sent = self._send()
         except OSError:
             self.is_closed = True
--- a/wigeonspoke/platform/tests/test_crowds.py
+++ b/wigeonspoke/platform/tests/test_crowds.py
@@ -157,6 +157,23 @@
     harness.configure(configuration)
 
 
+def _answer_large(replica) -> None:
+    """Answer requests for one path with a body of the full size."""
+    sound = replica.server.handle
+
+    def handle(request, connection):
+        if not request.target.startswith('/read/large'):
+            sound(request, connection)
+            return
+        headers = {
+            'Request-Id': request.headers['request-id'],
+            'Response-Signature': 's1.2',
+        }
+        connection.respond(200, headers, b'x' * BODY_BYTES)
+
+    replica.server.handle = handle
+
+
 def _play(node: CrowdedNode, crowd: Crowd) -> None:
     """Let a crowd send, with an ordinary request beside it and after it."""
     crowd.run(CROWD_SECONDS)
@@ -269,6 +286,18 @@
     node.check()
 
 
+# Clients that ask for large answers and do not read them take the memory for
+# answers, beside which small ones have room.
+@pytest.mark.parametrize('size', [LARGE_CROWD, NUMEROUS_CROWD])
+def test_readers_that_stop(node, size):
+    for replica in node.harness.replicas:
+        _answer_large(replica)
+    shape = Shape(
+        request_head(b'Content-Length: 0\r\n', b'/read/large'), reads=False
+    )
+    _play(node, node.crowd(shape, size))
+
+
 # A stop must end in its time beside a crowd.
 @pytest.mark.parametrize('shape', ['chunks', 'length'])
 def test_a_planned_stop_beside_a_crowd(node, shape):
