--- a/wigeonspoke/platform/tests/test_crowds.py
+++ b/wigeonspoke/platform/tests/test_crowds.py
@@ -11,6 +11,12 @@
 import eventlet
 import pytest
 
+from wigeonspoke.ingress.relay.relay_head import (
+    RELAY_HEADER,
+    RELAY_PATH,
+    RelayHead,
+    encode_head,
+)
 from wigeonspoke.platform.tests.crowd import Crowd, Shape, request_head
 from wigeonspoke.platform.tests.harness import (
     API_KEY,
@@ -225,6 +231,34 @@
     _play(node, node.crowd(shape, LARGE_CROWD, node.process.control))
 
 
+# Bodies that peers hand over for their clients stand in two nodes.
+@pytest.mark.parametrize('is_whole', [False, True])
+def test_large_bodies_of_relayed_requests(node, is_whole):
+    for replica in node.harness.replicas:
+        replica.run_seconds = 1.0
+    head = RelayHead(
+        node='node-1',
+        request_id='c%d',
+        method='POST',
+        target='/read/x',
+        host=HOST,
+        path='/read/x',
+        headers=(('Host', HOST), ('Request-Id', 'c%d')),
+        account='acme',
+        kind='safe',
+        service='ledger',
+        remaining_seconds=20.0,
+        execution_limit=2,
+    )
+    framing = f'{RELAY_HEADER}: {encode_head(head)}\r\n'.encode()
+    framing += WHOLE if is_whole else ALMOST_WHOLE
+    first = request_head(framing, RELAY_PATH.encode())
+    crowd = node.crowd(
+        Shape(first, BLOCK, BLOCKS), LARGE_CROWD, node.process.control
+    )
+    _play(node, crowd)
+
+
 # What a crowd held is free after its connections were reset.
 def test_crowds_that_reset_their_connections(node):
     for _ in range(4):
