Share how a listener refuses without waiting, and the raw client of its tests

The refusal of a slow head and that of a connection that gives way sent an answer in the same way, and two test modules had a client of the same lines. No behaviour changes; the tests keep their assertions. The tests of transport pass, formatter and linter are clean.

--- a/wigeonspoke/transport/http_server.py
+++ b/wigeonspoke/transport/http_server.py
@@ -202,7 +202,11 @@
         else:
             limits = client.limits
             client.end_by_limit(limits.head_seconds, limits.version)
-            _refuse_slow_head(connection)
+            _send_refusal(
+                connection,
+                http.HTTPStatus.REQUEST_TIMEOUT,
+                'the head takes too long',
+            )
         shutdown_safe(connection)
 
     def _serve_request(
@@ -275,13 +279,12 @@
                 self.on_end(client.describe_end())
 
 
-def _refuse_slow_head(connection: GreenSocket) -> None:
-    """Answer a request whose head takes too long, without waiting."""
-    refusal = RequestError(
-        http.HTTPStatus.REQUEST_TIMEOUT, 'the head takes too long'
-    )
+def _send_refusal(
+    connection: GreenSocket, status: http.HTTPStatus, problem: str
+) -> None:
+    """Answer a request that was not read, without waiting."""
     with suppress(OSError):
-        connection.fd.send(error_reply(refusal))
+        connection.fd.send(error_reply(RequestError(status, problem)))
 
 
 def _refuse_unread(
@@ -295,9 +298,7 @@
         # Its reader answers and closes.
         return
     if client.phase is not Phase.IDLE and not client.is_closing:
-        refusal = RequestError(http.HTTPStatus.SERVICE_UNAVAILABLE, problem)
-        with suppress(OSError):
-            connection.fd.send(error_reply(refusal))
+        _send_refusal(connection, http.HTTPStatus.SERVICE_UNAVAILABLE, problem)
     shutdown_safe(connection)
 
 
--- a/wigeonspoke/transport/tests/test_connection_places.py
+++ b/wigeonspoke/transport/tests/test_connection_places.py
@@ -1,6 +1,5 @@
 """Which connections give way when a listener has no place for another one."""
 
-import socket
 from itertools import pairwise
 
 import eventlet
@@ -16,9 +15,9 @@
     Phase,
 )
 from wigeonspoke.transport.connection_places import choose_to_end
+from wigeonspoke.transport.tests.raw_client import open_client, read_status
 
 PLACES = 8
-WAIT_SECONDS = 5.0
 REQUEST = b'GET /%s HTTP/1.1\r\nHost: x\r\n\r\n'
 LONG_BODY = b'POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nx'
 
@@ -83,18 +82,11 @@
 
 
 def _open(listener, payload=b''):
-    host, port = listener.address.split(':')
-    client = socket.create_connection((host, int(port)))
-    client.settimeout(WAIT_SECONDS)
-    client.sendall(payload)
+    client = open_client(listener, payload)
     eventlet.sleep(0.01)
     return client
 
 
-def _status(client) -> bytes:
-    return client.recv(12)[-3:]
-
-
 # Clients that only held their connections kept all others out.
 @pytest.mark.parametrize('payload', [b'', b'GET / HTTP/1.1\r\n', LONG_BODY])
 def test_a_newcomer_is_served_beside_clients_that_hold_all_places(
@@ -102,7 +94,7 @@
 ):
     crowd = [_open(listener, payload) for _ in range(4 * PLACES)]
     newcomer = _open(listener, REQUEST % b'x')
-    assert _status(newcomer) == b'200'
+    assert read_status(newcomer) == b'200'
     assert len(listener.open_connections) <= PLACES + 1
     causes = [end.cause for end in ends]
     assert causes.count(EndCause.PLACE) >= 3 * PLACES
@@ -116,7 +108,9 @@
 def test_running_requests_are_not_ended(listener):
     running = [_open(listener, REQUEST % b'slow') for _ in range(PLACES - 2)]
     silent = [_open(listener) for _ in range(3 * PLACES)]
-    assert [_status(client) for client in running] == [b'200'] * len(running)
+    assert [read_status(client) for client in running] == [b'200'] * len(
+        running
+    )
     for client in silent:
         client.close()
 
@@ -125,7 +119,7 @@
 def test_busy_clients_leave_their_places_while_all_are_taken(listener):
     crowd = [_open(listener, REQUEST % b'x' * 200) for _ in range(3 * PLACES)]
     newcomer = _open(listener, REQUEST % b'x')
-    assert _status(newcomer) == b'200'
+    assert read_status(newcomer) == b'200'
     for client in crowd:
         client.close()
 
--- a/wigeonspoke/transport/tests/test_request_body.py
+++ b/wigeonspoke/transport/tests/test_request_body.py
@@ -17,6 +17,7 @@
     request_body,
 )
 from wigeonspoke.transport.chunked_decoder import ChunkedDecoder
+from wigeonspoke.transport.tests.raw_client import open_client, read_status
 
 MAX_BYTES = 1048576
 CAPACITY = 262144
@@ -74,18 +75,6 @@
     server.abort()
 
 
-def _open(listener, payload=b''):
-    host, port = listener.address.split(':')
-    client = socket.create_connection((host, int(port)))
-    client.settimeout(WAIT_SECONDS)
-    client.sendall(payload)
-    return client
-
-
-def _status(client) -> bytes:
-    return client.recv(12)[-3:]
-
-
 def _wait_until(condition) -> None:
     with eventlet.Timeout(WAIT_SECONDS):
         while not condition():
@@ -116,12 +105,12 @@
 
     monkeypatch.setattr(ChunkedDecoder, 'feed', feed)
     payload = CHUNKED % b'tiny' + TINY_CHUNKS * 10000 + LAST_CHUNK
-    crowd = [_open(listener) for _ in range(clients)]
+    crowd = [open_client(listener) for _ in range(clients)]
     recorder = eventlet.spawn(record_turns)
     senders = [eventlet.spawn(client.sendall, payload) for client in crowd]
     for client, sender in zip(crowd, senders, strict=True):
         sender.wait()
-        assert _status(client) == b'200'
+        assert read_status(client) == b'200'
         client.close()
     recorder.kill()
     assert sum(turns) + elements['parsed'] >= clients * 30000
@@ -143,7 +132,7 @@
 
     monkeypatch.setattr(ChunkedDecoder, 'feed', feed)
     crowd = [
-        _open(listener, CHUNKED % b'tiny' + TINY_CHUNKS * 3000)
+        open_client(listener, CHUNKED % b'tiny' + TINY_CHUNKS * 3000)
         for _ in range(10)
     ]
     for client in crowd:
@@ -157,7 +146,7 @@
     application.held.add('held')
     size = CAPACITY // 2
     payload = LENGTH % (b'held', size) + b'x' * size
-    crowd = [_open(listener) for _ in range(8)]
+    crowd = [open_client(listener) for _ in range(8)]
     for client in crowd:
         eventlet.spawn(client.sendall, payload)
     eventlet.sleep(0.5)
@@ -166,10 +155,10 @@
     parts = len(crowd) * request_body.PART_BYTES
     assert bodies.held_bytes <= CAPACITY + size + parts
     # A small request has room beside them.
-    small = _open(listener, LENGTH % (b'small', 4096) + b'x' * 4096)
-    assert _status(small) == b'200'
+    small = open_client(listener, LENGTH % (b'small', 4096) + b'x' * 4096)
+    assert read_status(small) == b'200'
     application.held.clear()
-    assert [_status(client) for client in crowd] == [b'200'] * len(crowd)
+    assert [read_status(client) for client in crowd] == [b'200'] * len(crowd)
     _wait_until(lambda: not bodies.held_bytes)
     assert not bodies.waiting
 
@@ -177,28 +166,30 @@
 # The first in line held the memory for which all others waited.
 def test_a_body_that_stalls_first_in_line_is_refused(listener):
     size = 2 * CAPACITY
-    stalled = _open(listener, LENGTH % (b'stalled', size) + b'x' * (size - 1))
-    others = [_open(listener) for _ in range(3)]
+    stalled = open_client(
+        listener, LENGTH % (b'stalled', size) + b'x' * (size - 1)
+    )
+    others = [open_client(listener) for _ in range(3)]
     for client in others:
         eventlet.spawn(client.sendall, LENGTH % (b'x', size) + b'x' * size)
-    assert _status(stalled) == b'503'
-    assert [_status(client) for client in others] == [b'200'] * len(others)
+    assert read_status(stalled) == b'503'
+    assert [read_status(client) for client in others] == [b'200'] * len(others)
 
 
 # A client that sends slowly is no fault while nobody waits for its memory.
 def test_a_slow_body_alone_is_served(listener):
     size = 2 * CAPACITY
-    client = _open(listener, LENGTH % (b'slow', size) + b'x' * (size - 1))
+    client = open_client(listener, LENGTH % (b'slow', size) + b'x' * (size - 1))
     eventlet.sleep(2.5 * CHECK_SECONDS)
     client.sendall(b'x')
-    assert _status(client) == b'200'
+    assert read_status(client) == b'200'
 
 
 # A byte now and then kept a connection and its bytes for days.
 def test_a_body_ends_at_the_deadline_of_its_request(application, listener):
     application.seconds = 0.3
-    client = _open(listener, CHUNKED % b'slow' + b'ffff\r\n')
-    status = eventlet.spawn(_status, client)
+    client = open_client(listener, CHUNKED % b'slow' + b'ffff\r\n')
+    status = eventlet.spawn(read_status, client)
     while not status.dead:
         client.send(b'x')
         eventlet.sleep(0.05)
@@ -210,11 +201,11 @@
     'head', [CHUNKED % b'x', LENGTH % (b'refused', 600000)]
 )
 def test_a_refusal_reaches_a_client_that_is_still_sending(listener, head):
-    client = _open(listener, head + b'no chunk\r\n')
+    client = open_client(listener, head + b'no chunk\r\n')
     for _ in range(8):
         eventlet.sleep(0.02)
         client.sendall(b'x' * 16384)
-    assert _status(client) in {b'400', b'404'}
+    assert read_status(client) in {b'400', b'404'}
 
 
 # The rest of a small body is dropped, so that the connection stays in use.
@@ -228,10 +219,10 @@
 def test_a_connection_is_kept_after_a_refused_small_body(
     listener, request_bytes
 ):
-    client = _open(listener)
+    client = open_client(listener)
     for _ in range(3):
         client.sendall(request_bytes)
-        assert _status(client) == b'404'
+        assert read_status(client) == b'404'
         while not client.recv(65536).endswith(b'no'):
             eventlet.sleep(0)
 
@@ -239,7 +230,7 @@
 # The bytes behind a chunked body are the next request.
 def test_requests_behind_a_chunked_body_are_kept(application, listener):
     body = CHUNKED % b'chunked' + b'5\r\nabcde\r\n' * 300 + LAST_CHUNK
-    client = _open(listener, body * 5)
+    client = open_client(listener, body * 5)
     _wait_until(lambda: application.sizes['chunked'] == 5 * 1500)
     client.close()
 
@@ -247,7 +238,7 @@
 def test_small_bodies_never_wait(application, listener):
     application.held.add('held')
     crowd = [
-        _open(
+        open_client(
             listener,
             LENGTH % (b'held', SMALL_REQUEST_BYTES)
             + b'x' * SMALL_REQUEST_BYTES,
@@ -257,12 +248,12 @@
     total = len(crowd) * SMALL_REQUEST_BYTES
     _wait_until(lambda: application.sizes['held'] == total)
     application.held.clear()
-    assert {_status(client) for client in crowd} == {b'200'}
+    assert {read_status(client) for client in crowd} == {b'200'}
 
 
 # Without a limit the kernel keeps some megabytes of each connection.
 def test_the_kernel_keeps_a_bounded_part_of_a_body(listener):
-    client = _open(listener, LENGTH % (b'x', 9) + b'x')
+    client = open_client(listener, LENGTH % (b'x', 9) + b'x')
     _wait_until(lambda: listener.open_connections)
     connection = next(iter(listener.open_connections))
     _wait_until(lambda: listener.open_connections[connection].body)
