Take the routes of the crowd tests from those of all tests

The tests wrote two of the three routes again, with another time. They now change the time of the shared ones; crowds, bounds and checks stay.

--- a/wigeonspoke/platform/tests/test_crowds.py
+++ b/wigeonspoke/platform/tests/test_crowds.py
@@ -22,7 +22,6 @@
     API_KEY,
     HOST,
     make_configuration,
-    make_route,
 )
 from wigeonspoke.platform.tests.node_process import NodeProcess
 from wigeonspoke.transport import HttpClient
@@ -142,18 +141,9 @@
 
 
 def _configure(harness) -> None:
-    routes = [
-        make_route('/read/', 'ledger', 'safe', timeout_ms=ROUTE_MILLISECONDS),
-        make_route(
-            '/draft/',
-            'drafting',
-            'streaming',
-            resumable=True,
-            gap_aim_ms=200,
-            timeout_ms=ROUTE_MILLISECONDS,
-        ),
-    ]
-    configuration = make_configuration(version=2, routes=routes)
+    configuration = make_configuration(version=2)
+    for route in configuration['routes']:
+        route['timeout-ms'] = ROUTE_MILLISECONDS
     configuration['limits'] = {
         'max-header-bytes': 16384,
         'max-body-bytes': BODY_BYTES,
