--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -105,12 +105,22 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+# Ports that were given out: their processes may not listen yet.
+GIVEN_PORTS: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that nobody uses now."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
+    socks = []
+    ports: list[int] = []
+    while len(ports) < count:
+        sock = socket.socket()
         sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
+        socks.append(sock)
+        port = sock.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            ports.append(port)
     for sock in socks:
         sock.close()
     return ports
