--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -264,7 +265,8 @@
             pass
         finally:
             self.writers.discard(writer)
-            writer.close()
+            with contextlib.suppress(RuntimeError):
+                writer.close()
 
 
 def encode_answer(status: int, headers: dict, body: bytes) -> bytes:
